--- a/src/bin/magpiehill-wirehost.rs
+++ b/src/bin/dunemount-benchlink.rs
@@ -6,7 +6,7 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-use magpiehill::*;
+use dunemount::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -14,7 +14,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("magpiehill-wirehost: {message}");
+            eprintln!("dunemount-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! magpiehill makes the decisions of a query router for sharded, replicated databases.
+//! dunemount makes the decisions of a query router for sharded, replicated databases.
 //!
 //! A [`Router`] does no input or output and reads no clock. The driver hands it each [`Event`]
 //! with the present time and carries out the [`Action`]s that come back. The same seed and the
 //! same events always give the same actions.
 //!
 //! ```
-//! use magpiehill::*;
+//! use dunemount::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -6,7 +6,7 @@
 use serde_json::{json, Value};
 
 fn run(lines: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_magpiehill-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_dunemount-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use magpiehill::*;
+use dunemount::*;
 
 const GROUP: GroupId = GroupId(1);
 const PRIMARY: MemberId = MemberId(10);
