--- a/src/balance.rs
+++ b/src/balance.rs
@@ -2,8 +2,6 @@
 //!
 //! The ordinary path: a read goes to a replica whose last known log position covers the read's
 //! token or bound, drawn by weight and load with the primary left out; otherwise to the primary.
-//! Sections follow a request's life: members and evidence, arrival, choice, send, outcome, final
-//! answer, and the sweep that keeps time.
 
 use std::collections::BTreeMap;
 
@@ -16,8 +14,7 @@
 
 /// Ticks between sweeps while a request waits: two, to cost little beside the events of its ticks.
 const SWEEP_TICKS: u64 = 2;
-/// Time between reweightings, and between sweeps while requests are out but none waits. The paper
-/// uses one second; troubles here last only ten.
+/// Time between reweightings, and between sweeps while none waits; the paper's is one second.
 const SURVEY: Micros = Micros::millis(50);
 /// Weight of a new sample in a running mean of latencies: about the last fifty count.
 const MEAN_GAIN: f64 = 0.02;
@@ -36,8 +33,7 @@
 const LIMIT_START: f64 = 8.0;
 /// Least concurrency limit: one request running and one behind it, or nothing is learned.
 const LIMIT_FLOOR: f64 = 2.0;
-/// Drivers up to which each may have these; more share what so many have, since limits that add up
-/// to more than a member can hold bind nothing. Members of the smallest kind have a few cores.
+/// Drivers up to which each may have these; more share what so many have.
 const FULL_LIMITS: f64 = 4.0;
 /// Requests of a class that may fail to find room before the rest of it waits for the next pass.
 const SCAN: u32 = 4;
@@ -49,8 +45,7 @@
 const FAIL_HALF_LIFE: Micros = Micros::millis(3000);
 /// Least draw weight of a failing member: the trickle that shows its return.
 const TRICKLE: f64 = 0.01;
-/// Losses in a row on idle connections, none on others, from which those are distrusted: chance or an
-/// overload gives so many seldom.
+/// Losses in a row on idle connections, none on others, from which those are distrusted.
 const IDLE_LOSSES: u32 = 4;
 /// Least time between probes of a member, and between writes there that look for a primary.
 const SEEK: Micros = Micros::millis(200);
@@ -116,8 +111,7 @@
     probing: bool,
     /// Last send or answer: since then its connections are idle.
     used_at: Micros,
-    /// What a cold member may still be sent. Starts at random below nothing, or the first requests of
-    /// hundreds of drivers would all go out at its start.
+    /// What a cold member may still be sent; starts at random below nothing, to spread the drivers.
     credit: f64,
 }
 
@@ -401,8 +395,7 @@
         queue.sort_by(|((a_write, a), _), ((b_write, b), _)| b_write.cmp(a_write).then(b.total_cmp(a)));
         let mut left = Vec::new();
         let mut writes_wait = false;
-        // Once some of a class find no room the rest would not either: a long queue must not cost the
-        // driver its CPU.
+        // Once some of a class find no room the rest would not either, and a long queue costs CPU.
         let mut failed = vec![0; self.means.len()];
         for ((write, _), id) in queue {
             let class = self.open[&id].req.class.0;
@@ -516,6 +509,16 @@
         primary.filter(|m| self.has_room(now, *m, cost, PRIMARY_READ_PART))
     }
 
+    /// Whether the attempt that is out may still be written now that its connection is up.
+    pub fn holds(&self, now: Micros, id: RequestId) -> bool {
+        let Some(open) = self.open.get(&id) else { return false };
+        let to = open.out.last().map(|(_, to)| *to);
+        let Some(member) = to.and_then(|to| self.members.get(&to)) else { return false };
+        let leads = self.settings.classes[open.req.class.0].need == Need::Write;
+        let leads = leads || to == self.primary(open.req.group);
+        member.listed() && (leads || member.position.unwrap_or_default() >= self.needed(now, open))
+    }
+
     /// Where a write goes: the primary, or while none is known the most advanced of the members that
     /// have not just said that they are replicas. Answers to reads tell of a new primary too.
     fn choose_writer(&self, now: Micros, open: &Open, cost: f64) -> Option<MemberId> {
@@ -532,9 +535,8 @@
         unsure.into_iter().max_by_key(|m| self.members[m].position)
     }
 
-    /// Draws a replica: periodic weight, nearness, and against the load in flight. Of many drivers each
-    /// keeps to the replicas that it has connections to: new ones take time and work, more so when
-    /// something is wrong, and members accept only so many. The load still moves it on.
+    /// Draws a replica: periodic weight, nearness, and against the load in flight. A driver keeps to
+    /// replicas that it has connections to: new ones take time and work, and are capped.
     fn draw(&mut self, now: Micros, eligible: &[MemberId]) -> Option<MemberId> {
         let far = 1.0 + ZONE_PULL * self.settings.cross_zone_price;
         let weight = |id: &MemberId| {
@@ -859,8 +861,7 @@
     }
 
     /// Probes members whose connections broke, and where members do not check reads themselves those
-    /// whose position is oldest, as far as the requests served pay for it: hundreds of drivers that
-    /// each ask all members cost more than they learn.
+    /// whose position is oldest, as far as the requests served pay for it.
     fn check_members(&mut self, now: Micros, actions: &mut Actions) {
         let routine = self.settings.checks == Checks::None;
         let mut due = Vec::new();
--- /dev/null
+++ b/src/balancer.rs
@@ -0,0 +1,334 @@
+//! The decision module in blocking style: [`Balancer::pick`] a member for a request,
+//! [`Balancer::report`] how the attempt ended, [`Balancer::tick`] for all that has fallen due.
+//! Timers and attempt numbers live here; events and actions stay behind this line.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::api::*;
+use crate::balance::Router;
+use crate::request::{Broken, Cause};
+
+/// A request's number, unique while the gateway runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(u64);
+
+/// What the client asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Its class.
+    pub class: ClassId,
+    /// Its group.
+    pub group: GroupId,
+    /// Its session; dropped in classes that have none.
+    pub session: SessionKey,
+    /// Time since its session's last commit, where the client carries one.
+    pub since_commit: Option<Micros>,
+    /// The client marked it as a repeat.
+    pub repeat: bool,
+    /// Time until the client gives up.
+    pub time_left: Micros,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Start an attempt.
+    Send {
+        /// Where to.
+        member: MemberId,
+        /// How long to wait for its answer.
+        timeout: Micros,
+    },
+    /// Wait: a later [`Due`] decides.
+    Held,
+    /// Final answer: refused, a further try is harmless.
+    Refuse {
+        /// When to come back, if there is advice.
+        come_back: Option<Micros>,
+    },
+    /// Final answer: failed, with no word on its effect.
+    Fail,
+}
+
+/// Something that has fallen due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The verdict on a request that was held.
+    Verdict(Ticket, Verdict),
+    /// Stop waiting for the request's attempt. It is booked already.
+    Cancel(Ticket),
+    /// Ask a member how it is and call [`Balancer::probed`].
+    Probe(MemberId),
+    /// Close the idle connections to a member.
+    CloseIdle(MemberId),
+    /// A line for the operators.
+    Note(String),
+}
+
+/// What a host's answer says, whatever the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// Served.
+    Served,
+    /// Wrong role or too far behind; no effect.
+    Miss,
+    /// Turned away; never ran.
+    TurnedAway,
+    /// The host failed; it may have run.
+    Error,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug)]
+pub enum Ended {
+    /// With an answer.
+    Answer {
+        /// What it says.
+        said: Said,
+        /// The host's role as it answered.
+        role: Option<Role>,
+        /// Its position, or the commit of a write.
+        position: Option<Micros>,
+    },
+    /// Without one.
+    Broken(Broken),
+}
+
+impl Ended {
+    /// The module's word for it. The one place where the reach of an attempt decides its outcome.
+    fn status(self) -> Status {
+        match self {
+            Ended::Answer { said: Said::Served, .. } => Status::Ok,
+            Ended::Answer { said: Said::Miss, .. } => Status::Miss,
+            Ended::Answer { said: Said::TurnedAway, .. } => Status::Full,
+            Ended::Answer { said: Said::Error, .. } => Status::Error,
+            Ended::Broken(broken) if broken.may_have_run() => match broken.cause {
+                Cause::TimedOut => Status::Timeout,
+                Cause::Lost | Cause::NotTried => Status::Reset,
+            },
+            Ended::Broken(Broken { cause: Cause::Lost, .. }) => Status::ConnectFailed,
+            Ended::Broken(_) => Status::Moot,
+        }
+    }
+}
+
+/// The attempt that is out for a request.
+struct Flight {
+    attempt: AttemptNo,
+    member: MemberId,
+    sent: Micros,
+}
+
+/// A request as far as the facade follows it.
+struct Track {
+    until: Micros,
+    sends: u32,
+    flight: Option<Flight>,
+}
+
+/// The facade over the decision module.
+pub struct Balancer {
+    router: Router,
+    needs: Vec<Need>,
+    next_ticket: u64,
+    tracks: BTreeMap<Ticket, Track>,
+    timers: BTreeSet<(Micros, TimerId)>,
+    due: VecDeque<Due>,
+}
+
+impl Balancer {
+    /// A balancer that knows its settings only. Two attempts at once are ruled out, whatever they say.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let needs = settings.classes.iter().map(|class| class.need).collect();
+        let settings = Settings { second_copies: false, ..settings };
+        Balancer {
+            router: Router::new(settings, seed),
+            needs,
+            next_ticket: 0,
+            tracks: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            due: VecDeque::new(),
+        }
+    }
+
+    /// Takes in a member list or a change to it.
+    pub fn members(&mut self, now: Micros, full: bool, entries: Vec<Entry>) {
+        let kind = if full { ListKind::Full } else { ListKind::Changes };
+        self.drive(now, Event::Members { kind, entries });
+    }
+
+    /// Takes a request on. Unless held it is decided at once.
+    pub fn pick(&mut self, now: Micros, ask: Ask) -> (Ticket, Verdict) {
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.tracks.insert(ticket, Track { until: now + ask.time_left, sends: 0, flight: None });
+        let keyed = matches!(self.needs.get(ask.class.0), Some(Need::Write | Need::Session));
+        self.drive(
+            now,
+            Event::Request(Request {
+                id: RequestId(ticket.0),
+                class: ask.class,
+                group: ask.group,
+                session: keyed.then_some(ask.session),
+                since_commit: ask.since_commit,
+                tenant: None,
+                repeat: ask.repeat,
+                time_left: ask.time_left,
+            }),
+        );
+        (ticket, self.verdict_on(ticket))
+    }
+
+    /// Books the end of the attempt that is out. A served request is finished; for any other the
+    /// verdict says how it goes on.
+    pub fn report(&mut self, now: Micros, ticket: Ticket, ended: Ended) -> Verdict {
+        let served = matches!(ended, Ended::Answer { said: Said::Served, .. });
+        self.outcome(now, ticket, ended, served);
+        if served {
+            self.tracks.remove(&ticket);
+        }
+        self.verdict_on(ticket)
+    }
+
+    /// Whether the attempt that is out may still be written to its member, after a connection took
+    /// its time to come up.
+    pub fn still_holds(&self, now: Micros, ticket: Ticket) -> bool {
+        self.tracks.contains_key(&ticket) && self.router.holds(now, RequestId(ticket.0))
+    }
+
+    /// The client has left or was answered by other means: nothing is owed any more.
+    pub fn gone(&mut self, now: Micros, ticket: Ticket) {
+        self.due.retain(|due| !matches!(due, Due::Verdict(t, _) | Due::Cancel(t) if *t == ticket));
+        if self.tracks.contains_key(&ticket) {
+            self.drive(now, Event::Gone(RequestId(ticket.0)));
+            self.abandon(now, ticket);
+        }
+    }
+
+    /// Books the end of a probe and what the member said of itself.
+    pub fn probed(&mut self, now: Micros, member: MemberId, ended: Ended) {
+        let report = match ended {
+            Ended::Answer { role, position, .. } => Report { position, role },
+            Ended::Broken(_) => Report::default(),
+        };
+        self.drive(now, Event::Probed { member, status: ended.status(), report });
+    }
+
+    /// Lets due timers act and hands out what has fallen due, in order.
+    pub fn tick(&mut self, now: Micros) -> Option<Due> {
+        if self.due.is_empty() {
+            // Timers set while these act wait for the next call, or one due at once would never end.
+            let later = self.timers.split_off(&(now + Micros(1), TimerId(0)));
+            for (_, timer) in std::mem::replace(&mut self.timers, later) {
+                self.drive(now, Event::Timer(timer));
+            }
+        }
+        self.due.pop_front()
+    }
+
+    /// When [`Balancer::tick`] has something to do next.
+    pub fn next_due(&self) -> Option<Micros> {
+        if self.due.is_empty() {
+            self.timers.first().map(|(at, _)| *at)
+        } else {
+            Some(Micros(0))
+        }
+    }
+
+    /// The verdict that the last event brought for a request.
+    fn verdict_on(&mut self, ticket: Ticket) -> Verdict {
+        let place = self.due.iter().position(|due| matches!(due, Due::Verdict(t, _) if *t == ticket));
+        match place.and_then(|index| self.due.remove(index)) {
+            Some(Due::Verdict(_, verdict)) => verdict,
+            _ => Verdict::Held,
+        }
+    }
+
+    fn outcome(&mut self, now: Micros, ticket: Ticket, ended: Ended, finished: bool) {
+        let (role, position) = match ended {
+            Ended::Answer { role, position, .. } => (role, position),
+            Ended::Broken(_) => (None, None),
+        };
+        self.book(now, ticket, ended.status(), finished, role, position);
+    }
+
+    fn book(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        status: Status,
+        finished: bool,
+        role: Option<Role>,
+        position: Option<Micros>,
+    ) {
+        let Some(flight) = self.tracks.get_mut(&ticket).and_then(|track| track.flight.take()) else { return };
+        self.drive(
+            now,
+            Event::Outcome(Outcome {
+                request: RequestId(ticket.0),
+                attempt: flight.attempt,
+                member: flight.member,
+                status,
+                latency: now - flight.sent,
+                finished,
+                role,
+                position,
+                report: Report::default(),
+            }),
+        );
+    }
+
+    /// Forgets a finished request; what it still had out counts as called off.
+    fn abandon(&mut self, now: Micros, ticket: Ticket) {
+        self.book(now, ticket, Status::Cancelled, true, None, None);
+        self.tracks.remove(&ticket);
+    }
+
+    fn drive(&mut self, now: Micros, event: Event) {
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { request, member, timeout } => {
+                    let ticket = Ticket(request.0);
+                    let Some(track) = self.tracks.get_mut(&ticket) else { continue };
+                    track.flight = Some(Flight { attempt: AttemptNo(track.sends), member, sent: now });
+                    track.sends += 1;
+                    let left = track.until - now;
+                    let timeout = timeout.map_or(left, |t| t.min(left));
+                    self.due.push_back(Due::Verdict(ticket, Verdict::Send { member, timeout }));
+                }
+                Action::Refuse { request, retry_after } => {
+                    self.conclude(now, Ticket(request.0), Verdict::Refuse { come_back: retry_after });
+                }
+                Action::Fail { request } => self.conclude(now, Ticket(request.0), Verdict::Fail),
+                Action::Cancel { request, .. } => {
+                    let ticket = Ticket(request.0);
+                    if self.tracks.get(&ticket).is_some_and(|track| track.flight.is_some()) {
+                        self.due.push_back(Due::Cancel(ticket));
+                        self.book(now, ticket, Status::Cancelled, true, None, None);
+                    }
+                }
+                Action::Probe { member } => self.due.push_back(Due::Probe(member)),
+                Action::CloseIdle { member } => self.due.push_back(Due::CloseIdle(member)),
+                Action::SetTimer { timer, at } => {
+                    self.timers.insert((at, timer));
+                }
+                Action::Log { text } => self.due.push_back(Due::Note(text)),
+                // The list is always watched, and there is no way to talk to other gateways.
+                Action::Watch | Action::TellPeers { .. } => {}
+            }
+        }
+    }
+
+    /// Hands on a final answer. A verdict to send that nobody has fetched yet is void with it, and
+    /// whoever gets the answer closes the attempt's connection.
+    fn conclude(&mut self, now: Micros, ticket: Ticket, verdict: Verdict) {
+        if !self.tracks.contains_key(&ticket) {
+            return;
+        }
+        self.due.retain(|due| !matches!(due, Due::Verdict(t, _) if *t == ticket));
+        self.due.push_back(Due::Verdict(ticket, verdict));
+        self.abandon(now, ticket);
+    }
+}
--- a/src/bin/dunemount-benchlink.rs
+++ b/src/bin/dunemount-benchlink.rs
@@ -6,6 +6,7 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
+use dunemount::settings::{Ms, Params, Site, Zones};
 use dunemount::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -37,23 +38,6 @@
     Ok(())
 }
 
-/// A length of time on the wire, in milliseconds.
-#[derive(Clone, Copy, Default, Deserialize, Serialize)]
-#[serde(transparent)]
-struct Ms(f64);
-
-impl From<Ms> for Micros {
-    fn from(ms: Ms) -> Micros {
-        Micros((ms.0 * 1000.0).round().max(0.0) as u64)
-    }
-}
-
-impl From<Micros> for Ms {
-    fn from(micros: Micros) -> Ms {
-        Ms(micros.0 as f64 / 1000.0)
-    }
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Batch {
@@ -210,147 +194,6 @@
     Gone,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Params {
-    balancers: u32,
-    classes: Vec<WireClass>,
-    registry_mode: RegistryMode,
-    specifics: Specifics,
-    #[serde(default)]
-    over_share_worth: f64,
-    permissions: Permissions,
-    #[serde(default)]
-    deductions: Deductions,
-    safety: Safety,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
-    tick_ms: Ms,
-    zone: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireClass {
-    name: String,
-    aim_ms: Ms,
-    deadline_ms: Ms,
-    value: f64,
-    #[serde(default)]
-    late_worth: f64,
-    effect: WireEffect,
-    #[serde(default)]
-    group: WireScope,
-    #[serde(default)]
-    repeat_window_ms: Ms,
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireEffect {
-    ReadLike,
-    IdempotencyKey,
-    NonIdempotent,
-}
-
-#[derive(Clone, Copy, Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireScope {
-    #[default]
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Clone, Copy, Deserialize, PartialEq)]
-#[serde(rename_all = "snake_case")]
-enum RegistryMode {
-    Pushed,
-    OnRequest,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Specifics {
-    counted_from_ms: Ms,
-    needs_by_class: Vec<WireNeed>,
-    #[serde(default)]
-    lag_allowed_ms: Vec<Ms>,
-    server_checks: ServerChecks,
-    session_marks: SessionMarks,
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireNeed {
-    Update,
-    Latest,
-    OwnWrites,
-    Recent,
-    Loose,
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum ServerChecks {
-    None,
-    Reject,
-    Hold,
-}
-
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum SessionMarks {
-    Client,
-    Router,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Permissions {
-    #[serde(default)]
-    cancelling: bool,
-    #[serde(default)]
-    probing: bool,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
-    parallel_tries: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after_ms: Ms,
-    #[serde(default)]
-    conn_idle_ms: Ms,
-    send_cap: u32,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-struct Deductions {
-    cross_zone: f64,
-    probe: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Safety {
-    cold_from: f64,
-    cold_ms: Ms,
-    fall_ms: Ms,
-    stop_sending_within_ms: Ms,
-    tip_multiple: f64,
-    #[serde(default)]
-    drain_binds_alone: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireTenant {
-    name: String,
-    quota_per_s: f64,
-}
-
 #[derive(Serialize)]
 struct Reply {
     outbox: Vec<WireAction>,
@@ -371,12 +214,10 @@
     NoteDown { who: u64, body_text: String },
 }
 
-/// A router and the names that its settings gave.
+/// A router and what its settings say.
 struct Instance {
     router: Router,
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    counted_from: Micros,
+    site: Site,
 }
 
 /// All instances of this process, and what the wire scopes to the process.
@@ -384,7 +225,7 @@
 struct Host {
     instances: BTreeMap<u64, Instance>,
     lists: BTreeMap<u64, Vec<Entry>>,
-    zones: Vec<String>,
+    zones: Zones,
 }
 
 impl Host {
@@ -410,8 +251,9 @@
     fn translate(&mut self, event: WireEvent) -> Result<Option<(u64, Event)>, String> {
         Ok(Some(match event {
             WireEvent::Launch { who, salt, params } => {
-                let instance = self.launch(*params, salt)?;
-                self.instances.insert(who, instance);
+                let site = params.site(&mut self.zones)?;
+                let router = Router::new(site.settings.clone(), salt);
+                self.instances.insert(who, Instance { router, site });
                 return Ok(None);
             }
             WireEvent::Halt { who } => {
@@ -444,7 +286,7 @@
             WireEvent::Gone { who, id } => (who, Event::Gone(request_id(&id)?)),
             WireEvent::Elapsed { who, nonce } => (who, Event::Timer(TimerId(nonce))),
             WireEvent::Pong { who, member, disposition, telemetry } => {
-                let report = report(telemetry, self.instance(who)?.counted_from);
+                let report = report(telemetry, self.instance(who)?.site.counted_from);
                 (who, Event::Probed { member: MemberId(member), status: disposition.into(), report })
             }
             WireEvent::NeighbourSays { who, from, raw } => {
@@ -453,94 +295,11 @@
         }))
     }
 
-    fn launch(&mut self, params: Params, salt: u64) -> Result<Instance, String> {
-        let needs = &params.specifics.needs_by_class;
-        let mut classes = Vec::new();
-        for (index, class) in params.classes.iter().enumerate() {
-            let need = needs.get(index).ok_or("NeedsByClass: shorter than Classes")?;
-            let bound = params.specifics.lag_allowed_ms.get(index);
-            classes.push(Class {
-                aim: class.aim_ms.into(),
-                deadline: class.deadline_ms.into(),
-                worth: class.value,
-                late_worth: class.late_worth,
-                effect: match class.effect {
-                    WireEffect::ReadLike => Effect::Safe,
-                    WireEffect::NonIdempotent => Effect::Unsafe,
-                    WireEffect::IdempotencyKey => Effect::Keyed {
-                        scope: match class.group {
-                            WireScope::All => RepeatScope::All,
-                            WireScope::Zone => RepeatScope::Zone,
-                            WireScope::Cell => RepeatScope::Group,
-                        },
-                        window: class.repeat_window_ms.into(),
-                    },
-                },
-                need: match need {
-                    WireNeed::Update => Need::Write,
-                    WireNeed::Latest => Need::Fresh,
-                    WireNeed::OwnWrites => Need::Session,
-                    WireNeed::Loose => Need::Any,
-                    WireNeed::Recent => {
-                        Need::Bounded((*bound.ok_or("LagAllowedMs: lacks the bound of a class")?).into())
-                    }
-                },
-            });
-        }
-        let settings = Settings {
-            classes,
-            tenants: params.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-            over_share_worth: params.over_share_worth,
-            zone: self.zone(params.zone),
-            drivers: params.balancers,
-            tick: params.tick_ms.into(),
-            must_watch: params.registry_mode == RegistryMode::OnRequest,
-            checks: match params.specifics.server_checks {
-                ServerChecks::None => Checks::None,
-                ServerChecks::Reject | ServerChecks::Hold => Checks::Refuse,
-            },
-            tokens: match params.specifics.session_marks {
-                SessionMarks::Client => Tokens::Carried,
-                SessionMarks::Router => Tokens::Remembered,
-            },
-            probes: params.permissions.probing,
-            cancels: params.permissions.cancelling,
-            peers: params.permissions.peers,
-            second_copies: params.permissions.parallel_tries,
-            retry_after: params.permissions.retry_after,
-            max_retry_after: params.permissions.max_retry_after_ms.into(),
-            max_attempts: params.permissions.send_cap,
-            probe_price: params.deductions.probe,
-            cross_zone_price: params.deductions.cross_zone,
-            drain_grace: params.safety.stop_sending_within_ms.into(),
-            only_draining_binds: params.safety.drain_binds_alone,
-            connection_idle: params.permissions.conn_idle_ms.into(),
-            cold_from: params.safety.cold_from,
-            cold_time: params.safety.cold_ms.into(),
-            fall_multiple: params.safety.tip_multiple,
-            fall_time: params.safety.fall_ms.into(),
-        };
-        Ok(Instance {
-            router: Router::new(settings, salt),
-            classes: params.classes.into_iter().map(|c| c.name).collect(),
-            tenants: params.tenants.into_iter().map(|t| t.name).collect(),
-            counted_from: params.specifics.counted_from_ms.into(),
-        })
-    }
-
-    fn zone(&mut self, name: String) -> ZoneId {
-        let known = self.zones.iter().position(|zone| *zone == name);
-        ZoneId(known.unwrap_or_else(|| {
-            self.zones.push(name);
-            self.zones.len() - 1
-        }))
-    }
-
     fn entry(&mut self, node: Node) -> Entry {
         Entry {
             member: MemberId(node.member),
             group: GroupId(node.shard),
-            zone: self.zone(node.rack_zone),
+            zone: self.zones.id(node.rack_zone),
             listed: match node.health {
                 Health::Ready => Listed::Ready,
                 Health::Terminating => Listed::Draining,
@@ -554,11 +313,11 @@
 
     fn request(&mut self, req: Req) -> Result<Request, String> {
         let instance = self.instance(req.who)?;
-        let class = instance.classes.iter().position(|name| *name == req.priority);
+        let class = instance.site.classes.iter().position(|name| *name == req.priority);
         let class = class.ok_or_else(|| format!("Priority: unknown class {:?}", req.priority))?;
         let tenant = match req.team {
             Some(Value::String(name)) => {
-                let tenant = instance.tenants.iter().position(|known| *known == name);
+                let tenant = instance.site.tenants.iter().position(|known| *known == name);
                 Some(TenantId(tenant.ok_or_else(|| format!("Team: unknown tenant {name:?}"))?))
             }
             Some(_) | None => None,
@@ -576,7 +335,7 @@
     }
 
     fn outcome(&mut self, outcome: WireOutcome) -> Result<Outcome, String> {
-        let counted_from = self.instance(outcome.who)?.counted_from;
+        let counted_from = self.instance(outcome.who)?.site.counted_from;
         let position = outcome.progress / 4;
         Ok(Outcome {
             request: request_id(&outcome.id)?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,7 @@
-//! dunemount makes the decisions of a query router for sharded, replicated databases.
+//! dunemount routes reads and writes over replicated database groups.
+//!
+//! Its decisions are made by the [`Router`]. The gateway drives that through [`balancer`] and knows
+//! sockets in [`net`], the clients' and hosts' protocol in [`pg`] and a request's life in [`request`].
 //!
 //! A [`Router`] does no input or output and reads no clock. The driver hands it each [`Event`]
 //! with the present time and carries out the [`Action`]s that come back. The same seed and the
@@ -75,6 +78,11 @@
 
 mod api;
 mod balance;
+pub mod balancer;
+pub mod net;
+pub mod pg;
+pub mod request;
+pub mod settings;
 
 pub use api::*;
 pub use balance::Router;
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,215 @@
+//! The list of hosts: its form, the addresses it gives and the watch that keeps it up to date.
+//! The watch is driven by bytes; the loop owns its socket.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::clock::Clock;
+use crate::settings::Zones;
+use crate::{Entry, GroupId, Listed, MemberId, Micros};
+
+/// How long a call asks discovery to wait for news.
+pub const WAIT: Micros = Micros::millis(20_000);
+/// A call without an answer this long after the wait is given up.
+pub const PATIENCE: Micros = Micros::millis(1_500);
+/// Pause before the next try after a call failed: within the 200 ms in which a watch continues.
+pub const RETRY: Micros = Micros::millis(100);
+/// Most bytes of an answer's head and of its body.
+const MAX_HEAD: usize = 16 * 1024;
+const MAX_BODY: usize = 4 * 1024 * 1024;
+
+/// A list, or a change to one, in discovery's form.
+#[derive(Debug, Deserialize)]
+pub struct Listing {
+    /// Its version.
+    pub rev: u64,
+    /// It names all hosts; who is missing is gone.
+    #[serde(default)]
+    pub all: bool,
+    targets: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
+    #[serde(default)]
+    az: String,
+    pod_group: u64,
+    state: State,
+    capacity_hint: Option<f64>,
+    #[serde(default)]
+    boot_ms: f64,
+    #[serde(default)]
+    part: String,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+enum State {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+/// Names, numbers and addresses of the hosts.
+#[derive(Default)]
+pub struct Directory {
+    numbers: BTreeMap<String, MemberId>,
+    hosts: BTreeMap<MemberId, (SocketAddr, String)>,
+    zones: Zones,
+}
+
+impl Directory {
+    /// A directory that shares the settings' zone names.
+    pub fn new(zones: Zones) -> Self {
+        Directory { zones, ..Directory::default() }
+    }
+
+    /// Where a host listens.
+    pub fn address(&self, member: MemberId) -> Option<SocketAddr> {
+        self.hosts.get(&member).map(|(address, _)| *address)
+    }
+
+    /// The host's name in the list.
+    pub fn name(&self, member: MemberId) -> &str {
+        self.hosts.get(&member).map_or("?", |(_, name)| name)
+    }
+
+    /// Takes a listing in. Lines that cannot be read are counted and passed over.
+    pub fn take(&mut self, listing: Listing, clock: &Clock) -> (Vec<Entry>, usize) {
+        let lines = listing.targets.len();
+        let mut entries = Vec::with_capacity(lines);
+        for target in listing.targets {
+            let Ok(target) = serde_json::from_value::<Target>(target) else { continue };
+            let next = MemberId(self.numbers.len() as u64 + 1);
+            let member = *self.numbers.entry(target.uid.clone()).or_insert(next);
+            self.hosts.insert(member, (target.endpoint, target.uid));
+            entries.push(Entry {
+                member,
+                group: GroupId(target.pod_group),
+                zone: self.zones.id(target.az),
+                listed: match target.state {
+                    State::Ready => Listed::Ready,
+                    State::Terminating => Listed::Draining,
+                    State::Gone => Listed::Gone,
+                },
+                weight: target.capacity_hint.unwrap_or(1.0),
+                started: if target.boot_ms > 0.0 { clock.at_unix_ms(target.boot_ms) } else { Micros(0) },
+                primary: target.part == "master",
+            });
+        }
+        let unread = lines - entries.len();
+        (entries, unread)
+    }
+}
+
+/// Why an answer of discovery cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadAnswer {
+    /// Not HTTP, or cut off.
+    Head,
+    /// Another status than 200.
+    Status(u16),
+    /// Longer than is taken.
+    TooLong,
+    /// A body that is no listing.
+    Body,
+}
+
+/// The watch: which version is known, and the bytes of the answer so far.
+#[derive(Debug)]
+pub struct Watch {
+    known: Option<u64>,
+    bytes: Vec<u8>,
+}
+
+impl Watch {
+    /// A watch that goes on from this version.
+    pub fn from(rev: Option<u64>) -> Self {
+        Watch { known: rev, bytes: Vec::new() }
+    }
+
+    /// The text of the next call.
+    pub fn call(&mut self, host: &str) -> String {
+        self.bytes.clear();
+        let query = self.known.map(|rev| format!("?index={rev}&wait={}", WAIT.0 / 1000)).unwrap_or_default();
+        format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
+    }
+
+    /// Forgets the version: what was told may have been missed, the whole list is asked for.
+    pub fn restart(&mut self) {
+        self.known = None;
+    }
+
+    /// Takes bytes in; a listing once the answer is whole. `ended`: no more will come.
+    pub fn receive(&mut self, bytes: &[u8], ended: bool) -> Result<Option<Listing>, BadAnswer> {
+        self.bytes.extend_from_slice(bytes);
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut response = httparse::Response::new(&mut headers);
+        let head = match response.parse(&self.bytes) {
+            Ok(httparse::Status::Complete(head)) => head,
+            Ok(httparse::Status::Partial) if ended || self.bytes.len() > MAX_HEAD => {
+                return Err(BadAnswer::Head)
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(BadAnswer::Head),
+        };
+        let status = response.code.unwrap_or_default();
+        let header = |name: &str| {
+            let found = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+            std::str::from_utf8(found.value).ok().map(str::trim)
+        };
+        let body = &self.bytes[head..];
+        let whole = if header("transfer-encoding").is_some_and(|t| t.eq_ignore_ascii_case("chunked")) {
+            unchunk(body)?
+        } else if let Some(length) = header("content-length") {
+            let length: usize = length.parse().map_err(|_| BadAnswer::Head)?;
+            if length > MAX_BODY {
+                return Err(BadAnswer::TooLong);
+            }
+            body.get(..length).map(<[u8]>::to_vec)
+        } else {
+            ended.then(|| body.to_vec())
+        };
+        let Some(whole) = whole else {
+            return match body.len() {
+                _ if ended => Err(BadAnswer::Body),
+                long if long > 2 * MAX_BODY => Err(BadAnswer::TooLong),
+                _ => Ok(None),
+            };
+        };
+        self.bytes.clear();
+        if status != 200 {
+            return Err(BadAnswer::Status(status));
+        }
+        let listing: Listing = serde_json::from_slice(&whole).map_err(|_| BadAnswer::Body)?;
+        self.known = Some(listing.rev);
+        Ok(Some(listing))
+    }
+}
+
+/// The body that chunks make up, once the last has come.
+fn unchunk(mut rest: &[u8]) -> Result<Option<Vec<u8>>, BadAnswer> {
+    let mut body = Vec::new();
+    loop {
+        let (start, size) = match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete(chunk)) => chunk,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(BadAnswer::Body),
+        };
+        if size > MAX_BODY as u64 || body.len() > MAX_BODY {
+            return Err(BadAnswer::TooLong);
+        }
+        let end = start + size as usize;
+        let Some(chunk) = rest.get(start..end) else { return Ok(None) };
+        let Some(after) = rest.get(end + 2..) else { return Ok(None) };
+        if size == 0 {
+            return Ok(Some(body));
+        }
+        body.extend_from_slice(chunk);
+        rest = after;
+    }
+}
--- /dev/null
+++ b/src/net/event_loop.rs
@@ -0,0 +1,1032 @@
+//! One loop over all sockets. It carries out what the balancer decides and decides nothing itself.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::time::Duration;
+
+use polling::{Event, PollMode, Poller};
+use slab::Slab;
+use slog::{debug, error, info, warn, Logger};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use super::clock::Clock;
+use super::discovery::{self, Directory, Listing, Watch};
+use super::pool::Pool;
+use crate::balancer::{Ask, Balancer, Due, Ended, Said, Ticket, Verdict};
+use crate::pg::client::{Client, Demand};
+use crate::pg::codec::Outbox;
+use crate::pg::host::{self, Answer, Host, Turn};
+use crate::pg::statement::Statement;
+use crate::request::{Broken, Cause, Ledger, Reach};
+use crate::settings::{Site, Zones};
+use crate::{ClassId, GroupId, MemberId, Micros};
+
+const LISTENER: usize = usize::MAX - 1;
+const SIGNALS: usize = usize::MAX - 2;
+/// Descriptors kept back: standard streams, poller, signals, listener, discovery, and some to spare.
+const RESERVE: usize = 40;
+/// Part of the others that connections to hosts may take.
+const HOST_PART: usize = 3;
+/// Time taken off what a client waits: for the way there and back, and for the turn of the loop.
+const MARGIN: Micros = Micros::millis(3);
+/// How long a probe may take.
+const PROBE_TIMEOUT: Micros = Micros::millis(250);
+/// How long the loop goes on accepting after SIGTERM: the hand-over takes up to 0.4 s.
+const HAND_OVER: Micros = Micros::millis(500);
+/// A client that has not sent its startup by then is closed.
+const GREETING: Micros = Micros::millis(10_000);
+/// Time between rounds over idle connections.
+const ROUND: Micros = Micros::millis(1000);
+/// Rounds between two lines on the traffic.
+const ROUNDS_A_LINE: u64 = 10;
+/// Pause in accepting after the system had no descriptor left.
+const ACCEPT_PAUSE: Micros = Micros::millis(20);
+/// Most connections accepted, and most reads of one connection, in one turn.
+const ACCEPTS: usize = 64;
+const READS: usize = 4;
+
+/// What a gateway is told at its start.
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery's address.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Most file descriptors.
+    pub sockets: usize,
+    /// The hosts as last known.
+    pub known: Listing,
+    /// The settings.
+    pub site: Site,
+    /// The zones that the settings name.
+    pub zones: Zones,
+}
+
+/// A connection's place and a number that tells it from others that had the place before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Key {
+    place: usize,
+    serial: u64,
+}
+
+struct Slot {
+    serial: u64,
+    socket: TcpStream,
+    interest: (bool, bool),
+    link: Link,
+}
+
+enum Link {
+    Client(ClientLink),
+    Host(HostLink),
+    Discovery(Outbox),
+}
+
+struct ClientLink {
+    protocol: Client,
+    ticket: Option<Ticket>,
+    used: Micros,
+    closing: bool,
+}
+
+struct HostLink {
+    protocol: Host,
+    member: MemberId,
+    welcome: bool,
+    task: Task,
+}
+
+/// What a connection to a host is for at present.
+#[derive(Clone, Copy, PartialEq)]
+enum Task {
+    None,
+    Attempt(Ticket),
+    Probe,
+}
+
+#[derive(Clone, Copy)]
+enum Timer {
+    /// The connection to a host must be up.
+    Connect(Key),
+    /// The attempt's time is over.
+    Attempt(Ticket, Key),
+    /// The client gives up: if it is still owed its answer, it gets it now.
+    GiveUp(Ticket),
+    /// The probe's time is over.
+    Probe(Key),
+    /// Discovery should have answered.
+    Call(Key),
+    /// Discovery is called anew.
+    Discovery,
+    /// Accepting goes on.
+    Accept,
+    /// The round over idle connections.
+    Round,
+    /// After SIGTERM: the hand-over is done.
+    HandedOver,
+}
+
+#[derive(Default)]
+struct Counts {
+    taken: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    left: u64,
+    attempts: u64,
+    broken: u64,
+    connects: u64,
+    probes: u64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Phase {
+    Serving,
+    HandingOver,
+    Closing,
+}
+
+/// The gateway: its sockets and what it owes.
+pub struct Gateway {
+    log: Logger,
+    clock: Clock,
+    now: Micros,
+    poller: Poller,
+    listener: Option<TcpListener>,
+    accepting: bool,
+    signals: UnixStream,
+    slots: Slab<Slot>,
+    serial: u64,
+    most: usize,
+    clients: usize,
+    most_clients: usize,
+    pool: Pool<Key>,
+    ledger: Ledger<Key, Statement>,
+    balancer: Balancer,
+    classes: Vec<String>,
+    connect_timeout: Micros,
+    directory: Directory,
+    discovery: SocketAddr,
+    watch: Watch,
+    discovery_fails: u64,
+    timers: BTreeMap<(Micros, u64), Timer>,
+    timer_serial: u64,
+    /// Clients whose next query may be looked at.
+    ready: VecDeque<Key>,
+    scratch: Vec<u8>,
+    counts: Counts,
+    rounds: u64,
+    phase: Phase,
+}
+
+impl Gateway {
+    /// Opens the listener. `signals` becomes readable when the gateway is to end.
+    pub fn open(config: Config, signals: UnixStream, log: Logger) -> io::Result<Gateway> {
+        let poller = Poller::new()?;
+        let listener = listen(config.listen)?;
+        poller.add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)?;
+        signals.set_nonblocking(true)?;
+        poller.add_with_mode(&signals, Event::readable(SIGNALS), PollMode::Level)?;
+        let clock = Clock::start();
+        let budget = config.sockets.saturating_sub(RESERVE).max(8);
+        let hosts = budget / HOST_PART;
+        let idle_limit = config.site.settings.connection_idle;
+        let mut gateway = Gateway {
+            now: clock.read(),
+            clock,
+            poller,
+            listener: Some(listener),
+            accepting: true,
+            signals,
+            slots: Slab::new(),
+            serial: 0,
+            most: budget,
+            clients: 0,
+            most_clients: budget - hosts,
+            pool: Pool::new(hosts, idle_limit),
+            ledger: Ledger::default(),
+            balancer: Balancer::new(config.site.settings, config.seed),
+            classes: config.site.classes,
+            connect_timeout: config.site.connect_timeout.max(Micros::millis(10)),
+            directory: Directory::new(config.zones),
+            discovery: config.discovery,
+            watch: Watch::from(Some(config.known.rev)),
+            discovery_fails: 0,
+            timers: BTreeMap::new(),
+            timer_serial: 0,
+            ready: VecDeque::new(),
+            scratch: vec![0; 16 * 1024],
+            counts: Counts::default(),
+            rounds: 0,
+            phase: Phase::Serving,
+            log,
+        };
+        gateway.listed(config.known, true);
+        gateway.call_discovery();
+        gateway.set_timer(ROUND, Timer::Round);
+        Ok(gateway)
+    }
+
+    /// Serves until a signal ends it and all that was taken is answered.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut events = Vec::new();
+        info!(self.log, "ready"; "descriptors" => self.most);
+        while !(self.phase == Phase::Closing && self.clients == 0) {
+            let next = self.timers.keys().next().map(|(at, _)| *at);
+            let next = next.into_iter().chain(self.balancer.next_due()).min();
+            let wait = next.map(|at| Duration::from_micros((at - self.clock.read()).0));
+            events.clear();
+            if let Err(e) = self.poller.wait(&mut events, wait) {
+                if e.kind() != io::ErrorKind::Interrupted {
+                    return Err(e);
+                }
+            }
+            self.now = self.clock.read();
+            // What hosts and discovery tell goes to the module before the next request is decided.
+            let turn = std::mem::take(&mut events);
+            let (clients, others): (Vec<_>, Vec<_>) = turn.into_iter().partition(|event| {
+                let slot = self.slots.get(event.key);
+                event.key == LISTENER || slot.is_some_and(|s| matches!(s.link, Link::Client(_)))
+            });
+            for event in others.into_iter().chain(clients) {
+                self.guard(event.key, |gateway| gateway.on_event(event));
+            }
+            self.guard(SIGNALS, Gateway::fire_timers);
+            self.guard(SIGNALS, Gateway::settle);
+        }
+        info!(self.log, "ended"; "owed" => self.ledger.len());
+        Ok(())
+    }
+
+    /// Runs a step; a panic ends the connection that it was for and nothing else.
+    fn guard(&mut self, place: usize, step: impl FnOnce(&mut Self)) {
+        if catch_unwind(AssertUnwindSafe(|| step(self))).is_ok() {
+            return;
+        }
+        error!(self.log, "panic caught"; "connection" => place);
+        let _ = catch_unwind(AssertUnwindSafe(|| match self.key_at(place) {
+            Some(key) => self.lose(key),
+            None => self.ready.clear(),
+        }));
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event.key {
+            LISTENER => self.accept(),
+            SIGNALS => self.on_signal(),
+            place => {
+                let Some(key) = self.key_at(place) else { return };
+                if event.writable {
+                    self.write(key);
+                }
+                if event.readable {
+                    self.read(key);
+                }
+            }
+        }
+    }
+
+    /// Carries out what has fallen due until nothing is left for this turn.
+    fn settle(&mut self) {
+        for _ in 0..100_000 {
+            if let Some(key) = self.ready.pop_front() {
+                self.pump(key);
+            } else if !self.do_due() {
+                return;
+            }
+        }
+    }
+
+    fn do_due(&mut self) -> bool {
+        let Some(due) = self.balancer.tick(self.now) else { return false };
+        match due {
+            Due::Verdict(ticket, verdict) => self.apply(ticket, verdict),
+            Due::Cancel(ticket) => self.drop_attempt(ticket),
+            Due::Probe(member) => self.probe(member),
+            Due::CloseIdle(member) => {
+                for key in self.pool.idle_to(member) {
+                    self.close(key);
+                }
+            }
+            Due::Note(text) => info!(self.log, "module: {}", text),
+        }
+        true
+    }
+
+    // ---- Slots ----
+
+    fn key_at(&self, place: usize) -> Option<Key> {
+        self.slots.get(place).map(|slot| Key { place, serial: slot.serial })
+    }
+
+    fn slot(&mut self, key: Key) -> Option<&mut Slot> {
+        self.slots.get_mut(key.place).filter(|slot| slot.serial == key.serial)
+    }
+
+    fn client(&mut self, key: Key) -> Option<&mut ClientLink> {
+        match &mut self.slot(key)?.link {
+            Link::Client(client) => Some(client),
+            _ => None,
+        }
+    }
+
+    fn host(&mut self, key: Key) -> Option<&mut HostLink> {
+        match &mut self.slot(key)?.link {
+            Link::Host(host) => Some(host),
+            _ => None,
+        }
+    }
+
+    fn insert(&mut self, socket: TcpStream, link: Link, writable: bool) -> io::Result<Key> {
+        self.serial += 1;
+        let key = Key { place: self.slots.vacant_key(), serial: self.serial };
+        let interest = Event { key: key.place, readable: true, writable };
+        self.poller.add_with_mode(&socket, interest, PollMode::Level)?;
+        match link {
+            Link::Client(_) => self.clients += 1,
+            Link::Host(_) => self.pool.opened(),
+            Link::Discovery(_) => {}
+        }
+        self.slots.insert(Slot { serial: key.serial, socket, interest: (true, writable), link });
+        Ok(key)
+    }
+
+    fn close(&mut self, key: Key) {
+        if self.slot(key).is_none() {
+            return;
+        }
+        let slot = self.slots.remove(key.place);
+        let _ = self.poller.delete(&slot.socket);
+        match slot.link {
+            Link::Client(_) => self.clients -= 1,
+            Link::Host(host) => self.pool.closed(host.member, key),
+            Link::Discovery(_) => {}
+        }
+        if !self.accepting {
+            self.set_accepting(true);
+        }
+    }
+
+    /// Asks the poller for what the connection needs now.
+    fn arm(&mut self, key: Key) {
+        let Some(slot) = self.slot(key) else { return };
+        let wants = match &slot.link {
+            Link::Client(client) => (client.protocol.wants_more(), !client.protocol.out.is_empty()),
+            Link::Host(host) => (true, !host.protocol.out.is_empty()),
+            Link::Discovery(out) => (true, !out.is_empty()),
+        };
+        if wants == slot.interest {
+            return;
+        }
+        slot.interest = wants;
+        let interest = Event { key: key.place, readable: wants.0, writable: wants.1 };
+        let slot = &self.slots[key.place];
+        if self.poller.modify_with_mode(&slot.socket, interest, PollMode::Level).is_err() {
+            self.lose(key);
+        }
+    }
+
+    /// Writes what waits to be written.
+    fn write(&mut self, key: Key) {
+        let Some(slot) = self.slot(key) else { return };
+        let out = match &mut slot.link {
+            Link::Client(client) => &mut client.protocol.out,
+            Link::Host(host) => &mut host.protocol.out,
+            Link::Discovery(out) => out,
+        };
+        match out.flush(&mut slot.socket) {
+            Ok(true) => {
+                if let Link::Client(ClientLink { closing: true, .. }) = slot.link {
+                    self.close(key);
+                    return;
+                }
+                self.arm(key);
+            }
+            Ok(false) => self.arm(key),
+            // A connection that is still coming up is not writable yet.
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => self.arm(key),
+            Err(_) => self.lose(key),
+        }
+    }
+
+    fn read(&mut self, key: Key) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        for _ in 0..READS {
+            let Some(slot) = self.slot(key) else { break };
+            match slot.socket.read(&mut scratch) {
+                Ok(0) => {
+                    self.take_in(key, &[], true);
+                    break;
+                }
+                Ok(count) => {
+                    self.take_in(key, &scratch[..count], false);
+                    if count < scratch.len() {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.take_in(key, &[], true);
+                    break;
+                }
+            }
+        }
+        self.scratch = scratch;
+        self.arm(key);
+    }
+
+    /// Takes in bytes or the end of a connection.
+    fn take_in(&mut self, key: Key, bytes: &[u8], ended: bool) {
+        let now = self.now;
+        let Some(slot) = self.slot(key) else { return };
+        match &mut slot.link {
+            Link::Client(client) if !ended => {
+                client.used = now;
+                client.protocol.receive(bytes);
+                self.ready.push_back(key);
+            }
+            Link::Host(host) if !ended => {
+                host.protocol.receive(bytes);
+                while let Some(turn) = self.host(key).and_then(|host| host.protocol.turn()) {
+                    self.host_turn(key, turn);
+                }
+            }
+            Link::Discovery(_) => self.discovery_says(key, bytes, ended),
+            _ => self.lose(key),
+        }
+    }
+
+    /// A connection has ended or is of no use any more.
+    fn lose(&mut self, key: Key) {
+        let Some(slot) = self.slot(key) else { return };
+        match &mut slot.link {
+            Link::Client(client) => {
+                let ticket = client.ticket.take();
+                if let Some(ticket) = ticket {
+                    self.counts.left += 1;
+                    self.drop_attempt(ticket);
+                    self.ledger.finish(ticket);
+                    self.balancer.gone(self.now, ticket);
+                }
+                self.close(key);
+            }
+            Link::Host(_) => self.host_lost(key, Cause::Lost),
+            Link::Discovery(_) => self.discovery_failed(key, "connection broke"),
+        }
+    }
+
+    // ---- Clients ----
+
+    fn accept(&mut self) {
+        for _ in 0..ACCEPTS {
+            if self.slots.len() >= self.most && !self.make_room() {
+                warn!(self.log, "no descriptors left for clients"; "open" => self.slots.len());
+                self.set_accepting(false);
+                return;
+            }
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((socket, _)) => {
+                    let client = ClientLink {
+                        protocol: Client::default(),
+                        ticket: None,
+                        used: self.now,
+                        closing: false,
+                    };
+                    let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
+                    let added = set.and_then(|()| self.insert(socket, Link::Client(client), false));
+                    if let Ok(key) = added {
+                        // Its first bytes have often come along.
+                        self.read(key);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    warn!(self.log, "cannot accept"; "error" => %e);
+                    self.set_accepting(false);
+                    self.set_timer(ACCEPT_PAUSE, Timer::Accept);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn set_accepting(&mut self, on: bool) {
+        let Some(listener) = &self.listener else { return };
+        let interest = Event { key: LISTENER, readable: on, writable: false };
+        if self.poller.modify_with_mode(listener, interest, PollMode::Level).is_ok() {
+            self.accepting = on;
+        }
+    }
+
+    /// Closes the connection that is missed least: an idle one to a host, else an idle client's.
+    fn make_room(&mut self) -> bool {
+        let idle = |(place, slot): (usize, &Slot)| match &slot.link {
+            Link::Client(c) if c.protocol.is_idle() => Some((c.used, Key { place, serial: slot.serial })),
+            _ => None,
+        };
+        let client = || self.slots.iter().filter_map(idle).min_by_key(|(used, _)| *used).map(|(_, key)| key);
+        let found = self.pool.oldest().or_else(client);
+        if let Some(key) = found {
+            self.close(key);
+        }
+        found.is_some()
+    }
+
+    /// Looks at a client's next queries until one is owed its answer.
+    fn pump(&mut self, key: Key) {
+        while let Some(demand) = self.client(key).and_then(|client| client.protocol.demand()) {
+            match demand {
+                Demand::Query(text) => self.query(key, text),
+                Demand::Close => {
+                    if let Some(client) = self.client(key) {
+                        client.closing = true;
+                    }
+                }
+            }
+        }
+        let closing = self.phase == Phase::Closing;
+        if let Some(client) = self.client(key) {
+            client.closing |= closing && !client.protocol.is_busy();
+        }
+        self.write(key);
+    }
+
+    fn query(&mut self, key: Key, text: String) {
+        self.counts.taken += 1;
+        let crowded = self.clients > self.most_clients;
+        let ask = Statement::parse(text).map_err(|e| format!("{e:?}")).and_then(|statement| {
+            let class = self.classes.iter().position(|name| *name == statement.class);
+            let class = class.ok_or("unknown class").map_err(String::from)?;
+            Ok((ClassId(class), statement))
+        });
+        let (now, clock) = (self.now, self.clock);
+        let Some(client) = self.client(key) else { return };
+        let (class, statement) = match ask {
+            Ok(found) => found,
+            Err(message) => {
+                client.protocol.fail("08P01", &message);
+                self.counts.failed += 1;
+                return;
+            }
+        };
+        let time_left = statement.wait - MARGIN;
+        if crowded || time_left == Micros(0) {
+            client.protocol.refuse(None);
+            self.counts.refused += 1;
+            return;
+        }
+        let ask = Ask {
+            class,
+            group: GroupId(statement.cluster),
+            session: statement.session,
+            since_commit: statement.after.map(|after| now - clock.at_unix_ms(after)),
+            repeat: statement.repeat,
+            time_left,
+        };
+        let (ticket, verdict) = self.balancer.pick(now, ask);
+        if let Some(client) = self.client(key) {
+            client.ticket = Some(ticket);
+        }
+        self.ledger.open(ticket, key, statement, now + time_left);
+        self.set_timer(time_left, Timer::GiveUp(ticket));
+        // What fell due before the verdict comes first: connections to be closed before it is sent.
+        while self.do_due() {}
+        self.apply(ticket, verdict);
+    }
+
+    /// Gives the final answer.
+    fn finish(&mut self, ticket: Ticket, answer: impl FnOnce(&mut Client)) {
+        self.drop_attempt(ticket);
+        let Some(life) = self.ledger.finish(ticket) else { return };
+        if let Some(client) = self.client(life.owner) {
+            client.ticket = None;
+            answer(&mut client.protocol);
+            self.write(life.owner);
+            self.ready.push_back(life.owner);
+        }
+    }
+
+    // ---- Attempts ----
+
+    fn apply(&mut self, ticket: Ticket, verdict: Verdict) {
+        match verdict {
+            Verdict::Held => {}
+            Verdict::Send { member, timeout } => self.send(ticket, member, timeout),
+            Verdict::Refuse { come_back } => {
+                self.counts.refused += 1;
+                self.finish(ticket, |client| client.refuse(come_back));
+            }
+            Verdict::Fail => {
+                self.counts.failed += 1;
+                self.finish(ticket, |client| client.fail("58000", "no answer in time, it may have run"));
+            }
+        }
+    }
+
+    fn send(&mut self, ticket: Ticket, member: MemberId, timeout: Micros) {
+        if self.ledger.get(ticket).is_none_or(|life| life.attempt().is_some()) {
+            return;
+        }
+        let key = match self.pool.take(self.now, member) {
+            Some(key) => key,
+            None => match self.connect(member) {
+                Ok(key) => key,
+                Err(cause) => {
+                    self.broke(ticket, member, Broken { reach: Reach::NotConnected, cause });
+                    return;
+                }
+            },
+        };
+        if !self.ledger.begin(ticket, key) {
+            return;
+        }
+        self.set_timer(timeout, Timer::Attempt(ticket, key));
+        if let Some(host) = self.host(key) {
+            host.task = Task::Attempt(ticket);
+        }
+        self.start_task(key);
+    }
+
+    /// Writes the task's request, if the connection is up and the choice still holds.
+    fn start_task(&mut self, key: Key) {
+        let now = self.now;
+        let Some(host) = self.host(key).filter(|host| host.welcome) else { return };
+        let member = host.member;
+        let text = match host.task {
+            Task::None => {
+                self.pool.put(now, member, key);
+                return;
+            }
+            Task::Probe => "SHOW gauges".to_string(),
+            Task::Attempt(ticket) => {
+                let holds = self.balancer.still_holds(now, ticket);
+                let Some(life) = self.ledger.get(ticket) else { return };
+                let text = life.work.with_wait(life.until - now);
+                if !holds {
+                    self.free(key);
+                    self.ledger.end(ticket);
+                    let broken = Broken { reach: Reach::NotConnected, cause: Cause::NotTried };
+                    self.broke(ticket, member, broken);
+                    return;
+                }
+                self.counts.attempts += 1;
+                text
+            }
+        };
+        if self.host(key).is_some_and(|host| host.protocol.ask(&text)) {
+            self.write(key);
+        } else {
+            self.lose(key);
+        }
+    }
+
+    /// Puts a welcomed connection that carries nothing back into the pool.
+    fn free(&mut self, key: Key) {
+        let now = self.now;
+        let Some(host) = self.host(key) else { return };
+        host.task = Task::None;
+        let (member, idle, welcome) = (host.member, host.protocol.is_idle(), host.welcome);
+        if idle {
+            self.pool.put(now, member, key);
+        } else if welcome {
+            self.close(key);
+        }
+    }
+
+    /// Takes a request's attempt off the wire. What has been written ends with its connection; one
+    /// that is still coming up has carried nothing and may serve another request.
+    fn drop_attempt(&mut self, ticket: Ticket) {
+        let Some(key) = self.ledger.end(ticket) else { return };
+        self.free(key);
+    }
+
+    /// An attempt has ended without an answer.
+    fn broke(&mut self, ticket: Ticket, member: MemberId, broken: Broken) {
+        self.counts.broken += 1;
+        debug!(self.log, "attempt broke"; "host" => self.directory.name(member),
+            "reach" => ?broken.reach, "cause" => ?broken.cause);
+        let verdict = self.balancer.report(self.now, ticket, Ended::Broken(broken));
+        while self.do_due() {}
+        self.apply(ticket, verdict);
+    }
+
+    fn answered(&mut self, ticket: Ticket, answer: Answer) {
+        self.ledger.end(ticket);
+        let position = answer.position.map(|ms| self.clock.at_unix_ms(ms));
+        let ended = Ended::Answer { said: answer.said, role: answer.role, position };
+        let verdict = self.balancer.report(self.now, ticket, ended);
+        if answer.said == Said::Served {
+            self.counts.served += 1;
+            self.finish(ticket, |client| client.serve(&answer.rows));
+        } else {
+            while self.do_due() {}
+            self.apply(ticket, verdict);
+        }
+    }
+
+    // ---- Hosts ----
+
+    fn connect(&mut self, member: MemberId) -> Result<Key, Cause> {
+        let address = self.directory.address(member).ok_or(Cause::NotTried)?;
+        if !self.pool.has_room() || self.slots.len() >= self.most {
+            match self.pool.oldest() {
+                Some(idle) => self.close(idle),
+                None => {
+                    warn!(self.log, "no descriptors left for hosts"; "open" => self.pool.len());
+                    return Err(Cause::NotTried);
+                }
+            }
+        }
+        self.counts.connects += 1;
+        let socket = dial(address).map_err(|_| Cause::Lost)?;
+        let link = HostLink { protocol: Host::default(), member, welcome: false, task: Task::None };
+        let key = self.insert(socket, Link::Host(link), true).map_err(|_| Cause::NotTried)?;
+        self.set_timer(self.connect_timeout, Timer::Connect(key));
+        Ok(key)
+    }
+
+    fn host_turn(&mut self, key: Key, turn: Turn) {
+        let Some(host) = self.host(key) else { return };
+        let (member, task) = (host.member, host.task);
+        match turn {
+            Turn::Welcome => {
+                host.welcome = true;
+                self.start_task(key);
+            }
+            Turn::Unwelcome(code) => {
+                host.task = Task::None;
+                self.close(key);
+                debug!(self.log, "host turned a connection away"; "host" => self.directory.name(member),
+                    "code" => &code);
+                let turned_away = matches!(code.as_str(), "53300" | "57P03");
+                let said = Answer {
+                    said: if turned_away { Said::TurnedAway } else { Said::Error },
+                    rows: Vec::new(),
+                    value: None,
+                    role: None,
+                    position: None,
+                };
+                match task {
+                    Task::Attempt(ticket) if turned_away => self.answered(ticket, said),
+                    Task::Attempt(ticket) => {
+                        self.ledger.end(ticket);
+                        self.broke(ticket, member, Broken { reach: Reach::NotConnected, cause: Cause::Lost });
+                    }
+                    Task::Probe => self.probed(member, said),
+                    Task::None => {}
+                }
+            }
+            Turn::Answered(answer) => {
+                self.free(key);
+                match task {
+                    Task::Attempt(ticket) => self.answered(ticket, answer),
+                    Task::Probe => self.probed(member, answer),
+                    Task::None => {}
+                }
+            }
+            Turn::Nonsense => {
+                warn!(self.log, "host breaks the protocol"; "host" => self.directory.name(member));
+                self.host_lost(key, Cause::Lost);
+            }
+        }
+    }
+
+    /// A connection to a host has ended, or is given up for this cause.
+    fn host_lost(&mut self, key: Key, cause: Cause) {
+        let Some(host) = self.host(key) else { return };
+        let (member, task) = (host.member, std::mem::replace(&mut host.task, Task::None));
+        let reach = match host.welcome {
+            false => Reach::NotConnected,
+            true if !host.protocol.out.is_empty() => Reach::PartlyWritten,
+            true => Reach::WhollyWritten,
+        };
+        let answer = host.protocol.ended();
+        self.close(key);
+        match (task, answer) {
+            (Task::None, _) => {}
+            (Task::Attempt(ticket), Some(answer)) => self.answered(ticket, answer),
+            (Task::Attempt(ticket), None) => {
+                self.ledger.end(ticket);
+                self.broke(ticket, member, Broken { reach, cause });
+            }
+            (Task::Probe, Some(answer)) => self.probed(member, answer),
+            (Task::Probe, None) => {
+                self.balancer.probed(self.now, member, Ended::Broken(Broken { reach, cause }));
+            }
+        }
+    }
+
+    fn probe(&mut self, member: MemberId) {
+        self.counts.probes += 1;
+        let key = match self.pool.take(self.now, member) {
+            Some(key) => Ok(key),
+            None => self.connect(member),
+        };
+        match key {
+            Ok(key) => {
+                if let Some(host) = self.host(key) {
+                    host.task = Task::Probe;
+                }
+                self.set_timer(PROBE_TIMEOUT, Timer::Probe(key));
+                self.start_task(key);
+            }
+            Err(cause) => {
+                let broken = Broken { reach: Reach::NotConnected, cause };
+                self.balancer.probed(self.now, member, Ended::Broken(broken));
+            }
+        }
+    }
+
+    fn probed(&mut self, member: MemberId, answer: Answer) {
+        let (role, position) = host::report(&answer.value.unwrap_or_default());
+        let position = position.map(|ms| self.clock.at_unix_ms(ms));
+        self.balancer.probed(self.now, member, Ended::Answer { said: answer.said, role, position });
+    }
+
+    // ---- Discovery ----
+
+    fn call_discovery(&mut self) {
+        let call = self.watch.call(&self.discovery.to_string()).into_bytes();
+        let out = Outbox::with(call);
+        let added = dial(self.discovery).and_then(|socket| self.insert(socket, Link::Discovery(out), true));
+        match added {
+            Ok(key) => self.set_timer(discovery::WAIT + discovery::PATIENCE, Timer::Call(key)),
+            Err(_) => self.set_timer(discovery::RETRY, Timer::Discovery),
+        }
+    }
+
+    fn discovery_says(&mut self, key: Key, bytes: &[u8], ended: bool) {
+        match self.watch.receive(bytes, ended) {
+            Ok(None) if ended => self.discovery_failed(key, "connection ended"),
+            Ok(None) => {}
+            Ok(Some(listing)) => {
+                self.discovery_fails = 0;
+                self.listed(listing, false);
+                self.close(key);
+                self.call_discovery();
+            }
+            Err(bad) => self.discovery_failed(key, &format!("bad answer: {bad:?}")),
+        }
+    }
+
+    fn discovery_failed(&mut self, key: Key, why: &str) {
+        self.close(key);
+        self.discovery_fails += 1;
+        // The first failure and every hundredth after it: one line in ten seconds.
+        if self.discovery_fails % 100 == 1 {
+            warn!(self.log, "discovery failed"; "why" => why, "in a row" => self.discovery_fails);
+        }
+        if self.discovery_fails > 1 {
+            self.watch.restart();
+        }
+        self.set_timer(discovery::RETRY, Timer::Discovery);
+    }
+
+    fn listed(&mut self, listing: Listing, known: bool) {
+        let (rev, all) = (listing.rev, listing.all);
+        let (entries, unread) = self.directory.take(listing, &self.clock);
+        if unread > 0 {
+            warn!(self.log, "lines of the list cannot be read"; "rev" => rev, "lines" => unread);
+        }
+        if !entries.is_empty() || known {
+            info!(self.log, "list"; "rev" => rev, "whole" => all, "hosts" => entries.len());
+        }
+        // Who is missing from a whole list is gone, but not for a line that cannot be read.
+        self.balancer.members(self.now, (all || known) && unread == 0, entries);
+    }
+
+    // ---- Timers and signals ----
+
+    fn set_timer(&mut self, after: Micros, timer: Timer) {
+        self.timer_serial += 1;
+        self.timers.insert((self.now + after, self.timer_serial), timer);
+    }
+
+    fn fire_timers(&mut self) {
+        while let Some(first) = self.timers.first_entry().filter(|first| first.key().0 <= self.now) {
+            let timer = first.remove();
+            self.fire(timer);
+        }
+    }
+
+    fn fire(&mut self, timer: Timer) {
+        match timer {
+            Timer::Connect(key) => {
+                if self.host(key).is_some_and(|host| !host.welcome) {
+                    self.host_lost(key, Cause::Lost);
+                }
+            }
+            Timer::Attempt(ticket, key) => {
+                if self.ledger.get(ticket).and_then(|life| life.attempt()) == Some(key) {
+                    self.host_lost(key, Cause::TimedOut);
+                }
+            }
+            Timer::GiveUp(ticket) => {
+                if self.ledger.get(ticket).is_some() {
+                    warn!(self.log, "request overdue");
+                    self.balancer.gone(self.now, ticket);
+                    self.apply(ticket, Verdict::Fail);
+                }
+            }
+            Timer::Probe(key) => {
+                if self.host(key).is_some_and(|host| host.task == Task::Probe) {
+                    self.host_lost(key, Cause::TimedOut);
+                }
+            }
+            Timer::Call(key) => {
+                if self.slot(key).is_some() {
+                    self.discovery_failed(key, "no answer");
+                }
+            }
+            Timer::Discovery => self.call_discovery(),
+            Timer::Accept => self.set_accepting(true),
+            Timer::Round => self.round(),
+            Timer::HandedOver => self.close_doors(),
+        }
+    }
+
+    fn round(&mut self) {
+        for key in self.pool.stale(self.now) {
+            self.close(key);
+        }
+        let late = self.now - GREETING;
+        let silent = |(place, slot): (usize, &Slot)| match &slot.link {
+            Link::Client(c) if c.protocol.is_new() && c.used < late => {
+                Some(Key { place, serial: slot.serial })
+            }
+            _ => None,
+        };
+        let silent: Vec<Key> = self.slots.iter().filter_map(silent).collect();
+        for key in silent {
+            self.close(key);
+        }
+        self.rounds += 1;
+        if self.rounds % ROUNDS_A_LINE == 0 {
+            let counts = std::mem::take(&mut self.counts);
+            info!(self.log, "traffic"; "taken" => counts.taken, "served" => counts.served,
+                "refused" => counts.refused, "failed" => counts.failed, "left" => counts.left,
+                "attempts" => counts.attempts, "broken" => counts.broken, "connects" => counts.connects,
+                "probes" => counts.probes, "open" => self.ledger.len(), "clients" => self.clients,
+                "hosts" => self.pool.len());
+        }
+        self.set_timer(ROUND, Timer::Round);
+    }
+
+    fn on_signal(&mut self) {
+        let mut bytes = [0; 16];
+        let _ = self.signals.read(&mut bytes);
+        if self.phase == Phase::Serving {
+            info!(self.log, "signal to end, handing over"; "owed" => self.ledger.len());
+            self.phase = Phase::HandingOver;
+            self.set_timer(HAND_OVER, Timer::HandedOver);
+        }
+    }
+
+    /// The hand-over is done: takes what has arrived, then closes the listener and idle clients.
+    fn close_doors(&mut self) {
+        self.accept();
+        if let Some(listener) = self.listener.take() {
+            let _ = self.poller.delete(&listener);
+        }
+        self.phase = Phase::Closing;
+        let keys: Vec<Key> = self.slots.iter().map(|(place, s)| Key { place, serial: s.serial }).collect();
+        for key in keys {
+            if self.client(key).is_some() {
+                self.read(key);
+                self.ready.push_back(key);
+            }
+        }
+        info!(self.log, "listener closed"; "owed" => self.ledger.len(), "clients" => self.clients);
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+/// Starts a connection without waiting for it.
+fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != io::ErrorKind::WouldBlock => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
+/// The connection is coming up; the standard library has no name for it.
+const EINPROGRESS: i32 = 115;
--- /dev/null
+++ b/src/pg/client.rs
@@ -0,0 +1,201 @@
+//! A client's connection, driven by bytes: from startup through one query at a time.
+
+use super::codec::{self, FrameError, Inbox, Outbox, Startup, MAX_MESSAGE};
+use crate::Micros;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Startup,
+    Idle,
+    /// A query is owed its answer; what is pipelined behind it waits.
+    Busy,
+    /// After an error in an extended query: all is passed over up to its Sync.
+    Skipping,
+    Closed,
+}
+
+/// What a client wants next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Demand {
+    /// An answer to this query.
+    Query(String),
+    /// The connection closed, once what is to be written has been.
+    Close,
+}
+
+/// A client's connection.
+#[derive(Debug)]
+pub struct Client {
+    inbox: Inbox,
+    /// Bytes for the client.
+    pub out: Outbox,
+    state: State,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Client { inbox: Inbox::default(), out: Outbox::default(), state: State::Startup }
+    }
+}
+
+impl Client {
+    /// Takes bytes in.
+    pub fn receive(&mut self, bytes: &[u8]) {
+        if self.state != State::Closed {
+            self.inbox.push(bytes);
+        }
+    }
+
+    /// Whether more bytes are welcome: pipelined queries are held up to the longest message.
+    pub fn wants_more(&self) -> bool {
+        self.state != State::Closed && self.inbox.len() <= MAX_MESSAGE
+    }
+
+    /// Whether a query is owed its answer.
+    pub fn is_busy(&self) -> bool {
+        self.state == State::Busy
+    }
+
+    /// Whether it has not sent its startup yet.
+    pub fn is_new(&self) -> bool {
+        self.state == State::Startup
+    }
+
+    /// Whether it may be closed without loss: nothing owed, nothing half read, nothing half written.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.state, State::Startup | State::Idle | State::Closed)
+            && self.inbox.is_empty()
+            && self.out.is_empty()
+    }
+
+    /// The next thing to do for the client; `None` until more comes, or while an answer is owed.
+    pub fn demand(&mut self) -> Option<Demand> {
+        loop {
+            let step = match self.state {
+                State::Startup => self.start(),
+                State::Idle | State::Skipping => self.command(),
+                State::Busy | State::Closed => return None,
+            };
+            match step {
+                Ok(Step::More) => {}
+                Ok(Step::Wait) => return None,
+                Ok(Step::Do(demand)) => return Some(demand),
+                Err(FrameError::TooLong) => return Some(self.fatal("54000", "message too long")),
+                Err(FrameError::BadLength) => return Some(self.fatal("08P01", "invalid message length")),
+            }
+        }
+    }
+
+    fn start(&mut self) -> Result<Step, FrameError> {
+        let Some(startup) = self.inbox.startup()? else { return Ok(Step::Wait) };
+        let out = &mut self.out.bytes;
+        match startup {
+            Startup::Encryption => out.push(b'N'),
+            Startup::Cancel => {
+                self.state = State::Closed;
+                return Ok(Step::Do(Demand::Close));
+            }
+            Startup::Session(3, minor) => {
+                if minor > 0 {
+                    codec::frame(out, b'v', &[0; 8]);
+                }
+                codec::frame(out, b'R', &[0; 4]);
+                for (name, value) in [
+                    ("server_version", "15.0 (dunemount)"),
+                    ("server_encoding", "UTF8"),
+                    ("client_encoding", "UTF8"),
+                    ("standard_conforming_strings", "on"),
+                ] {
+                    codec::parameter(out, name, value);
+                }
+                codec::frame(out, b'K', &[0; 8]);
+                codec::ready(out);
+                self.state = State::Idle;
+            }
+            Startup::Session(..) => return Ok(Step::Do(self.fatal("08P01", "unsupported protocol version"))),
+        }
+        Ok(Step::More)
+    }
+
+    fn command(&mut self) -> Result<Step, FrameError> {
+        let Some(frame) = self.inbox.frame()? else { return Ok(Step::Wait) };
+        match (frame.tag, self.state) {
+            (b'X', _) => {
+                self.state = State::Closed;
+                Ok(Step::Do(Demand::Close))
+            }
+            (b'S', _) => {
+                self.state = State::Idle;
+                codec::ready(&mut self.out.bytes);
+                Ok(Step::More)
+            }
+            (_, State::Skipping) => Ok(Step::More),
+            (b'Q', _) => Ok(self.query(frame.body)),
+            (b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F', _) => {
+                codec::error(&mut self.out.bytes, "ERROR", "0A000", "only simple queries are served", None);
+                if frame.tag == b'F' {
+                    codec::ready(&mut self.out.bytes);
+                } else {
+                    self.state = State::Skipping;
+                }
+                Ok(Step::More)
+            }
+            _ => Ok(Step::Do(self.fatal("08P01", "unknown message type"))),
+        }
+    }
+
+    fn query(&mut self, mut body: Vec<u8>) -> Step {
+        if body.pop() != Some(0) || body.contains(&0) {
+            return Step::Do(self.fatal("08P01", "query does not end where it should"));
+        }
+        self.state = State::Busy;
+        match String::from_utf8(body) {
+            Ok(text) if text.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() => {
+                codec::frame(&mut self.out.bytes, b'I', &[]);
+                self.settle();
+                Step::More
+            }
+            Ok(text) => Step::Do(Demand::Query(text)),
+            Err(_) => {
+                self.fail("22021", "statement is not UTF-8");
+                Step::More
+            }
+        }
+    }
+
+    /// Answers the query with a host's rows, whole as they came.
+    pub fn serve(&mut self, rows: &[u8]) {
+        self.out.bytes.extend_from_slice(rows);
+        self.settle();
+    }
+
+    /// Refuses the query: trying again is harmless, after the given time if there is one.
+    pub fn refuse(&mut self, come_back: Option<Micros>) {
+        let advice = come_back.map(|wait| wait.0.div_ceil(1000).to_string());
+        codec::error(&mut self.out.bytes, "ERROR", "53300", "refused, try again", advice.as_deref());
+        self.settle();
+    }
+
+    /// Fails the query.
+    pub fn fail(&mut self, code: &str, message: &str) {
+        codec::error(&mut self.out.bytes, "ERROR", code, message, None);
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        codec::ready(&mut self.out.bytes);
+        self.state = State::Idle;
+    }
+
+    fn fatal(&mut self, code: &str, message: &str) -> Demand {
+        codec::error(&mut self.out.bytes, "FATAL", code, message, None);
+        self.state = State::Closed;
+        Demand::Close
+    }
+}
+
+enum Step {
+    More,
+    Wait,
+    Do(Demand),
+}
--- /dev/null
+++ b/src/pg/codec.rs
@@ -0,0 +1,212 @@
+//! Framing of protocol version 3: cutting messages out of bytes and writing them.
+
+use std::io::{self, Write};
+
+/// Longest message taken: a value of 64 KiB in hexadecimal, with room for the statement round it.
+pub const MAX_MESSAGE: usize = 144 * 1024;
+/// Longest startup packet taken, as PostgreSQL itself has it.
+const MAX_STARTUP: usize = 10_000;
+
+const SSL_REQUEST: u32 = 80_877_103;
+const GSS_REQUEST: u32 = 80_877_104;
+const CANCEL_REQUEST: u32 = 80_877_102;
+
+/// Why bytes are no message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameError {
+    /// Longer than is taken, by its own word.
+    TooLong,
+    /// A length that cannot be.
+    BadLength,
+}
+
+/// The first packet of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Startup {
+    /// A session in this major and minor version.
+    Session(u16, u16),
+    /// The client asks for encryption first.
+    Encryption,
+    /// The client wants a query of another connection cancelled.
+    Cancel,
+}
+
+/// A message: its type and what follows the length.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    /// The type byte.
+    pub tag: u8,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Bytes that have come in and are not yet understood.
+#[derive(Debug, Default)]
+pub struct Inbox {
+    bytes: Vec<u8>,
+    taken: usize,
+}
+
+impl Inbox {
+    /// Adds bytes as they came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.taken > 0 {
+            self.bytes.drain(..self.taken);
+            self.taken = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Number of bytes held.
+    pub fn len(&self) -> usize {
+        self.bytes.len() - self.taken
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The startup packet, once it is whole.
+    pub fn startup(&mut self) -> Result<Option<Startup>, FrameError> {
+        let Some(body) = self.cut(0, MAX_STARTUP)? else { return Ok(None) };
+        let Some(code) = body.first_chunk::<4>().map(|code| u32::from_be_bytes(*code)) else {
+            return Err(FrameError::BadLength);
+        };
+        Ok(Some(match code {
+            SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
+            CANCEL_REQUEST => Startup::Cancel,
+            _ => Startup::Session((code >> 16) as u16, code as u16),
+        }))
+    }
+
+    /// The next message, once it is whole.
+    pub fn frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        let Some(tag) = self.bytes.get(self.taken).copied() else { return Ok(None) };
+        Ok(self.cut(1, MAX_MESSAGE)?.map(|body| Frame { tag, body }))
+    }
+
+    /// Cuts out what a length that stands `at` bytes from the front counts. Judged by its length
+    /// before the rest is there: what is too long is never waited for.
+    fn cut(&mut self, at: usize, most: usize) -> Result<Option<Vec<u8>>, FrameError> {
+        let held = &self.bytes[self.taken..];
+        let Some(length) = held.get(at..).and_then(|rest| rest.first_chunk::<4>()) else { return Ok(None) };
+        let length = usize::try_from(i32::from_be_bytes(*length)).map_err(|_| FrameError::BadLength)?;
+        if length < 4 {
+            return Err(FrameError::BadLength);
+        }
+        if length > most {
+            return Err(FrameError::TooLong);
+        }
+        let Some(body) = held.get(at + 4..at + length).map(<[u8]>::to_vec) else { return Ok(None) };
+        self.taken += at + length;
+        if self.taken == self.bytes.len() {
+            // Large values are rare: an idle connection keeps no room for them.
+            self.taken = 0;
+            self.bytes.clear();
+            self.bytes.shrink_to(4096);
+        }
+        Ok(Some(body))
+    }
+}
+
+/// Bytes on their way out.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// What was put in, the part already written included.
+    pub bytes: Vec<u8>,
+    written: usize,
+}
+
+impl Outbox {
+    /// An outbox that holds these bytes.
+    pub fn with(bytes: Vec<u8>) -> Self {
+        Outbox { bytes, written: 0 }
+    }
+
+    /// Whether everything has been written.
+    pub fn is_empty(&self) -> bool {
+        self.written == self.bytes.len()
+    }
+
+    /// Writes what can be written now; true once nothing is left.
+    pub fn flush(&mut self, to: &mut impl Write) -> io::Result<bool> {
+        while self.written < self.bytes.len() {
+            match to.write(&self.bytes[self.written..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => self.written += count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.bytes.clear();
+        self.bytes.shrink_to(4096);
+        self.written = 0;
+        Ok(true)
+    }
+}
+
+/// Writes a message.
+pub fn frame(out: &mut Vec<u8>, tag: u8, body: &[u8]) {
+    out.push(tag);
+    out.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
+    out.extend_from_slice(body);
+}
+
+/// Writes a startup packet.
+pub fn startup(out: &mut Vec<u8>, user: &str, database: &str) {
+    let mut body = 196_608u32.to_be_bytes().to_vec();
+    for word in ["user", user, "database", database, ""] {
+        body.extend_from_slice(word.as_bytes());
+        body.push(0);
+    }
+    out.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
+    out.extend_from_slice(&body);
+}
+
+/// Writes a simple query.
+pub fn query(out: &mut Vec<u8>, text: &str) {
+    let mut body = text.as_bytes().to_vec();
+    body.push(0);
+    frame(out, b'Q', &body);
+}
+
+/// Writes a setting of the session.
+pub fn parameter(out: &mut Vec<u8>, name: &str, value: &str) {
+    frame(out, b'S', format!("{name}\0{value}\0").as_bytes());
+}
+
+/// Writes an error with its fields for severity, code, message and, if given, detail.
+pub fn error(out: &mut Vec<u8>, severity: &str, code: &str, message: &str, detail: Option<&str>) {
+    let mut body = format!("S{severity}\0V{severity}\0C{code}\0M{message}\0");
+    if let Some(detail) = detail {
+        body.push_str(&format!("D{detail}\0"));
+    }
+    body.push('\0');
+    frame(out, b'E', body.as_bytes());
+}
+
+/// Writes that the next query is welcome.
+pub fn ready(out: &mut Vec<u8>) {
+    frame(out, b'Z', b"I");
+}
+
+/// A field of an error or notice.
+pub fn error_field(body: &[u8], field: u8) -> Option<&str> {
+    let found = body.split(|byte| *byte == 0).find(|part| part.first() == Some(&field))?;
+    std::str::from_utf8(&found[1..]).ok()
+}
+
+/// Name and value of a setting.
+pub fn parameter_of(body: &[u8]) -> Option<(&str, &str)> {
+    let mut parts = body.split(|byte| *byte == 0).map(std::str::from_utf8);
+    Some((parts.next()?.ok()?, parts.next()?.ok()?))
+}
+
+/// The first column of a data row.
+pub fn first_column(body: &[u8]) -> Option<&[u8]> {
+    let columns = u16::from_be_bytes(*body.first_chunk()?);
+    let length = i32::from_be_bytes(*body.get(2..)?.first_chunk()?);
+    body.get(6..)?.get(..usize::try_from(length).ok()?).filter(|_| columns > 0)
+}
--- /dev/null
+++ b/src/pg/statement.rs
@@ -0,0 +1,92 @@
+//! The comment that a statement carries, and the key that it quotes.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::ops::Range;
+
+use crate::{Micros, SessionKey};
+
+/// Why a statement cannot be routed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Malformed {
+    /// It ends in no comment.
+    NoComment,
+    /// This field is missing.
+    Missing(&'static str),
+    /// This field's value cannot be.
+    Bad(&'static str),
+    /// It quotes no key.
+    NoKey,
+}
+
+/// What a statement says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Statement {
+    /// The class's name.
+    pub class: String,
+    /// The group.
+    pub cluster: u64,
+    /// How long the client waits, from when it sent.
+    pub wait: Micros,
+    /// The session that the quoted key names.
+    pub session: SessionKey,
+    /// The client's mark of a retry.
+    pub repeat: bool,
+    /// The session's last commit as Unix time in milliseconds, where clients carry it.
+    pub after: Option<f64>,
+    text: String,
+    wait_at: Range<usize>,
+}
+
+impl Statement {
+    /// Reads a statement.
+    pub fn parse(text: String) -> Result<Statement, Malformed> {
+        let open = text.rfind("/*").ok_or(Malformed::NoComment)?;
+        let close = text.rfind("*/").filter(|close| *close >= open + 2).ok_or(Malformed::NoComment)?;
+        let (mut class, mut cluster, mut wait, mut id) = (None, None, None, false);
+        let (mut repeat, mut after, mut wait_at) = (false, None, 0..0);
+        for field in text[open + 2..close].split(',') {
+            let Some((name, value)) = field.split_once('=') else { continue };
+            let value = value.trim();
+            let value_at = value.as_ptr() as usize - text.as_ptr() as usize;
+            match name.trim() {
+                "id" => id = !value.is_empty(),
+                "c" => class = Some(value.to_string()),
+                "cluster" => cluster = Some(value.parse().map_err(|_| Malformed::Bad("cluster"))?),
+                "d" => {
+                    let ms: f64 = value.parse().map_err(|_| Malformed::Bad("d"))?;
+                    if !(0.0..=86_400_000.0).contains(&ms) {
+                        return Err(Malformed::Bad("d"));
+                    }
+                    wait = Some(Micros((ms * 1000.0) as u64));
+                    wait_at = value_at..value_at + value.len();
+                }
+                "r" => repeat = value == "1",
+                "after" => after = Some(value.parse().map_err(|_| Malformed::Bad("after"))?),
+                _ => {}
+            }
+        }
+        if !id {
+            return Err(Malformed::Missing("id"));
+        }
+        let mut quoted = text[..open].split('\'');
+        let key = quoted.nth(1).filter(|_| quoted.next().is_some()).ok_or(Malformed::NoKey)?;
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        Ok(Statement {
+            class: class.ok_or(Malformed::Missing("c"))?,
+            cluster: cluster.ok_or(Malformed::Missing("cluster"))?,
+            wait: wait.ok_or(Malformed::Missing("d"))?,
+            session: SessionKey(hasher.finish()),
+            repeat,
+            after,
+            wait_at,
+            text,
+        })
+    }
+
+    /// The statement as it came but for `d`, which says how long the gateway waits.
+    pub fn with_wait(&self, wait: Micros) -> String {
+        let ms = (wait.0 / 1000).max(1);
+        format!("{}{ms}{}", &self.text[..self.wait_at.start], &self.text[self.wait_at.end..])
+    }
+}
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,115 @@
+//! A request's life: who is owed its answer, which attempt is out and when the client gives up.
+//! Knows no protocol and no sockets: owners and connections are whatever the caller names them by.
+
+use std::collections::BTreeMap;
+
+use crate::balancer::Ticket;
+use crate::Micros;
+
+/// How far an attempt's bytes had come when it broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// No connection was up for it.
+    NotConnected,
+    /// Its last byte was not written yet.
+    PartlyWritten,
+    /// Its last byte was written.
+    WhollyWritten,
+}
+
+/// What ended an attempt that has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The connection was refused, never came up or broke.
+    Lost,
+    /// The time for it ran out.
+    TimedOut,
+    /// The gateway did not try: no descriptors, no address, or the choice had gone stale.
+    NotTried,
+}
+
+/// An attempt that ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// How far it had come.
+    pub reach: Reach,
+    /// What ended it.
+    pub cause: Cause,
+}
+
+impl Broken {
+    /// Whether the host may have run it: it begins once the last byte has arrived, never before.
+    pub fn may_have_run(self) -> bool {
+        self.reach == Reach::WhollyWritten
+    }
+}
+
+/// A request that is owed an answer.
+#[derive(Debug)]
+pub struct Life<K, W> {
+    /// The client connection that asked.
+    pub owner: K,
+    /// What it asked for, as the protocol's front needs it to send it on.
+    pub work: W,
+    /// When the client stops waiting.
+    pub until: Micros,
+    attempt: Option<K>,
+}
+
+impl<K: Copy, W> Life<K, W> {
+    /// The connection that carries the attempt now out.
+    pub fn attempt(&self) -> Option<K> {
+        self.attempt
+    }
+}
+
+/// All requests that are owed an answer. Each leaves it exactly once, through [`Ledger::finish`].
+#[derive(Debug)]
+pub struct Ledger<K, W> {
+    lives: BTreeMap<Ticket, Life<K, W>>,
+}
+
+impl<K, W> Default for Ledger<K, W> {
+    fn default() -> Self {
+        Ledger { lives: BTreeMap::new() }
+    }
+}
+
+impl<K: Copy, W> Ledger<K, W> {
+    /// Takes a request on.
+    pub fn open(&mut self, ticket: Ticket, owner: K, work: W, until: Micros) {
+        self.lives.insert(ticket, Life { owner, work, until, attempt: None });
+    }
+
+    /// The request, while it is owed an answer.
+    pub fn get(&self, ticket: Ticket) -> Option<&Life<K, W>> {
+        self.lives.get(&ticket)
+    }
+
+    /// Books an attempt. False, and nothing is booked, if the request has ended or one is out already.
+    #[must_use]
+    pub fn begin(&mut self, ticket: Ticket, on: K) -> bool {
+        let free = self.lives.get_mut(&ticket).filter(|life| life.attempt.is_none());
+        free.map(|life| life.attempt = Some(on)).is_some()
+    }
+
+    /// Books the end of the attempt that is out and names its connection.
+    pub fn end(&mut self, ticket: Ticket) -> Option<K> {
+        self.lives.get_mut(&ticket)?.attempt.take()
+    }
+
+    /// Ends a request: whoever gets it back must answer, nobody else may.
+    pub fn finish(&mut self, ticket: Ticket) -> Option<Life<K, W>> {
+        self.lives.remove(&ticket)
+    }
+
+    /// Number of requests owed an answer.
+    pub fn len(&self) -> usize {
+        self.lives.len()
+    }
+
+    /// Whether nobody is owed anything.
+    pub fn is_empty(&self) -> bool {
+        self.lives.is_empty()
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,279 @@
+//! The settings object: the same JSON in the simulator's first message and in a gateway's
+//! configuration, read here once for both programs.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::api::*;
+
+/// A length of time on the wire, in milliseconds.
+#[derive(Clone, Copy, Default, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct Ms(pub f64);
+
+impl From<Ms> for Micros {
+    fn from(ms: Ms) -> Micros {
+        Micros((ms.0 * 1000.0).round().max(0.0) as u64)
+    }
+}
+
+impl From<Micros> for Ms {
+    fn from(micros: Micros) -> Ms {
+        Ms(micros.0 as f64 / 1000.0)
+    }
+}
+
+/// The settings object as it stands in JSON.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Params {
+    balancers: u32,
+    classes: Vec<WireClass>,
+    registry_mode: RegistryMode,
+    specifics: Specifics,
+    #[serde(default)]
+    over_share_worth: f64,
+    permissions: Permissions,
+    #[serde(default)]
+    deductions: Deductions,
+    safety: Safety,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+    tick_ms: Ms,
+    zone: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireClass {
+    name: String,
+    aim_ms: Ms,
+    deadline_ms: Ms,
+    value: f64,
+    #[serde(default)]
+    late_worth: f64,
+    effect: WireEffect,
+    #[serde(default)]
+    group: WireScope,
+    #[serde(default)]
+    repeat_window_ms: Ms,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireEffect {
+    ReadLike,
+    IdempotencyKey,
+    NonIdempotent,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireScope {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum RegistryMode {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Specifics {
+    counted_from_ms: Ms,
+    needs_by_class: Vec<WireNeed>,
+    #[serde(default)]
+    lag_allowed_ms: Vec<Ms>,
+    server_checks: ServerChecks,
+    session_marks: SessionMarks,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireNeed {
+    Update,
+    Latest,
+    OwnWrites,
+    Recent,
+    Loose,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ServerChecks {
+    None,
+    Reject,
+    Hold,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum SessionMarks {
+    Client,
+    Router,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Permissions {
+    #[serde(default)]
+    cancelling: bool,
+    #[serde(default)]
+    probing: bool,
+    #[serde(default)]
+    peers: bool,
+    #[serde(default)]
+    parallel_tries: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_ms: Ms,
+    #[serde(default)]
+    conn_idle_ms: Ms,
+    #[serde(default)]
+    connect_timeout_ms: Ms,
+    send_cap: u32,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Deductions {
+    cross_zone: f64,
+    probe: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Safety {
+    cold_from: f64,
+    cold_ms: Ms,
+    fall_ms: Ms,
+    stop_sending_within_ms: Ms,
+    tip_multiple: f64,
+    #[serde(default)]
+    drain_binds_alone: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireTenant {
+    name: String,
+    quota_per_s: f64,
+}
+
+/// Zone names and the numbers given to them.
+#[derive(Default)]
+pub struct Zones(Vec<String>);
+
+impl Zones {
+    /// The zone's number; a name not met before gets the next one.
+    pub fn id(&mut self, name: String) -> ZoneId {
+        let known = self.0.iter().position(|zone| *zone == name);
+        ZoneId(known.unwrap_or_else(|| {
+            self.0.push(name);
+            self.0.len() - 1
+        }))
+    }
+}
+
+/// What the settings object says, in the module's terms, and the names that it gives.
+pub struct Site {
+    /// For the module.
+    pub settings: Settings,
+    /// Names of the classes, in the order of [`ClassId`].
+    pub classes: Vec<String>,
+    /// Names of the tenants, in the order of [`TenantId`].
+    pub tenants: Vec<String>,
+    /// Point on the simulator's clock from which its positions count.
+    pub counted_from: Micros,
+    /// A connection that has not come up by then counts as failed.
+    pub connect_timeout: Micros,
+}
+
+impl Params {
+    /// Translates the object; an error names the field at fault.
+    pub fn site(self, zones: &mut Zones) -> Result<Site, String> {
+        let needs = &self.specifics.needs_by_class;
+        if self.classes.is_empty() {
+            return Err("Classes: empty".into());
+        }
+        let mut classes = Vec::new();
+        for (index, class) in self.classes.iter().enumerate() {
+            let need = needs.get(index).ok_or("NeedsByClass: shorter than Classes")?;
+            let bound = self.specifics.lag_allowed_ms.get(index);
+            classes.push(Class {
+                aim: class.aim_ms.into(),
+                deadline: class.deadline_ms.into(),
+                worth: class.value,
+                late_worth: class.late_worth,
+                effect: match class.effect {
+                    WireEffect::ReadLike => Effect::Safe,
+                    WireEffect::NonIdempotent => Effect::Unsafe,
+                    WireEffect::IdempotencyKey => Effect::Keyed {
+                        scope: match class.group {
+                            WireScope::All => RepeatScope::All,
+                            WireScope::Zone => RepeatScope::Zone,
+                            WireScope::Cell => RepeatScope::Group,
+                        },
+                        window: class.repeat_window_ms.into(),
+                    },
+                },
+                need: match need {
+                    WireNeed::Update => Need::Write,
+                    WireNeed::Latest => Need::Fresh,
+                    WireNeed::OwnWrites => Need::Session,
+                    WireNeed::Loose => Need::Any,
+                    WireNeed::Recent => {
+                        Need::Bounded((*bound.ok_or("LagAllowedMs: lacks the bound of a class")?).into())
+                    }
+                },
+            });
+        }
+        let settings = Settings {
+            classes,
+            tenants: self.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+            over_share_worth: self.over_share_worth,
+            zone: zones.id(self.zone),
+            drivers: self.balancers,
+            tick: self.tick_ms.into(),
+            must_watch: self.registry_mode == RegistryMode::OnRequest,
+            checks: match self.specifics.server_checks {
+                ServerChecks::None => Checks::None,
+                ServerChecks::Reject | ServerChecks::Hold => Checks::Refuse,
+            },
+            tokens: match self.specifics.session_marks {
+                SessionMarks::Client => Tokens::Carried,
+                SessionMarks::Router => Tokens::Remembered,
+            },
+            probes: self.permissions.probing,
+            cancels: self.permissions.cancelling,
+            peers: self.permissions.peers,
+            second_copies: self.permissions.parallel_tries,
+            retry_after: self.permissions.retry_after,
+            max_retry_after: self.permissions.max_retry_after_ms.into(),
+            max_attempts: self.permissions.send_cap,
+            probe_price: self.deductions.probe,
+            cross_zone_price: self.deductions.cross_zone,
+            drain_grace: self.safety.stop_sending_within_ms.into(),
+            only_draining_binds: self.safety.drain_binds_alone,
+            connection_idle: self.permissions.conn_idle_ms.into(),
+            cold_from: self.safety.cold_from,
+            cold_time: self.safety.cold_ms.into(),
+            fall_multiple: self.safety.tip_multiple,
+            fall_time: self.safety.fall_ms.into(),
+        };
+        Ok(Site {
+            settings,
+            classes: self.classes.into_iter().map(|c| c.name).collect(),
+            tenants: self.tenants.into_iter().map(|t| t.name).collect(),
+            counted_from: self.specifics.counted_from_ms.into(),
+            connect_timeout: self.permissions.connect_timeout_ms.into(),
+        })
+    }
+}
