--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -130,6 +130,7 @@
 pub struct Balancer {
     router: Router,
     needs: Vec<Need>,
+    groups: BTreeSet<GroupId>,
     next_ticket: u64,
     tracks: BTreeMap<Ticket, Track>,
     timers: BTreeSet<(Micros, TimerId)>,
@@ -144,6 +145,7 @@
         Balancer {
             router: Router::new(settings, seed),
             needs,
+            groups: BTreeSet::new(),
             next_ticket: 0,
             tracks: BTreeMap::new(),
             timers: BTreeSet::new(),
@@ -153,10 +155,16 @@
 
     /// Takes in a member list or a change to it.
     pub fn members(&mut self, now: Micros, full: bool, entries: Vec<Entry>) {
+        self.groups.extend(entries.iter().map(|entry| entry.group));
         let kind = if full { ListKind::Full } else { ListKind::Changes };
         self.drive(now, Event::Members { kind, entries });
     }
 
+    /// Whether a list has ever named this group.
+    pub fn knows(&self, group: GroupId) -> bool {
+        self.groups.contains(&group)
+    }
+
     /// Takes a request on. Unless held it is decided at once.
     pub fn pick(&mut self, now: Micros, ask: Ask) -> (Ticket, Verdict) {
         let ticket = Ticket(self.next_ticket);
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -231,6 +231,11 @@
         Ok(gateway)
     }
 
+    /// Where clients connect.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref()?.local_addr().ok()
+    }
+
     /// Serves until a signal ends it and all that was taken is answered.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
@@ -268,10 +273,9 @@
             return;
         }
         error!(self.log, "panic caught"; "connection" => place);
-        let _ = catch_unwind(AssertUnwindSafe(|| match self.key_at(place) {
-            Some(key) => self.lose(key),
-            None => self.ready.clear(),
-        }));
+        if let Some(key) = self.key_at(place) {
+            let _ = catch_unwind(AssertUnwindSafe(|| self.lose(key)));
+        }
     }
 
     fn on_event(&mut self, event: Event) {
@@ -564,7 +568,10 @@
         let crowded = self.clients > self.most_clients;
         let ask = Statement::parse(text).map_err(|e| format!("{e:?}")).and_then(|statement| {
             let class = self.classes.iter().position(|name| *name == statement.class);
-            let class = class.ok_or("unknown class").map_err(String::from)?;
+            let class = class.ok_or("unknown class")?;
+            if !self.balancer.knows(GroupId(statement.cluster)) {
+                return Err("unknown group".into());
+            }
             Ok((ClassId(class), statement))
         });
         let (now, clock) = (self.now, self.clock);
@@ -746,7 +753,8 @@
             }
         }
         self.counts.connects += 1;
-        let socket = dial(address).map_err(|_| Cause::Lost)?;
+        let shortage = |e: &io::Error| matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE));
+        let socket = dial(address).map_err(|e| if shortage(&e) { Cause::NotTried } else { Cause::Lost })?;
         let link = HostLink { protocol: Host::default(), member, welcome: false, task: Task::None };
         let key = self.insert(socket, Link::Host(link), true).map_err(|_| Cause::NotTried)?;
         self.set_timer(self.connect_timeout, Timer::Connect(key));
@@ -1023,10 +1031,7 @@
     socket.set_nonblocking(true)?;
     socket.set_nodelay(true)?;
     match socket.connect(&address.into()) {
-        Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != io::ErrorKind::WouldBlock => Err(e),
+        Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) => Err(e),
         _ => Ok(socket.into()),
     }
 }
-
-/// The connection is coming up; the standard library has no name for it.
-const EINPROGRESS: i32 = 115;
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,295 @@
+//! Connection states against random steps: whatever the cut of the bytes, a client gets one answer
+//! a query in order, and a host's answer counts only once it is whole.
+
+use dunemount::balancer::Said;
+use dunemount::pg::client::{Client, Demand};
+use dunemount::pg::codec::{self, Inbox};
+use dunemount::pg::host::{Answer, Host, Turn};
+use dunemount::pg::statement::{Malformed, Statement};
+use dunemount::{Micros, Role};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..Default::default() }
+}
+
+fn tags(bytes: &[u8]) -> String {
+    let mut inbox = Inbox::default();
+    inbox.push(bytes);
+    let mut tags = String::new();
+    while let Some(frame) = inbox.frame().expect("well framed") {
+        tags.push(char::from(frame.tag));
+    }
+    assert!(inbox.is_empty(), "half a message was written");
+    tags
+}
+
+/// What a client may send, with the tags of what it must get for it.
+#[derive(Clone, Debug)]
+enum Command {
+    Query(u8),
+    Empty,
+    Extended,
+    Sync,
+    NotText,
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    prop_oneof![
+        4 => (0..3u8).prop_map(Command::Query),
+        1 => Just(Command::Empty),
+        1 => Just(Command::Extended),
+        1 => Just(Command::Sync),
+        1 => Just(Command::NotText),
+    ]
+}
+
+proptest! {
+    #![proptest_config(fixed(300))]
+
+    /// Guards the order of answers under pipelining, and that a query is asked for only when the one
+    /// before has been answered.
+    #[test]
+    fn a_client_gets_one_answer_a_query_in_order(
+        commands in prop::collection::vec(command(), 0..12),
+        chunk in 1..60usize,
+    ) {
+        let mut bytes = Vec::new();
+        codec::startup(&mut bytes, "app", "shop");
+        let (mut expected, mut queries, mut skipping) = (String::from("RSSSSKZ"), Vec::new(), false);
+        for (index, command) in commands.iter().enumerate() {
+            match command {
+                Command::Query(kind) => {
+                    codec::query(&mut bytes, &format!("q{index}"));
+                    if !skipping {
+                        queries.push((format!("q{index}"), *kind));
+                        expected.push_str(["TDCZ", "EZ", "EZ"][usize::from(*kind)]);
+                    }
+                }
+                Command::Empty => {
+                    codec::query(&mut bytes, " ; ");
+                    expected.push_str(if skipping { "" } else { "IZ" });
+                }
+                Command::Extended => {
+                    codec::frame(&mut bytes, b'P', b"\0select\0\0\0");
+                    expected.push_str(if skipping { "" } else { "E" });
+                    skipping = true;
+                }
+                Command::Sync => {
+                    codec::frame(&mut bytes, b'S', &[]);
+                    expected.push('Z');
+                    skipping = false;
+                }
+                Command::NotText => {
+                    codec::frame(&mut bytes, b'Q', &[0xff, 0]);
+                    expected.push_str(if skipping { "" } else { "EZ" });
+                }
+            }
+        }
+        let mut rows = Vec::new();
+        for tag in [b'T', b'D', b'C'] {
+            codec::frame(&mut rows, tag, &[0, 0]);
+        }
+        let (mut client, mut asked) = (Client::default(), Vec::new());
+        for part in bytes.chunks(chunk) {
+            client.receive(part);
+            while let Some(demand) = client.demand() {
+                let Demand::Query(text) = demand else { panic!("closed for {commands:?}") };
+                prop_assert!(client.is_busy() && client.demand().is_none(), "asked while one is owed");
+                let kind = queries.get(asked.len()).map_or(9, |(_, kind)| *kind);
+                asked.push((text, kind));
+                match kind {
+                    0 => client.serve(&rows),
+                    1 => client.refuse(Some(Micros(1_500))),
+                    _ => client.fail("58000", "no"),
+                }
+            }
+        }
+        prop_assert_eq!(asked, queries);
+        prop_assert_eq!(tags(&client.out.bytes), expected);
+        prop_assert!(client.wants_more());
+    }
+
+    /// Guards against a panic, an endless wait or an endless buffer on bytes that are no protocol.
+    #[test]
+    fn junk_is_turned_away(junk in prop::collection::vec(any::<u8>(), 0..200), started in any::<bool>()) {
+        let (mut client, mut host) = (Client::default(), Host::default());
+        if started {
+            let mut bytes = Vec::new();
+            codec::startup(&mut bytes, "app", "shop");
+            client.receive(&bytes);
+        }
+        client.receive(&junk);
+        host.receive(&junk);
+        while let Some(Demand::Query(_)) = client.demand() {
+            client.refuse(None);
+        }
+        while host.turn().is_some() {}
+        prop_assert!(!host.is_idle() || host.out.is_empty());
+    }
+
+    /// Guards the host's side: an answer counts from its last word on and never before, and no request
+    /// goes on a connection whose reply is unfinished.
+    #[test]
+    fn a_hosts_answer_is_whole_or_none(
+        kind in 0..4usize,
+        value in prop::collection::vec(any::<u8>(), 0..50),
+        cut in 0..400usize,
+        chunk in 1..40usize,
+    ) {
+        let mut host = welcomed();
+        prop_assert!(host.ask("q"));
+        let (mut bytes, mut told_at) = (Vec::new(), usize::MAX);
+        let said = [Said::Served, Said::Miss, Said::TurnedAway, Said::Error][kind];
+        codec::frame(&mut bytes, b'N', b"SNOTICE\0\0");
+        if said == Said::Served {
+            codec::frame(&mut bytes, b'T', b"\0\0");
+            let mut row = vec![0, 1];
+            row.extend_from_slice(&(value.len() as u32).to_be_bytes());
+            row.extend_from_slice(&value);
+            codec::frame(&mut bytes, b'D', &row);
+            codec::frame(&mut bytes, b'C', b"SELECT 1\0");
+        } else {
+            codec::error(&mut bytes, "ERROR", ["", "25006", "53300", "XX000"][kind], "no", None);
+        }
+        told_at = told_at.min(bytes.len());
+        codec::parameter(&mut bytes, "part", "replica");
+        codec::parameter(&mut bytes, "caught_up_to", "1767225600123");
+        codec::ready(&mut bytes);
+        let whole = cut >= bytes.len();
+        bytes.truncate(cut);
+        let mut turns = Vec::new();
+        for part in bytes.chunks(chunk) {
+            host.receive(part);
+            while let Some(turn) = host.turn() {
+                turns.push(turn);
+            }
+        }
+        prop_assert_eq!(host.is_idle(), whole && host.out.is_empty());
+        if whole {
+            let Some(Turn::Answered(answer)) = turns.pop() else { panic!("no answer") };
+            prop_assert_eq!((answer.said, answer.role), (said, Some(Role::Replica)));
+            prop_assert_eq!(answer.position, Some(1_767_225_600_123.0));
+            prop_assert_eq!(answer.value, (said == Said::Served).then_some(value));
+            prop_assert_eq!(tags(&answer.rows), if said == Said::Served { "TDC" } else { "" });
+            prop_assert!(host.ended().is_none(), "told twice");
+        } else {
+            prop_assert!(!host.ask("next"), "asked into an unfinished reply");
+            prop_assert_eq!(host.ended().map(|answer| answer.said), (cut >= told_at).then_some(said));
+        }
+        prop_assert!(turns.is_empty());
+    }
+
+    /// Guards that id, key and statement go on unchanged, and only the time left is told anew.
+    #[test]
+    fn only_the_wait_is_rewritten(key in "[a-z0-9]{1,16}", wait in 1..90_000u64, left in 0..90_000u64) {
+        let text = |d: u64| format!("SELECT doc FROM items WHERE id = '{key}' /* id=ab,c=look,d={d},k=5,cluster=2 */");
+        let statement = Statement::parse(text(wait)).expect("well formed");
+        prop_assert_eq!((statement.wait, statement.cluster), (Micros::millis(wait), 2));
+        prop_assert_eq!(statement.with_wait(Micros::millis(left)), text(left.max(1)));
+    }
+}
+
+fn welcomed() -> Host {
+    let (mut host, mut bytes) = (Host::default(), Vec::new());
+    codec::frame(&mut bytes, b'R', &[0; 4]);
+    codec::parameter(&mut bytes, "server_version", "15");
+    codec::ready(&mut bytes);
+    host.receive(&bytes);
+    assert!(!host.ask("before the startup is written"));
+    assert_eq!(host.turn(), Some(Turn::Welcome));
+    host.out.flush(&mut Vec::new()).expect("written");
+    host
+}
+
+/// Guards against waiting for bytes that a length only claims, and against reading it as negative.
+#[test]
+fn lengths_that_cannot_be_close_the_connection() {
+    for length in [u32::MAX, 0, 3, codec::MAX_MESSAGE as u32 + 1] {
+        let (mut client, mut bytes) = (Client::default(), Vec::new());
+        codec::startup(&mut bytes, "app", "shop");
+        bytes.push(b'Q');
+        bytes.extend_from_slice(&length.to_be_bytes());
+        client.receive(&bytes);
+        assert_eq!(client.demand(), Some(Demand::Close));
+        assert!(tags(&client.out.bytes).ends_with('E'));
+        client.receive(&[0; 64]);
+        assert!(client.demand().is_none() && !client.wants_more());
+    }
+}
+
+/// Guards the advice on when to come back: whole milliseconds in field D, never rounded to nothing.
+#[test]
+fn a_refusal_tells_when_to_come_back() {
+    let mut client = Client::default();
+    client.refuse(Some(Micros(1_500)));
+    let mut inbox = Inbox::default();
+    inbox.push(&client.out.bytes);
+    let refusal = inbox.frame().expect("framed").expect("whole");
+    assert_eq!(codec::error_field(&refusal.body, b'C'), Some("53300"));
+    assert_eq!(codec::error_field(&refusal.body, b'D'), Some("2"));
+}
+
+/// Guards the greeting: a host that has no room says so before any request is out.
+#[test]
+fn a_host_may_turn_the_connection_away() {
+    let (mut host, mut bytes) = (Host::default(), Vec::new());
+    codec::error(&mut bytes, "FATAL", "53300", "too many connections", None);
+    host.receive(&bytes);
+    assert_eq!(host.turn(), Some(Turn::Unwelcome("53300".into())));
+    assert!(!host.ask("q") && host.ended().is_none());
+}
+
+/// Guards against taking an answer that nobody asked for as that of the next request.
+#[test]
+fn an_answer_without_a_question_is_nonsense() {
+    let (mut host, mut bytes) = (welcomed(), Vec::new());
+    codec::frame(&mut bytes, b'C', b"SELECT 1\0");
+    host.receive(&bytes);
+    assert_eq!(host.turn(), Some(Turn::Nonsense));
+    assert!(!host.is_idle());
+}
+
+/// Guards against statements that cannot be routed: each is told what is wrong with it.
+#[test]
+fn malformed_statements_are_told_apart() {
+    let parse = |comment: &str| Statement::parse(format!("SELECT doc FROM items WHERE id = 'k' {comment}"));
+    assert_eq!(parse("").unwrap_err(), Malformed::NoComment);
+    assert_eq!(parse("*/ /*").unwrap_err(), Malformed::NoComment);
+    assert_eq!(parse("/* c=a,d=5,cluster=1 */").unwrap_err(), Malformed::Missing("id"));
+    assert_eq!(parse("/* id=1,d=5,cluster=1 */").unwrap_err(), Malformed::Missing("c"));
+    assert_eq!(parse("/* id=1,c=a,cluster=1 */").unwrap_err(), Malformed::Missing("d"));
+    assert_eq!(parse("/* id=1,c=a,d=5 */").unwrap_err(), Malformed::Missing("cluster"));
+    assert_eq!(parse("/* id=1,c=a,d=-5,cluster=1 */").unwrap_err(), Malformed::Bad("d"));
+    assert_eq!(parse("/* id=1,c=a,d=NaN,cluster=1 */").unwrap_err(), Malformed::Bad("d"));
+    assert_eq!(parse("/* id=1,c=a,d=5,cluster=x */").unwrap_err(), Malformed::Bad("cluster"));
+    let no_key = Statement::parse("SELECT 1 /* id=1,c=a,d=5,cluster=1 */".into());
+    assert_eq!(no_key.unwrap_err(), Malformed::NoKey);
+    assert!(parse("/* id=1, c=a , d= 5 ,cluster=1 */;").is_ok());
+}
+
+/// Guards the reading of load reports, which say nothing of a field that they lack.
+#[test]
+fn load_reports_tell_role_and_position() {
+    use dunemount::pg::host::report;
+    assert_eq!(report(b"x0=1767225600123,x1=1"), (Some(Role::Primary), Some(1_767_225_600_123.0)));
+    assert_eq!(report(b"x1=0"), (Some(Role::Replica), None));
+    assert_eq!(report(&[0xff]), (None, None));
+}
+
+/// Guards the rows of one request from reaching another: each answer starts blank.
+#[test]
+fn answers_do_not_run_into_each_other() {
+    let mut host = welcomed();
+    for round in 0..2 {
+        assert!(host.ask("q"));
+        host.out.flush(&mut Vec::new()).expect("written");
+        let mut bytes = Vec::new();
+        codec::frame(&mut bytes, b'C', &[round]);
+        codec::ready(&mut bytes);
+        host.receive(&bytes);
+        let Some(Turn::Answered(Answer { rows, position, .. })) = host.turn() else { panic!("no answer") };
+        assert_eq!((rows, position), (vec![b'C', 0, 0, 0, 5, round], None));
+    }
+}
--- /dev/null
+++ b/tests/facade.rs
@@ -0,0 +1,246 @@
+//! The facade against random steps: what the network code relies on, whatever hosts do.
+
+use std::collections::BTreeMap;
+
+use dunemount::balancer::{Ask, Balancer, Due, Ended, Said, Ticket, Verdict};
+use dunemount::request::{Broken, Cause, Ledger, Reach};
+use dunemount::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const START: Micros = Micros::millis(100_000);
+
+fn class(need: Need, late_worth: f64) -> Class {
+    let window = Micros::millis(900);
+    let effect = match need {
+        Need::Write => Effect::Keyed { scope: RepeatScope::Group, window },
+        _ => Effect::Safe,
+    };
+    let (aim, deadline) = (Micros::millis(200), Micros::millis(800));
+    Class { aim, deadline, worth: 1.0, late_worth, effect, need }
+}
+
+fn balancer(cancels: bool) -> Balancer {
+    let settings = Settings {
+        classes: vec![
+            class(Need::Bounded(Micros::millis(500)), 0.0),
+            class(Need::Session, 0.0),
+            class(Need::Fresh, 0.5),
+            class(Need::Write, 0.5),
+        ],
+        tenants: vec![],
+        over_share_worth: 1.0,
+        zone: ZoneId(0),
+        drivers: 3,
+        tick: Micros::millis(5),
+        must_watch: false,
+        checks: Checks::None,
+        tokens: Tokens::Remembered,
+        probes: true,
+        cancels,
+        peers: false,
+        // The facade rules a second copy out even where a site would permit it.
+        second_copies: true,
+        retry_after: true,
+        max_retry_after: Micros::millis(500),
+        max_attempts: 4,
+        probe_price: 0.01,
+        cross_zone_price: 0.01,
+        drain_grace: Micros::millis(300),
+        only_draining_binds: false,
+        connection_idle: Micros::millis(15_000),
+        cold_from: 0.2,
+        cold_time: Micros::millis(10_000),
+        fall_multiple: 2.0,
+        fall_time: Micros::millis(2000),
+    };
+    let mut balancer = Balancer::new(settings, 7);
+    let entry = |id: u64| Entry {
+        member: MemberId(id),
+        group: GroupId(1),
+        weight: 1.0,
+        primary: id == 1,
+        ..Entry::default()
+    };
+    balancer.members(START, true, (1..=3).map(entry).collect());
+    balancer
+}
+
+fn ask(class: usize, session: u64) -> Ask {
+    Ask {
+        class: ClassId(class),
+        group: GroupId(1),
+        session: SessionKey(session),
+        since_commit: None,
+        repeat: false,
+        time_left: Micros::millis(800),
+    }
+}
+
+fn answer(said: Said, member: MemberId, position: Micros) -> Ended {
+    let role = Some(if member == MemberId(1) { Role::Primary } else { Role::Replica });
+    Ended::Answer { said, role, position: Some(position) }
+}
+
+/// What the network code would hold: the deadline of each open request and the member it is out at.
+#[derive(Default)]
+struct Desk {
+    open: BTreeMap<Ticket, (Micros, Option<MemberId>)>,
+}
+
+impl Desk {
+    fn take(&mut self, ticket: Ticket, verdict: Verdict) {
+        let (_, out) = self.open.get_mut(&ticket).expect("a verdict on a request that has ended");
+        match verdict {
+            Verdict::Held => {}
+            Verdict::Send { member, .. } => {
+                assert!(out.replace(member).is_none(), "two attempts out at once");
+            }
+            Verdict::Refuse { .. } | Verdict::Fail => {
+                self.open.remove(&ticket);
+            }
+        }
+    }
+
+    fn settle(&mut self, now: Micros, balancer: &mut Balancer) {
+        while let Some(due) = balancer.tick(now) {
+            match due {
+                Due::Verdict(ticket, verdict) => self.take(ticket, verdict),
+                Due::Cancel(ticket) => {
+                    self.open.get_mut(&ticket).expect("a cancel after the end").1 = None;
+                }
+                Due::Probe(member) => balancer.probed(now, member, answer(Said::Served, member, now)),
+                Due::CloseIdle(_) | Due::Note(_) => {}
+            }
+        }
+        let overdue = self.open.values().any(|(until, _)| *until < now);
+        assert!(!overdue, "a request was left without its answer");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..Default::default()
+    })]
+
+    /// Guards the two promises the network code builds on: one final verdict for every request before
+    /// its client gives up, and never a send while an attempt is out.
+    #[test]
+    fn every_request_gets_one_verdict_in_time(
+        steps in prop::collection::vec((0..9u8, any::<u8>(), 1..60u64), 1..120),
+        cancels in any::<bool>(),
+    ) {
+        let (mut balancer, mut desk, mut now) = (balancer(cancels), Desk::default(), START);
+        for (step, pick, ms) in steps {
+            let nth = |n: usize| usize::from(pick) % n.max(1);
+            let out: Vec<_> = desk.open.iter().filter_map(|(t, (_, m))| Some((*t, (*m)?))).collect();
+            let flying = out.get(nth(out.len())).copied();
+            match (step, flying) {
+                (0..=2, _) => {
+                    let (ticket, verdict) = balancer.pick(now, ask(nth(4), u64::from(pick) % 5));
+                    desk.open.insert(ticket, (now + Micros::millis(800), None));
+                    desk.take(ticket, verdict);
+                }
+                (3..=6, Some((ticket, member))) => {
+                    let reach = [Reach::NotConnected, Reach::PartlyWritten, Reach::WhollyWritten][nth(3)];
+                    let cause = [Cause::Lost, Cause::TimedOut, Cause::NotTried][nth(3)];
+                    let ended = match step {
+                        3 => answer(Said::Served, member, now),
+                        4 => answer([Said::Miss, Said::TurnedAway, Said::Error][nth(3)], member, now),
+                        _ => Ended::Broken(Broken { reach, cause }),
+                    };
+                    desk.open.get_mut(&ticket).expect("open").1 = None;
+                    let verdict = balancer.report(now, ticket, ended);
+                    if step == 3 {
+                        prop_assert_eq!(verdict, Verdict::Held);
+                        desk.open.remove(&ticket);
+                    } else {
+                        desk.take(ticket, verdict);
+                    }
+                }
+                (7, _) => {
+                    let Some(ticket) = desk.open.keys().nth(nth(desk.open.len())).copied() else { continue };
+                    balancer.gone(now, ticket);
+                    desk.open.remove(&ticket);
+                }
+                _ => {
+                    // The loop wakes when something is due; it may be a little late.
+                    let next = balancer.next_due().unwrap_or(START);
+                    now = now.max(next.min(now + Micros::millis(ms))) + Micros(u64::from(pick));
+                }
+            }
+            desk.settle(now, &mut balancer);
+        }
+    }
+}
+
+/// Guards the one place where the reach of a broken attempt decides whether it may have run: a write
+/// that never ran is refused and so may be repeated, one that may have run is failed.
+#[test]
+fn reach_decides_what_a_write_is_told() {
+    for reach in [Reach::NotConnected, Reach::PartlyWritten, Reach::WhollyWritten] {
+        let (mut balancer, mut now) = (balancer(true), START);
+        let (ticket, mut verdict) = balancer.pick(now, ask(3, 1));
+        let last = loop {
+            match verdict {
+                Verdict::Send { .. } => {
+                    let broken = Broken { reach, cause: Cause::Lost };
+                    verdict = balancer.report(now, ticket, Ended::Broken(broken));
+                }
+                Verdict::Held => match balancer.tick(now) {
+                    Some(Due::Verdict(_, due)) => verdict = due,
+                    Some(_) => {}
+                    None => now = now + Micros::millis(5),
+                },
+                last => break last,
+            }
+        };
+        assert_eq!(last == Verdict::Fail, reach == Reach::WhollyWritten, "{reach:?}");
+    }
+}
+
+/// Guards against a stale read: a replica chosen as just fresh enough may no longer be by the time
+/// that its connection is up.
+#[test]
+fn a_choice_goes_stale_while_its_connection_comes_up() {
+    let mut balancer = balancer(true);
+    let position = START - Micros::millis(490);
+    for member in [2, 3] {
+        balancer.probed(START, MemberId(member), answer(Said::Served, MemberId(member), position));
+    }
+    let (ticket, verdict) = balancer.pick(START, ask(0, 1));
+    assert!(matches!(verdict, Verdict::Send { member: MemberId(2 | 3), .. }));
+    assert!(balancer.still_holds(START, ticket));
+    assert!(!balancer.still_holds(START + Micros::millis(20), ticket));
+    balancer.gone(START, ticket);
+    assert!(!balancer.still_holds(START, ticket), "a request that has ended");
+}
+
+/// Guards that a client's leaving frees the member at once: the attempt counts as called off.
+#[test]
+fn a_request_that_is_gone_gets_no_verdict() {
+    let mut balancer = balancer(true);
+    let (ticket, verdict) = balancer.pick(START, ask(3, 1));
+    assert!(matches!(verdict, Verdict::Send { .. }));
+    balancer.gone(START, ticket);
+    let broken = Ended::Broken(Broken { reach: Reach::WhollyWritten, cause: Cause::TimedOut });
+    assert_eq!(balancer.report(START, ticket, broken), Verdict::Held);
+    let later = START + Micros::millis(2000);
+    while let Some(due) = balancer.tick(later) {
+        assert!(!matches!(due, Due::Verdict(..) | Due::Cancel(_)), "{due:?}");
+    }
+}
+
+/// Guards the ledger: one answer a request, one attempt at a time.
+#[test]
+fn the_ledger_gives_each_request_away_once() {
+    let (mut ledger, mut balancer) = (Ledger::default(), balancer(true));
+    let (ticket, _) = balancer.pick(START, ask(0, 1));
+    ledger.open(ticket, 'c', "work", START);
+    assert!(ledger.begin(ticket, 'a'));
+    assert!(!ledger.begin(ticket, 'b'), "a second attempt while one is out");
+    assert_eq!(ledger.end(ticket), Some('a'));
+    assert!(ledger.begin(ticket, 'b'));
+    assert_eq!(ledger.finish(ticket).and_then(|life| life.attempt()), Some('b'));
+    assert!(ledger.finish(ticket).is_none() && !ledger.begin(ticket, 'd') && ledger.is_empty());
+}
