--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,8 +20,7 @@
 const MEAN_GAIN: f64 = 0.02;
 /// Weight of a new sample in a member's own figures, which must follow a trouble within a second.
 const MEMBER_GAIN: f64 = 0.1;
-/// Latency, as a part of the aim, that a concurrency limit steers the mean to: service times spread
-/// about exponentially, so at a third of the aim about one answer in twenty comes after it.
+/// Part of the aim that a limit steers the mean latency to: about one answer in twenty comes after it.
 const LIMIT_AIM: f64 = 1.0 / 3.0;
 /// Most of its aim that a read may spend waiting in the router; the rest is for its service.
 const PATIENCE: f64 = 0.4;
@@ -125,8 +124,7 @@
     }
 
     /// Books a connection that broke or could not be made. One says little: a full table, a slow link
-    /// and a lost answer break connections of sound members too, and ejecting each of them would leave
-    /// none. A dead process breaks the next one as well.
+    /// and a lost answer break those of sound members too; a dead process breaks the next one as well.
     fn break_off(&mut self, now: Micros, cut: bool) {
         self.breaks += 1;
         let (since, before) = self.broken.unwrap_or((now, false));
@@ -368,8 +366,15 @@
         let paid = PROBE_SPEND / self.settings.probe_price.max(f64::MIN_POSITIVE);
         self.probe_credit = (self.probe_credit + paid).min(PROBE_SAVED);
         self.open.insert(req.id, Open { req, arrived: now, deadline, give_up, ..Open::default() });
+        // What is left of a late retry may be less than a sweep: it is not sent only to be given up.
+        if now >= give_up {
+            return self.give_up(now, req.id, actions);
+        }
         self.groups.entry(req.group).or_default().waiting.push(req.id);
         self.place_waiting(now, req.group, actions);
+        if self.open[&req.id].out.is_empty() {
+            self.check_request(now, req.id, actions);
+        }
         let waits = !self.groups[&req.group].waiting.is_empty();
         self.wake_by(if waits { now + self.period() } else { give_up.min(now + SURVEY) }, actions);
     }
@@ -636,9 +641,8 @@
         member.used_at = if o.status == Status::ConnectFailed { Micros(0) } else { now };
         member.inflight = member.inflight.saturating_sub(1);
         member.load = if member.inflight == 0 { 0.0 } else { (member.load - attempt.cost).max(0.0) };
-        // Answers that stay out on idle connections only: something on the way drops connections
-        // unseen. Shorter idle times are trusted then, and the member is not blamed. Where connections
-        // cannot be made the idle ones are better than none.
+        // Answers that stay out on idle connections only: something drops those unseen. Shorter idle
+        // times are trusted then, not so where none can be made, and the member is not blamed.
         let silent = matches!(o.status, Status::Timeout | Status::Cancelled | Status::Reset);
         let idle = attempt.idle.filter(|_| silent);
         if o.status == Status::ConnectFailed {
@@ -656,7 +660,6 @@
                 Some(latency / aim)
             }
             Status::Timeout | Status::Cancelled => {
-                // Without these a mean would be that of the quick ones alone.
                 *mean += (latency - *mean).max(0.0) * MEAN_GAIN;
                 Some((latency / aim).max(1.0))
             }
@@ -675,8 +678,7 @@
         match o.status {
             Status::Ok => member.fail -= member.fail * MEMBER_GAIN,
             // A member that fails or turns away at once must not look lightly loaded and draw all
-            // traffic. Holds for errors, full queues and refused connections alike; a member that
-            // failed once by chance is spared for no longer than a request takes.
+            // traffic; one that failed by chance is spared for no longer than a request takes.
             Status::Error | Status::Full | Status::ConnectFailed | Status::Reset => {
                 member.fail += (1.0 - member.fail) * MEMBER_GAIN;
                 member.ghost += attempt.cost;
@@ -775,7 +777,6 @@
         for group in groups {
             self.place_waiting(now, group, actions);
         }
-        // One of hundreds of drivers has a request now and then: it sleeps in between.
         let ends = self.open.values().map(|o| o.give_up.min(o.deadline - period) - period);
         let next = match ends.min() {
             _ if self.groups.values().any(waits) => now + period,
@@ -816,8 +817,7 @@
 
     /// Renews the weights of the draw, the rates and what cold members may be sent, and forgets what
     /// is past. A cold member gets of each driver its even part of what the group served there, as far
-    /// as it is warm: the sum stays inside the multiple, however many the drivers are, whatever of the
-    /// group is cold, and however often clients ask. A driver may use its share of a single core.
+    /// as it is warm: the sum stays inside the multiple. A driver may use its share of a single core.
     fn reweigh(&mut self, now: Micros) {
         let elapsed = (now - self.surveyed).as_f64().max(1.0);
         self.surveyed = now;
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -260,6 +260,9 @@
             for event in others.into_iter().chain(clients) {
                 self.guard(event.key, |gateway| gateway.on_event(event));
             }
+            // The module's own timers come first: a request that ends now gets its verdict, and only
+            // what the module leaves over falls to the backstop.
+            self.guard(SIGNALS, Gateway::settle);
             self.guard(SIGNALS, Gateway::fire_timers);
             self.guard(SIGNALS, Gateway::settle);
         }
@@ -811,11 +814,7 @@
     fn host_lost(&mut self, key: Key, cause: Cause) {
         let Some(host) = self.host(key) else { return };
         let (member, task) = (host.member, std::mem::replace(&mut host.task, Task::None));
-        let reach = match host.welcome {
-            false => Reach::NotConnected,
-            true if !host.protocol.out.is_empty() => Reach::PartlyWritten,
-            true => Reach::WhollyWritten,
-        };
+        let reach = host.protocol.reach();
         let answer = host.protocol.ended();
         self.close(key);
         match (task, answer) {
--- a/src/pg/host.rs
+++ b/src/pg/host.rs
@@ -2,6 +2,7 @@
 
 use super::codec::{self, Inbox, Outbox};
 use crate::balancer::Said;
+use crate::request::Reach;
 use crate::Role;
 
 /// Most bytes of an answer: one value with its description.
@@ -51,6 +52,8 @@
     pub out: Outbox,
     state: State,
     answer: Answer,
+    /// A request is on the connection.
+    asked: bool,
     /// The answer's last word on the request has come.
     told: bool,
 }
@@ -62,6 +65,7 @@
             out: Outbox::default(),
             state: State::Greeting,
             answer: blank(),
+            asked: false,
             told: false,
         };
         codec::startup(&mut host.out.bytes, "app", "shop");
@@ -86,6 +90,7 @@
         if idle {
             self.answer = blank();
             self.told = false;
+            self.asked = true;
             self.state = State::Busy;
             codec::query(&mut self.out.bytes, text);
         }
@@ -142,6 +147,7 @@
                 }
                 (b'Z', State::Busy) if self.told => {
                     self.state = State::Idle;
+                    self.asked = false;
                     return Some(Turn::Answered(std::mem::replace(&mut self.answer, blank())));
                 }
                 _ => return Some(self.close(Turn::Nonsense)),
@@ -150,6 +156,15 @@
         None
     }
 
+    /// How far the request had come, if the connection ends now.
+    pub fn reach(&self) -> Reach {
+        match (self.asked, self.out.is_empty()) {
+            (false, _) => Reach::NotConnected,
+            (true, false) => Reach::PartlyWritten,
+            (true, true) => Reach::WhollyWritten,
+        }
+    }
+
     /// The connection has ended: the answer, if its last word had come. Without that word nothing of
     /// it may reach a client.
     pub fn ended(&mut self) -> Option<Answer> {
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -6,6 +6,7 @@
 use dunemount::pg::codec::{self, Inbox};
 use dunemount::pg::host::{Answer, Host, Turn};
 use dunemount::pg::statement::{Malformed, Statement};
+use dunemount::request::Reach;
 use dunemount::{Micros, Role};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -157,6 +158,8 @@
         codec::parameter(&mut bytes, "part", "replica");
         codec::parameter(&mut bytes, "caught_up_to", "1767225600123");
         codec::ready(&mut bytes);
+        prop_assert_eq!(host.reach(), Reach::PartlyWritten);
+        host.out.flush(&mut Vec::new()).expect("written");
         let whole = cut >= bytes.len();
         bytes.truncate(cut);
         let mut turns = Vec::new();
@@ -166,7 +169,9 @@
                 turns.push(turn);
             }
         }
-        prop_assert_eq!(host.is_idle(), whole && host.out.is_empty());
+        prop_assert_eq!(host.is_idle(), whole);
+        let reach = if whole { Reach::NotConnected } else { Reach::WhollyWritten };
+        prop_assert_eq!(host.reach(), reach, "of the request now on the connection");
         if whole {
             let Some(Turn::Answered(answer)) = turns.pop() else { panic!("no answer") };
             prop_assert_eq!((answer.said, answer.role), (said, Some(Role::Replica)));
@@ -251,6 +256,18 @@
     assert!(!host.is_idle());
 }
 
+/// Guards against a second run: nonsense in place of an answer does not prove that nothing ran.
+#[test]
+fn nonsense_for_an_answer_may_have_run() {
+    let (mut host, mut bytes) = (welcomed(), Vec::new());
+    assert!(host.ask("q"));
+    host.out.flush(&mut Vec::new()).expect("written");
+    codec::frame(&mut bytes, b'?', &[]);
+    host.receive(&bytes);
+    assert_eq!(host.turn(), Some(Turn::Nonsense));
+    assert_eq!(host.reach(), Reach::WhollyWritten);
+}
+
 /// Guards against statements that cannot be routed: each is told what is wrong with it.
 #[test]
 fn malformed_statements_are_told_apart() {
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -9,6 +9,7 @@
 use proptest::test_runner::RngSeed;
 
 const START: Micros = Micros::millis(100_000);
+const LONG: Micros = Micros::millis(800);
 
 fn class(need: Need, late_worth: f64) -> Class {
     let window = Micros::millis(900);
@@ -66,14 +67,14 @@
     balancer
 }
 
-fn ask(class: usize, session: u64) -> Ask {
+fn ask(class: usize, session: u64, time_left: Micros) -> Ask {
     Ask {
         class: ClassId(class),
         group: GroupId(1),
         session: SessionKey(session),
         since_commit: None,
         repeat: false,
-        time_left: Micros::millis(800),
+        time_left,
     }
 }
 
@@ -137,8 +138,10 @@
             let flying = out.get(nth(out.len())).copied();
             match (step, flying) {
                 (0..=2, _) => {
-                    let (ticket, verdict) = balancer.pick(now, ask(nth(4), u64::from(pick) % 5));
-                    desk.open.insert(ticket, (now + Micros::millis(800), None));
+                    // Down to nothing: a client's last try has little of its time left.
+                    let left = Micros::millis(u64::from(pick) * 4);
+                    let (ticket, verdict) = balancer.pick(now, ask(nth(4), u64::from(pick) % 5, left));
+                    desk.open.insert(ticket, (now + left, None));
                     desk.take(ticket, verdict);
                 }
                 (3..=6, Some((ticket, member))) => {
@@ -180,7 +183,7 @@
 fn reach_decides_what_a_write_is_told() {
     for reach in [Reach::NotConnected, Reach::PartlyWritten, Reach::WhollyWritten] {
         let (mut balancer, mut now) = (balancer(true), START);
-        let (ticket, mut verdict) = balancer.pick(now, ask(3, 1));
+        let (ticket, mut verdict) = balancer.pick(now, ask(3, 1, LONG));
         let last = loop {
             match verdict {
                 Verdict::Send { .. } => {
@@ -208,7 +211,7 @@
     for member in [2, 3] {
         balancer.probed(START, MemberId(member), answer(Said::Served, MemberId(member), position));
     }
-    let (ticket, verdict) = balancer.pick(START, ask(0, 1));
+    let (ticket, verdict) = balancer.pick(START, ask(0, 1, LONG));
     assert!(matches!(verdict, Verdict::Send { member: MemberId(2 | 3), .. }));
     assert!(balancer.still_holds(START, ticket));
     assert!(!balancer.still_holds(START + Micros::millis(20), ticket));
@@ -220,7 +223,7 @@
 #[test]
 fn a_request_that_is_gone_gets_no_verdict() {
     let mut balancer = balancer(true);
-    let (ticket, verdict) = balancer.pick(START, ask(3, 1));
+    let (ticket, verdict) = balancer.pick(START, ask(3, 1, LONG));
     assert!(matches!(verdict, Verdict::Send { .. }));
     balancer.gone(START, ticket);
     let broken = Ended::Broken(Broken { reach: Reach::WhollyWritten, cause: Cause::TimedOut });
@@ -235,7 +238,7 @@
 #[test]
 fn the_ledger_gives_each_request_away_once() {
     let (mut ledger, mut balancer) = (Ledger::default(), balancer(true));
-    let (ticket, _) = balancer.pick(START, ask(0, 1));
+    let (ticket, _) = balancer.pick(START, ask(0, 1, LONG));
     ledger.open(ticket, 'c', "work", START);
     assert!(ledger.begin(ticket, 'a'));
     assert!(!ledger.begin(ticket, 'b'), "a second attempt while one is out");
@@ -244,3 +247,14 @@
     assert_eq!(ledger.finish(ticket).and_then(|life| life.attempt()), Some('b'));
     assert!(ledger.finish(ticket).is_none() && !ledger.begin(ticket, 'd') && ledger.is_empty());
 }
+
+/// Guards against a request overdue: a client's last try may come with less time than the module needs
+/// to notice, and is told so at once, harmlessly, instead of at its deadline.
+#[test]
+fn a_try_without_time_is_refused_at_once() {
+    for class in 0..4 {
+        let mut balancer = balancer(true);
+        let (_, verdict) = balancer.pick(START, ask(class, 1, Micros::millis(8)));
+        assert!(matches!(verdict, Verdict::Refuse { .. }), "{verdict:?}");
+    }
+}
