Give up what never reached a host at 45% of its client's time

A group without a primary (or whose primary is shut to reads) held writes and fresh reads to their deadline, since patience in Router::check_request was give_up for classes that are worth something late. The client then had no time left to come again.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,6 +24,8 @@
 const LIMIT_AIM: f64 = 1.0 / 3.0;
 /// Most of its aim that a read may spend waiting in the router; the rest is for its service.
 const PATIENCE: f64 = 0.4;
+/// Most of its client's time that a request may be held without having reached a member.
+const HELD_PART: f64 = 0.45;
 /// Step of a concurrency limit for each answer: tens of answers move it by a request's worth.
 const LIMIT_STEP: f64 = 0.1;
 /// A latency counts for at most this many aims, as does a full queue: far from any aim.
@@ -298,16 +300,14 @@
                 }
             }
             member.entry = entry;
-            // Where only draining binds, the list may miss live members: whether one that it calls gone
-            // is there shows in its answers, as for any other. A member that drained keeps its bond.
+            // Where only draining binds the list may miss live members; one that drained keeps its bond.
             let only_draining = self.settings.only_draining_binds;
             let drains = entry.listed == Listed::Draining;
             member.unbound = only_draining && !drains && (member.unbound || entry.listed == Listed::Ready);
         }
     }
 
-    /// Takes in what a member said of its role and position. A position stays valid for ever; the
-    /// latest evidence on the role wins. A report is no older than the position it tells.
+    /// Takes in what a member said. A position stays valid for ever; the latest word on the role wins.
     fn learn(&mut self, now: Micros, id: MemberId, role: Option<Role>, at: Micros, position: Option<Micros>) {
         let Some(member) = self.members.get_mut(&id) else { return };
         if let Some(role) = role.filter(|_| at >= member.role_at) {
@@ -327,8 +327,7 @@
         let Some(member) = self.members.get_mut(&id) else { return };
         member.ejected = None;
         if member.broken.take().is_some_and(|(since, cut)| cut && now - since > AWAY) {
-            // Cut off and away for so long, its process was most likely started again: taken as cold,
-            // so that a member whose restart the list has not told of is not pushed over.
+            // Away for so long, its process has most likely started again, whatever the list says: cold.
             member.born = member.born.max(now);
             member.credit = -unit(&mut self.rng);
         }
@@ -421,8 +420,7 @@
 
     // ---- Choice ----
 
-    /// The members of a group that may be sent to. Where all are ejected none is: what strikes all
-    /// alike is not theirs, and one that serves now and then serves more than nobody.
+    /// The members of a group that may be sent to. Where all are ejected none is: it is not their fault.
     fn candidates(&self, group: GroupId) -> Vec<MemberId> {
         let Some(group) = self.groups.get(&group) else { return Vec::new() };
         let listed: Vec<_> = group.members.iter().copied().filter(|m| self.members[m].listed()).collect();
@@ -502,8 +500,7 @@
         if let Some(member) = self.draw(now, &eligible) {
             return Some(member);
         }
-        // Where replicas check, those that should have caught up by now are drawn from before the
-        // primary: at worst one turns the read away untouched, and is thought further behind.
+        // Where replicas check, those that should have caught up come before the primary.
         if self.settings.checks == Checks::Refuse {
             let caught_up = |m: &MemberId| now - self.members[m].lag > needed;
             let hopeful: Vec<MemberId> = replicas.into_iter().filter(caught_up).collect();
@@ -792,9 +789,13 @@
         let class = &self.settings.classes[open.req.class.0];
         let mean = Micros(self.means[open.req.class.0] as u64);
         let waiting = open.out.is_empty();
-        // A read that has waited for this part of its aim would be sent only to be given up.
-        let patience =
+        // A read that has waited for this part of its aim would be sent only to be given up. One that was
+        // never sent is given up while its client has the time to come again.
+        let aimed =
             if class.late_worth > 0.0 { open.give_up } else { open.arrived + class.aim.scale(PATIENCE) };
+        let held =
+            if open.unproven { open.give_up } else { open.arrived + open.req.time_left.scale(HELD_PART) };
+        let patience = aimed.min(held);
         let hopeless = waiting && (now + mean >= open.give_up || now >= patience);
         let settled = class.effect == Effect::Safe || waiting;
         if hopeless || settled && now + period >= open.give_up || now + period >= open.deadline {
@@ -866,8 +867,7 @@
         let routine = self.settings.checks == Checks::None;
         let mut due = Vec::new();
         for (id, member) in self.members.iter_mut().filter(|(_, m)| m.listed()) {
-            // A member that is out gets a request now and then, ever more seldom: a probe may be too dear,
-            // and may succeed where requests break.
+            // A member that is out gets a request now and then, ever more seldom.
             let pause =
                 AWAY.scale(f64::from(1 << member.breaks.saturating_sub(EJECT_AFTER).min(EJECT_DOUBLINGS)));
             member.ejected = member.ejected.filter(|since| now - *since <= pause);
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -258,3 +258,27 @@
         assert!(matches!(verdict, Verdict::Refuse { .. }), "{verdict:?}");
     }
 }
+
+/// Guards the client's chance to come again: a request that never reached a host gets its answer before
+/// half of its time is over, in every class, though its group has no primary all the while.
+#[test]
+fn what_never_reached_a_host_is_not_held_for_long() {
+    for class in 0..4 {
+        let (mut balancer, mut now) = (balancer(true), START);
+        let (ticket, mut verdict) = balancer.pick(now, ask(class, 1, LONG));
+        while matches!(verdict, Verdict::Held | Verdict::Send { .. }) {
+            let broken = Broken { reach: Reach::NotConnected, cause: Cause::Lost };
+            match balancer.tick(now) {
+                _ if verdict != Verdict::Held => {
+                    verdict = balancer.report(now, ticket, Ended::Broken(broken));
+                }
+                Some(Due::Verdict(_, due)) => verdict = due,
+                Some(Due::Probe(member)) => balancer.probed(now, member, Ended::Broken(broken)),
+                Some(_) => {}
+                None => now = now + Micros::millis(5),
+            }
+        }
+        assert!(matches!(verdict, Verdict::Refuse { .. }), "class {class}: {verdict:?}");
+        assert!(now < START + LONG.scale(0.5), "class {class}: held until {now:?}");
+    }
+}
