--- a/src/balance.rs
+++ b/src/balance.rs
@@ -357,7 +357,7 @@
         let class = &self.settings.classes[req.class.0];
         let deadline = now + req.time_left;
         let aim = if class.late_worth > 0.0 { deadline } else { deadline.min(now + class.aim) };
-        let give_up = aim - self.period();
+        let give_up = aim - self.settings.tick;
         if let (Need::Write, Some(key)) = (class.need, req.session) {
             let new = Session { group: req.group, pending: 0, commit: Micros(0) };
             self.sessions.entry(key).or_insert(new).pending += 1;
@@ -366,7 +366,7 @@
         self.probe_credit = (self.probe_credit + paid).min(PROBE_SAVED);
         self.open.insert(req.id, Open { req, arrived: now, deadline, give_up, ..Open::default() });
         // What is left of a late retry may be less than a sweep: it is not sent only to be given up.
-        if now >= give_up {
+        if now + self.period() >= give_up {
             return self.give_up(now, req.id, actions);
         }
         self.groups.entry(req.group).or_default().waiting.push(req.id);
@@ -774,10 +774,10 @@
         for group in groups {
             self.place_waiting(now, group, actions);
         }
-        let ends = self.open.values().map(|o| o.give_up.min(o.deadline - period) - period);
+        let ends = self.open.values().map(|o| o.give_up.min(o.deadline - period));
         let next = match ends.min() {
             _ if self.groups.values().any(waits) => now + period,
-            Some(end) => (now + period).max(end.min(now + SURVEY)),
+            Some(end) => (now + self.settings.tick).max(end.min(now + SURVEY)),
             None => now + SEEK,
         };
         self.wake_by(next, actions);
@@ -798,7 +798,7 @@
         let patience = aimed.min(held);
         let hopeless = waiting && (now + mean >= open.give_up || now >= patience);
         let settled = class.effect == Effect::Safe || waiting;
-        if hopeless || settled && now + period >= open.give_up || now + period >= open.deadline {
+        if hopeless || settled && now >= open.give_up || now + period >= open.deadline {
             self.give_up(now, id, actions);
             return;
         }
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -756,3 +756,14 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Guards answers that come shortly before the aim: a read is not called off earlier than it must be,
+/// nor so late that its client hears of it after the aim.
+#[test]
+fn a_read_is_given_up_one_tick_before_its_aim() {
+    let mut rig = Rig::new(settings());
+    let (id, actions) = rig.request(BOUNDED, 1);
+    assert_eq!(sends(&actions).len(), 1);
+    assert!(finals(&rig.sweep(198)).is_empty());
+    assert_eq!(finals(&rig.sweep(1)), [(id, true)]);
+}
