Read positions in load reports as seconds

Seen: a trace of positions on fleet-1 (Router::reweigh) showed replicas probed every 200 ms or so whose position stayed unknown or did not move for seconds. Ruled out on the way: probes that never end, probe credit (it was full), urgent probes crowding others out, lateness of the loop (0.1 ms to the first attempt).

--- a/src/pg/host.rs
+++ b/src/pg/host.rs
@@ -188,7 +188,8 @@
     }
 }
 
-/// Role and position in a load report such as `x0=1767225600.123,x1=1`; the position as it stands.
+/// Role and position in a load report such as `x0=1767225600.123,x1=1`. There alone a position is in
+/// seconds; it is handed on as Unix time in milliseconds, like any other.
 pub fn report(text: &[u8]) -> (Option<Role>, Option<f64>) {
     let text = std::str::from_utf8(text).unwrap_or_default();
     let field = |name| {
@@ -196,5 +197,5 @@
         text.split(',').find_map(find)
     };
     let role = field("x1").map(|x| if x == 1.0 { Role::Primary } else { Role::Replica });
-    (role, field("x0"))
+    (role, field("x0").map(|seconds| seconds * 1000.0))
 }
