--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -147,6 +147,9 @@
     /// Takes bytes in; a listing once the answer is whole. `ended`: no more will come.
     pub fn receive(&mut self, bytes: &[u8], ended: bool) -> Result<Option<Listing>, BadAnswer> {
         self.bytes.extend_from_slice(bytes);
+        if ended && self.bytes.is_empty() {
+            return Ok(None);
+        }
         let mut headers = [httparse::EMPTY_HEADER; 32];
         let mut response = httparse::Response::new(&mut headers);
         let head = match response.parse(&self.bytes) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -358,6 +358,7 @@
     assert_eq!(receive("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"), Some(BadAnswer::TooLong));
     assert_eq!(receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"), Some(BadAnswer::Body));
     assert_eq!(receive("HTTP/1.1 200"), Some(BadAnswer::Head));
+    assert_eq!(receive(""), None, "an end without a word is no bad answer");
     let _: Listing = serde_json::from_value(listing(&[])).expect("an empty list");
 }
 
