--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -569,7 +569,7 @@
     fn query(&mut self, key: Key, text: String) {
         self.counts.taken += 1;
         let crowded = self.clients > self.most_clients;
-        let ask = Statement::parse(text).map_err(|e| format!("{e:?}")).and_then(|statement| {
+        let ask = Statement::parse(text).map_err(|e| e.to_string()).and_then(|statement| {
             let class = self.classes.iter().position(|name| *name == statement.class);
             let class = class.ok_or("unknown class")?;
             if !self.balancer.knows(GroupId(statement.cluster)) {
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -1,5 +1,6 @@
 //! The comment that a statement carries, and the key that it quotes.
 
+use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::Range;
 
@@ -18,6 +19,17 @@
     NoKey,
 }
 
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Malformed::NoComment => write!(f, "the statement ends in no comment"),
+            Malformed::Missing(field) => write!(f, "the comment lacks {field}"),
+            Malformed::Bad(field) => write!(f, "the comment's {field} has no usable value"),
+            Malformed::NoKey => write!(f, "the statement quotes no key"),
+        }
+    }
+}
+
 /// What a statement says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Statement {
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -284,6 +284,7 @@
     let no_key = Statement::parse("SELECT 1 /* id=1,c=a,d=5,cluster=1 */".into());
     assert_eq!(no_key.unwrap_err(), Malformed::NoKey);
     assert!(parse("/* id=1, c=a , d= 5 ,cluster=1 */;").is_ok());
+    assert_eq!(Malformed::Missing("c").to_string(), "the comment lacks c");
 }
 
 /// Guards the reading of load reports: their positions are in seconds, where answers have milliseconds,
