Reread the configuration on SIGHUP and move the watch to the new discovery address

Checked: the exit status is the default action of SIGHUP; main.rs registered SIGTERM and SIGINT only, and there was no way to change Gateway::discovery. Now SIGHUP has its own pipe; the file's discovery wins over the environment, the watch restarts there with the whole list, the old call is closed, one call is out at a time, and a call for the whole list is given 1.5 s instead of 21.5 s. An unusable file is logged and changes nothing. The discovery part of the loop moved to event_loop/watching.rs.

--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use dunemount::net::discovery::Listing;
-use dunemount::net::event_loop::{Config, Gateway};
+use dunemount::net::event_loop::{Config, Gateway, Signals};
 use dunemount::settings::{Params, Zones};
 use serde::Deserialize;
 use slog::{info, o, Drain, Level, Logger};
@@ -44,32 +44,28 @@
 
 fn start() -> Result<(), String> {
     let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG does not name a configuration file")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    let file: File = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+    let file = read_file(&path)?;
     let told = |name: &str, or: String| std::env::var(name).unwrap_or(or);
-    let address = |name: &str, or: String| -> Result<SocketAddr, String> {
-        let text = told(name, or);
-        text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))
-    };
     let name = told("GW_NAME", file.name);
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed))?;
     let mut zones = Zones::default();
     let site = file.settings.site(&mut zones).map_err(|e| format!("settings: {e}"))?;
     let config = Config {
-        listen: address("GW_LISTEN", file.listen)?,
-        discovery: address("GW_DISCOVERY", file.discovery)?,
+        listen: address("GW_LISTEN", told("GW_LISTEN", file.listen))?,
+        discovery: address("GW_DISCOVERY", told("GW_DISCOVERY", file.discovery))?,
         seed,
         sockets: file.limits.sockets,
         known: file.known,
         site,
         zones,
     };
-    let (wake, signals) = UnixStream::pair().map_err(|e| format!("cannot make a pipe for signals: {e}"))?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        let wake = wake.try_clone().map_err(|e| format!("cannot make a pipe for signals: {e}"))?;
-        signal_hook::low_level::pipe::register(signal, wake)
-            .map_err(|e| format!("cannot watch for signals: {e}"))?;
-    }
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+    let signals = Signals {
+        end: pipe_of(&[SIGTERM, SIGINT]).map_err(|e| format!("cannot watch for signals: {e}"))?,
+        reload: pipe_of(&[SIGHUP]).map_err(|e| format!("cannot watch for signals: {e}"))?,
+        // The file is the latest word: what the environment said at the start is over with it.
+        reread: Box::new(move || address("discovery", read_file(&path)?.discovery)),
+    };
     let (log, _flushed_at_end) = logger(name);
     let listen = config.listen;
     let mut gateway =
@@ -78,6 +74,24 @@
     gateway.run().map_err(|e| format!("cannot wait for events: {e}"))
 }
 
+fn read_file(path: &str) -> Result<File, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
+}
+
+fn address(name: &str, text: String) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))
+}
+
+/// A pipe that becomes readable when one of the signals arrives.
+fn pipe_of(signals: &[libc::c_int]) -> std::io::Result<UnixStream> {
+    let (wake, pipe) = UnixStream::pair()?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, wake.try_clone()?)?;
+    }
+    Ok(pipe)
+}
+
 /// The log: lines on standard output, written by a thread of their own so that a slow reader never
 /// holds up the loop. `GW_LOG=debug` adds a line for each attempt that broke.
 fn logger(name: String) -> (Logger, slog_async::AsyncGuard) {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,7 +13,7 @@
 
 /// How long a call asks discovery to wait for news.
 pub const WAIT: Micros = Micros::millis(20_000);
-/// A call without an answer this long after the wait is given up.
+/// A call without an answer for so long after its wait, if it has one, is given up.
 pub const PATIENCE: Micros = Micros::millis(1_500);
 /// Pause before the next try after a call failed: within the 200 ms in which a watch continues.
 pub const RETRY: Micros = Micros::millis(100);
@@ -139,6 +139,11 @@
         format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
     }
 
+    /// How long the next call may take: one for the whole list is answered at once.
+    pub fn patience(&self) -> Micros {
+        self.known.map_or(PATIENCE, |_| WAIT + PATIENCE)
+    }
+
     /// Forgets the version: what was told may have been missed, the whole list is asked for.
     pub fn restart(&mut self) {
         self.known = None;
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -12,8 +12,10 @@
 use slog::{debug, error, info, warn, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 
+mod watching;
+
 use super::clock::Clock;
-use super::discovery::{self, Directory, Listing, Watch};
+use super::discovery::{Directory, Listing, Watch};
 use super::pool::Pool;
 use crate::balancer::{Ask, Balancer, Due, Ended, Said, Ticket, Verdict};
 use crate::pg::client::{Client, Demand};
@@ -26,6 +28,7 @@
 
 const LISTENER: usize = usize::MAX - 1;
 const SIGNALS: usize = usize::MAX - 2;
+const RELOAD: usize = usize::MAX - 3;
 /// Descriptors kept back: standard streams, poller, signals, listener, discovery, and some to spare.
 const RESERVE: usize = 40;
 /// Part of the others that connections to hosts may take.
@@ -66,6 +69,16 @@
     pub zones: Zones,
 }
 
+/// What comes from outside while the gateway runs.
+pub struct Signals {
+    /// Becomes readable when the gateway is to end.
+    pub end: UnixStream,
+    /// Becomes readable when the configuration is to be read anew.
+    pub reload: UnixStream,
+    /// Reads the configuration anew: discovery's address, or why it cannot be used.
+    pub reread: Box<dyn FnMut() -> Result<SocketAddr, String> + Send>,
+}
+
 /// A connection's place and a number that tells it from others that had the place before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Key {
@@ -158,7 +171,7 @@
     poller: Poller,
     listener: Option<TcpListener>,
     accepting: bool,
-    signals: UnixStream,
+    signals: Signals,
     slots: Slab<Slot>,
     serial: u64,
     most: usize,
@@ -172,6 +185,8 @@
     directory: Directory,
     discovery: SocketAddr,
     watch: Watch,
+    /// The call to discovery that is out.
+    calling: Option<Key>,
     discovery_fails: u64,
     timers: BTreeMap<(Micros, u64), Timer>,
     timer_serial: u64,
@@ -184,13 +199,15 @@
 }
 
 impl Gateway {
-    /// Opens the listener. `signals` becomes readable when the gateway is to end.
-    pub fn open(config: Config, signals: UnixStream, log: Logger) -> io::Result<Gateway> {
+    /// Opens the listener.
+    pub fn open(config: Config, signals: Signals, log: Logger) -> io::Result<Gateway> {
         let poller = Poller::new()?;
         let listener = listen(config.listen)?;
         poller.add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)?;
-        signals.set_nonblocking(true)?;
-        poller.add_with_mode(&signals, Event::readable(SIGNALS), PollMode::Level)?;
+        for (pipe, key) in [(&signals.end, SIGNALS), (&signals.reload, RELOAD)] {
+            pipe.set_nonblocking(true)?;
+            poller.add_with_mode(pipe, Event::readable(key), PollMode::Level)?;
+        }
         let clock = Clock::start();
         let budget = config.sockets.saturating_sub(RESERVE).max(8);
         let hosts = budget / HOST_PART;
@@ -215,6 +232,7 @@
             directory: Directory::new(config.zones),
             discovery: config.discovery,
             watch: Watch::from(Some(config.known.rev)),
+            calling: None,
             discovery_fails: 0,
             timers: BTreeMap::new(),
             timer_serial: 0,
@@ -285,6 +303,7 @@
         match event.key {
             LISTENER => self.accept(),
             SIGNALS => self.on_signal(),
+            RELOAD => self.on_reload(),
             place => {
                 let Some(key) = self.key_at(place) else { return };
                 if event.writable {
@@ -858,58 +877,6 @@
         self.balancer.probed(self.now, member, Ended::Answer { said: answer.said, role, position });
     }
 
-    // ---- Discovery ----
-
-    fn call_discovery(&mut self) {
-        let call = self.watch.call(&self.discovery.to_string()).into_bytes();
-        let out = Outbox::with(call);
-        let added = dial(self.discovery).and_then(|socket| self.insert(socket, Link::Discovery(out), true));
-        match added {
-            Ok(key) => self.set_timer(discovery::WAIT + discovery::PATIENCE, Timer::Call(key)),
-            Err(_) => self.set_timer(discovery::RETRY, Timer::Discovery),
-        }
-    }
-
-    fn discovery_says(&mut self, key: Key, bytes: &[u8], ended: bool) {
-        match self.watch.receive(bytes, ended) {
-            Ok(None) if ended => self.discovery_failed(key, "connection ended"),
-            Ok(None) => {}
-            Ok(Some(listing)) => {
-                self.discovery_fails = 0;
-                self.listed(listing, false);
-                self.close(key);
-                self.call_discovery();
-            }
-            Err(bad) => self.discovery_failed(key, &format!("bad answer: {bad:?}")),
-        }
-    }
-
-    fn discovery_failed(&mut self, key: Key, why: &str) {
-        self.close(key);
-        self.discovery_fails += 1;
-        // The first failure and every hundredth after it: one line in ten seconds.
-        if self.discovery_fails % 100 == 1 {
-            warn!(self.log, "discovery failed"; "why" => why, "in a row" => self.discovery_fails);
-        }
-        if self.discovery_fails > 1 {
-            self.watch.restart();
-        }
-        self.set_timer(discovery::RETRY, Timer::Discovery);
-    }
-
-    fn listed(&mut self, listing: Listing, known: bool) {
-        let (rev, all) = (listing.rev, listing.all);
-        let (entries, unread) = self.directory.take(listing, &self.clock);
-        if unread > 0 {
-            warn!(self.log, "lines of the list cannot be read"; "rev" => rev, "lines" => unread);
-        }
-        if !entries.is_empty() || known {
-            info!(self.log, "list"; "rev" => rev, "whole" => all, "hosts" => entries.len());
-        }
-        // Who is missing from a whole list is gone, but not for a line that cannot be read.
-        self.balancer.members(self.now, (all || known) && unread == 0, entries);
-    }
-
     // ---- Timers and signals ----
 
     fn set_timer(&mut self, after: Micros, timer: Timer) {
@@ -989,7 +956,7 @@
 
     fn on_signal(&mut self) {
         let mut bytes = [0; 16];
-        let _ = self.signals.read(&mut bytes);
+        let _ = self.signals.end.read(&mut bytes);
         if self.phase == Phase::Serving {
             info!(self.log, "signal to end, handing over"; "owed" => self.ledger.len());
             self.phase = Phase::HandingOver;
--- /dev/null
+++ b/src/net/event_loop/watching.rs
@@ -0,0 +1,98 @@
+//! The loop's part that watches discovery, and that follows it to a new address.
+
+use std::io::Read;
+
+use slog::{info, warn};
+
+use super::{dial, Gateway, Key, Link, Timer};
+use crate::net::discovery::{self, Listing};
+use crate::pg::codec::Outbox;
+
+impl Gateway {
+    /// Calls discovery, unless a call is out: there is one watch at a time.
+    pub(super) fn call_discovery(&mut self) {
+        if self.calling.is_some() {
+            return;
+        }
+        let patience = self.watch.patience();
+        let call = self.watch.call(&self.discovery.to_string()).into_bytes();
+        let out = Outbox::with(call);
+        let added = dial(self.discovery).and_then(|socket| self.insert(socket, Link::Discovery(out), true));
+        match added {
+            Ok(key) => {
+                self.calling = Some(key);
+                self.set_timer(patience, Timer::Call(key));
+            }
+            Err(_) => self.set_timer(discovery::RETRY, Timer::Discovery),
+        }
+    }
+
+    /// Takes in what discovery says.
+    pub(super) fn discovery_says(&mut self, key: Key, bytes: &[u8], ended: bool) {
+        match self.watch.receive(bytes, ended) {
+            Ok(None) if ended => self.discovery_failed(key, "connection ended"),
+            Ok(None) => {}
+            Ok(Some(listing)) => {
+                self.discovery_fails = 0;
+                self.listed(listing, false);
+                self.end_call(key);
+                self.call_discovery();
+            }
+            Err(bad) => self.discovery_failed(key, &format!("bad answer: {bad:?}")),
+        }
+    }
+
+    /// The call has failed: another follows after a pause.
+    pub(super) fn discovery_failed(&mut self, key: Key, why: &str) {
+        self.end_call(key);
+        self.discovery_fails += 1;
+        // The first failure and every hundredth after it: one line in ten seconds.
+        if self.discovery_fails % 100 == 1 {
+            warn!(self.log, "discovery failed"; "why" => why, "in a row" => self.discovery_fails);
+        }
+        if self.discovery_fails > 1 {
+            self.watch.restart();
+        }
+        self.set_timer(discovery::RETRY, Timer::Discovery);
+    }
+
+    fn end_call(&mut self, key: Key) {
+        self.calling = self.calling.filter(|calling| *calling != key);
+        self.close(key);
+    }
+
+    /// Reads the configuration anew. Discovery may have moved: the watch goes on there at once, with
+    /// the whole list, since versions of the one need mean nothing to the other. Clients, attempts and
+    /// all that is known of the hosts stay. A file that cannot be used changes nothing.
+    pub(super) fn on_reload(&mut self) {
+        let mut bytes = [0; 16];
+        let _ = self.signals.reload.read(&mut bytes);
+        match (self.signals.reread)() {
+            Ok(discovery) => {
+                info!(self.log, "configuration read anew"; "discovery" => %discovery);
+                self.discovery = discovery;
+                self.discovery_fails = 0;
+                self.watch.restart();
+                if let Some(key) = self.calling {
+                    self.end_call(key);
+                }
+                self.call_discovery();
+            }
+            Err(why) => warn!(self.log, "new configuration not usable, the old one stays"; "why" => why),
+        }
+    }
+
+    /// Takes a listing in.
+    pub(super) fn listed(&mut self, listing: Listing, known: bool) {
+        let (rev, all) = (listing.rev, listing.all);
+        let (entries, unread) = self.directory.take(listing, &self.clock);
+        if unread > 0 {
+            warn!(self.log, "lines of the list cannot be read"; "rev" => rev, "lines" => unread);
+        }
+        if !entries.is_empty() || known {
+            info!(self.log, "list"; "rev" => rev, "whole" => all, "hosts" => entries.len());
+        }
+        // Who is missing from a whole list is gone, but not for a line that cannot be read.
+        self.balancer.members(self.now, (all || known) && unread == 0, entries);
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,12 +4,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::process::Command;
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
 use std::sync::{atomic::AtomicBool, atomic::Ordering, Arc};
 use std::thread::JoinHandle;
 
 use dunemount::net::discovery::{BadAnswer, Directory, Listing, Watch};
-use dunemount::net::event_loop::{Config, Gateway};
+use dunemount::net::event_loop::{Config, Gateway, Signals};
 use dunemount::pg::codec::{self, Frame, Inbox};
 use dunemount::settings::{Params, Zones};
 use serde_json::{json, Value};
@@ -121,6 +121,9 @@
 struct Rig {
     address: SocketAddr,
     stop: UnixStream,
+    reload: UnixStream,
+    /// What rereading the configuration brings; a send waits until it is read.
+    file: SyncSender<Result<SocketAddr, String>>,
     gateway: JoinHandle<()>,
     heard: Receiver<String>,
     discovery: TcpListener,
@@ -133,7 +136,11 @@
         let discovery = local();
         let mood = Arc::new(Mood::default());
         let hosts: Vec<_> = (0..3).map(|_| toy_host(sender.clone(), mood.clone())).collect();
-        let (stop, signals) = UnixStream::pair().expect("a pair");
+        let (stop, end) = UnixStream::pair().expect("a pair");
+        let (reload, anew) = UnixStream::pair().expect("a pair");
+        let (file, read) = sync_channel(0);
+        let reread = Box::new(move || read.recv().expect("a file"));
+        let signals = Signals { end, reload: anew, reread };
         let mut zones = Zones::default();
         let params: Params = serde_json::from_value(settings()).expect("settings");
         let config = Config {
@@ -149,7 +156,7 @@
         let mut gateway = Gateway::open(config, signals, log).expect("it opens");
         let address = gateway.address().expect("it listens");
         let gateway = std::thread::spawn(move || gateway.run().expect("it runs"));
-        Rig { address, stop, gateway, heard, discovery, mood }
+        Rig { address, stop, reload, file, gateway, heard, discovery, mood }
     }
 
     fn client(&self) -> Talk {
@@ -326,6 +333,42 @@
     rig.end();
 }
 
+/// Guards a new configuration under load: the watch moves to the new address at once and asks for the
+/// whole list there, the old one is let go, and what was taken before is answered. A file that cannot
+/// be used, and a signal without a change, harm nothing.
+#[test]
+fn a_new_configuration_moves_the_watch_and_keeps_the_requests() {
+    let mut rig = Rig::start(200);
+    let mut bytes = [0; 1024];
+    let mut called = |from: &TcpListener| {
+        let (mut call, _) = from.accept().expect("a call");
+        let count = call.read(&mut bytes).expect("a request");
+        (call, String::from_utf8_lossy(&bytes[..count]).into_owned())
+    };
+    let (mut old, _) = called(&rig.discovery);
+    let mut busy = rig.client();
+    busy.ask(&read("held"));
+    rig.heard.recv().expect("the attempt is out");
+    rig.reload.write_all(&[1]).expect("told");
+    rig.file.send(Err("no file".into())).expect("read");
+    let moved = local();
+    for _ in 0..2 {
+        rig.reload.write_all(&[1]).expect("told");
+        rig.file.send(Ok(moved.local_addr().expect("bound"))).expect("read");
+        let (mut call, asked) = called(&moved);
+        assert!(asked.starts_with("GET /catalog/members HTTP"), "the whole list, without a wait: {asked}");
+        assert_eq!(old.read(&mut [0; 8]).unwrap_or(0), 0, "the old watch is closed");
+        let body = r#"{"rev":9,"all":false,"targets":[]}"#;
+        write!(call, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).expect("written");
+        let (watch, asked) = called(&moved);
+        assert!(asked.starts_with("GET /catalog/members?index=9&wait="), "{asked}");
+        old = watch;
+    }
+    rig.mood.released.store(true, Ordering::SeqCst);
+    assert_eq!(busy.answer().len(), 4);
+    rig.end();
+}
+
 /// Guards the reading of discovery's answers however they are cut and framed, and that a line that
 /// cannot be read does not take the others with it.
 #[test]
