Let idle and late clients make room instead of refusing all once the budget is spent

Lines at fault: query() refused every request while clients > most_clients, GREETING waited 10 s, and nothing ever closed an idle client unless all descriptors were gone, those for hosts included. Now clients never take the hosts' part; a client that owes its startup, first query or the rest of a command for 2 s is told 57014 and closed, idle ones go after 10 s (2 s when a third of the room is taken), and at the limit the one missed least goes. The loop's part for clients moved to event_loop/guests.rs. Ruled out: not load, the hosts were idle.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -12,19 +12,20 @@
 use slog::{debug, error, info, warn, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 
+mod guests;
 mod watching;
 
 use super::clock::Clock;
 use super::discovery::{Directory, Listing, Watch};
 use super::pool::Pool;
-use crate::balancer::{Ask, Balancer, Due, Ended, Said, Ticket, Verdict};
-use crate::pg::client::{Client, Demand};
+use crate::balancer::{Balancer, Due, Ended, Said, Ticket, Verdict};
+use crate::pg::client::Client;
 use crate::pg::codec::Outbox;
 use crate::pg::host::{self, Answer, Host, Turn};
 use crate::pg::statement::Statement;
 use crate::request::{Broken, Cause, Ledger, Reach};
 use crate::settings::{Site, Zones};
-use crate::{ClassId, GroupId, MemberId, Micros};
+use crate::{MemberId, Micros};
 
 const LISTENER: usize = usize::MAX - 1;
 const SIGNALS: usize = usize::MAX - 2;
@@ -33,22 +34,18 @@
 const RESERVE: usize = 40;
 /// Part of the others that connections to hosts may take.
 const HOST_PART: usize = 3;
-/// Time taken off what a client waits: for the way there and back, and for the turn of the loop.
-const MARGIN: Micros = Micros::millis(3);
 /// How long a probe may take.
 const PROBE_TIMEOUT: Micros = Micros::millis(250);
 /// How long the loop goes on accepting after SIGTERM: the hand-over takes up to 0.4 s.
 const HAND_OVER: Micros = Micros::millis(500);
-/// A client that has not sent its startup by then is closed.
-const GREETING: Micros = Micros::millis(10_000);
-/// Time between rounds over idle connections.
-const ROUND: Micros = Micros::millis(1000);
+/// Time between rounds over idle and late connections.
+const ROUND: Micros = Micros::millis(250);
 /// Rounds between two lines on the traffic.
-const ROUNDS_A_LINE: u64 = 10;
+const ROUNDS_A_LINE: u64 = 40;
 /// Pause in accepting after the system had no descriptor left.
 const ACCEPT_PAUSE: Micros = Micros::millis(20);
 /// Most connections accepted, and most reads of one connection, in one turn.
-const ACCEPTS: usize = 64;
+const ACCEPTS: usize = 16;
 const READS: usize = 4;
 
 /// What a gateway is told at its start.
@@ -102,7 +99,14 @@
 struct ClientLink {
     protocol: Client,
     ticket: Option<Ticket>,
+    /// When it connected.
+    since: Micros,
+    /// When bytes last came or went.
     used: Micros,
+    /// Since when a message of it has been half there.
+    half: Option<Micros>,
+    /// It has asked something that could be routed.
+    asked: bool,
     closing: bool,
 }
 
@@ -174,7 +178,6 @@
     signals: Signals,
     slots: Slab<Slot>,
     serial: u64,
-    most: usize,
     clients: usize,
     most_clients: usize,
     pool: Pool<Key>,
@@ -221,7 +224,6 @@
             signals,
             slots: Slab::new(),
             serial: 0,
-            most: budget,
             clients: 0,
             most_clients: budget - hosts,
             pool: Pool::new(hosts, idle_limit),
@@ -257,7 +259,7 @@
     /// Serves until a signal ends it and all that was taken is answered.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
-        info!(self.log, "ready"; "descriptors" => self.most);
+        info!(self.log, "ready"; "clients" => self.most_clients, "hosts" => self.pool.most());
         while !(self.phase == Phase::Closing && self.clients == 0) {
             let next = self.timers.keys().next().map(|(at, _)| *at);
             let next = next.into_iter().chain(self.balancer.next_due()).min();
@@ -506,140 +508,22 @@
         }
     }
 
-    // ---- Clients ----
-
-    fn accept(&mut self) {
-        for _ in 0..ACCEPTS {
-            if self.slots.len() >= self.most && !self.make_room() {
-                warn!(self.log, "no descriptors left for clients"; "open" => self.slots.len());
-                self.set_accepting(false);
-                return;
-            }
-            let Some(listener) = &self.listener else { return };
-            match listener.accept() {
-                Ok((socket, _)) => {
-                    let client = ClientLink {
-                        protocol: Client::default(),
-                        ticket: None,
-                        used: self.now,
-                        closing: false,
-                    };
-                    let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
-                    let added = set.and_then(|()| self.insert(socket, Link::Client(client), false));
-                    if let Ok(key) = added {
-                        // Its first bytes have often come along.
-                        self.read(key);
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    warn!(self.log, "cannot accept"; "error" => %e);
-                    self.set_accepting(false);
-                    self.set_timer(ACCEPT_PAUSE, Timer::Accept);
-                    return;
-                }
-            }
-        }
-    }
-
-    fn set_accepting(&mut self, on: bool) {
-        let Some(listener) = &self.listener else { return };
-        let interest = Event { key: LISTENER, readable: on, writable: false };
-        if self.poller.modify_with_mode(listener, interest, PollMode::Level).is_ok() {
-            self.accepting = on;
-        }
-    }
-
-    /// Closes the connection that is missed least: an idle one to a host, else an idle client's.
-    fn make_room(&mut self) -> bool {
-        let idle = |(place, slot): (usize, &Slot)| match &slot.link {
-            Link::Client(c) if c.protocol.is_idle() => Some((c.used, Key { place, serial: slot.serial })),
-            _ => None,
-        };
-        let client = || self.slots.iter().filter_map(idle).min_by_key(|(used, _)| *used).map(|(_, key)| key);
-        let found = self.pool.oldest().or_else(client);
-        if let Some(key) = found {
-            self.close(key);
-        }
-        found.is_some()
-    }
-
-    /// Looks at a client's next queries until one is owed its answer.
-    fn pump(&mut self, key: Key) {
-        while let Some(demand) = self.client(key).and_then(|client| client.protocol.demand()) {
-            match demand {
-                Demand::Query(text) => self.query(key, text),
-                Demand::Close => {
-                    if let Some(client) = self.client(key) {
-                        client.closing = true;
-                    }
-                }
-            }
-        }
-        let closing = self.phase == Phase::Closing;
-        if let Some(client) = self.client(key) {
-            client.closing |= closing && !client.protocol.is_busy();
-        }
-        self.write(key);
-    }
-
-    fn query(&mut self, key: Key, text: String) {
-        self.counts.taken += 1;
-        let crowded = self.clients > self.most_clients;
-        let ask = Statement::parse(text).map_err(|e| e.to_string()).and_then(|statement| {
-            let class = self.classes.iter().position(|name| *name == statement.class);
-            let class = class.ok_or("unknown class")?;
-            if !self.balancer.knows(GroupId(statement.cluster)) {
-                return Err("unknown group".into());
-            }
-            Ok((ClassId(class), statement))
-        });
-        let (now, clock) = (self.now, self.clock);
-        let Some(client) = self.client(key) else { return };
-        let (class, statement) = match ask {
-            Ok(found) => found,
-            Err(message) => {
-                client.protocol.fail("08P01", &message);
-                self.counts.failed += 1;
-                return;
-            }
-        };
-        let time_left = statement.wait - MARGIN;
-        if crowded || time_left == Micros(0) {
-            client.protocol.refuse(None);
-            self.counts.refused += 1;
-            return;
-        }
-        let ask = Ask {
-            class,
-            group: GroupId(statement.cluster),
-            session: statement.session,
-            since_commit: statement.after.map(|after| now - clock.at_unix_ms(after)),
-            repeat: statement.repeat,
-            time_left,
-        };
-        let (ticket, verdict) = self.balancer.pick(now, ask);
-        if let Some(client) = self.client(key) {
-            client.ticket = Some(ticket);
-        }
-        self.ledger.open(ticket, key, statement, now + time_left);
-        self.set_timer(time_left, Timer::GiveUp(ticket));
-        // What fell due before the verdict comes first: connections to be closed before it is sent.
-        while self.do_due() {}
-        self.apply(ticket, verdict);
-    }
+    // ---- Answers ----
 
     /// Gives the final answer.
     fn finish(&mut self, ticket: Ticket, answer: impl FnOnce(&mut Client)) {
         self.drop_attempt(ticket);
         let Some(life) = self.ledger.finish(ticket) else { return };
+        let now = self.now;
         if let Some(client) = self.client(life.owner) {
             client.ticket = None;
+            client.used = now;
             answer(&mut client.protocol);
             self.write(life.owner);
             self.ready.push_back(life.owner);
+            if !self.accepting {
+                self.set_accepting(true);
+            }
         }
     }
 
@@ -765,7 +649,7 @@
 
     fn connect(&mut self, member: MemberId) -> Result<Key, Cause> {
         let address = self.directory.address(member).ok_or(Cause::NotTried)?;
-        if !self.pool.has_room() || self.slots.len() >= self.most {
+        if !self.pool.has_room() {
             match self.pool.oldest() {
                 Some(idle) => self.close(idle),
                 None => {
@@ -931,17 +815,7 @@
         for key in self.pool.stale(self.now) {
             self.close(key);
         }
-        let late = self.now - GREETING;
-        let silent = |(place, slot): (usize, &Slot)| match &slot.link {
-            Link::Client(c) if c.protocol.is_new() && c.used < late => {
-                Some(Key { place, serial: slot.serial })
-            }
-            _ => None,
-        };
-        let silent: Vec<Key> = self.slots.iter().filter_map(silent).collect();
-        for key in silent {
-            self.close(key);
-        }
+        self.see_out_guests();
         self.rounds += 1;
         if self.rounds % ROUNDS_A_LINE == 0 {
             let counts = std::mem::take(&mut self.counts);
--- /dev/null
+++ b/src/net/event_loop/guests.rs
@@ -0,0 +1,216 @@
+//! The loop's part for clients: whom to let in, what they ask, and who has to leave. A client that
+//! owes its startup, its first query or the rest of a command is told so and closed; one that has been
+//! idle makes room, so that clients that come and never come back leave nothing behind.
+
+use std::io;
+
+use polling::{Event, PollMode};
+use slog::warn;
+
+use super::{ClientLink, Gateway, Key, Link, Phase, Slot, Timer, ACCEPTS, ACCEPT_PAUSE, LISTENER};
+use crate::balancer::Ask;
+use crate::pg::client::{Client, Demand};
+use crate::pg::statement::Statement;
+use crate::{ClassId, GroupId, Micros};
+
+/// Time taken off what a client waits: for the way there and back, and for the turn of the loop.
+const MARGIN: Micros = Micros::millis(3);
+/// How long a client may take for its first query, and for the rest of a command that it has begun.
+const PATIENCE: Micros = Micros::millis(2_000);
+/// How long a client may be idle: while there is much room, and else.
+const IDLE: Micros = Micros::millis(10_000);
+const IDLE_CROWDED: Micros = Micros::millis(2_000);
+/// Part of the room for clients from which on it counts as crowded.
+const CROWDED: usize = 3;
+/// How long an answer may lie unread.
+const UNREAD: Micros = Micros::millis(10_000);
+/// A client that has asked nothing for so long goes before those that have.
+const SILENT: Micros = Micros::millis(300);
+
+/// Why a client has to leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Overstay {
+    /// It owes the rest of a command, or its first one.
+    Late,
+    /// It has been idle, or does not read.
+    Idle,
+}
+
+impl ClientLink {
+    /// Whether the client has to leave now.
+    fn overstays(&self, now: Micros, crowded: bool) -> Option<Overstay> {
+        if self.ticket.is_some() || self.protocol.is_busy() {
+            return None;
+        }
+        let late = self.half.is_some_and(|since| now - since >= PATIENCE)
+            || !self.asked && now - self.since >= PATIENCE;
+        if !self.protocol.out.is_empty() {
+            return (now - self.used >= UNREAD).then_some(Overstay::Idle);
+        }
+        let idle = if crowded { IDLE_CROWDED } else { IDLE };
+        let idle = self.protocol.is_idle() && now - self.used >= idle;
+        late.then_some(Overstay::Late).or(idle.then_some(Overstay::Idle))
+    }
+
+    /// How much a client with nothing open would be missed: the least first.
+    fn missed(&self, now: Micros) -> Option<(bool, Micros)> {
+        let silent = !self.asked && now - self.since >= SILENT;
+        self.protocol.is_idle().then_some((!silent, self.used))
+    }
+}
+
+impl Gateway {
+    /// Accepts connections, as far as there is room for clients.
+    pub(super) fn accept(&mut self) {
+        for _ in 0..ACCEPTS {
+            if self.clients >= self.most_clients && !self.make_room() {
+                warn!(self.log, "no descriptors left for clients"; "open" => self.clients);
+                self.set_accepting(false);
+                return;
+            }
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((socket, _)) => {
+                    let client = ClientLink {
+                        protocol: Client::default(),
+                        ticket: None,
+                        since: self.now,
+                        used: self.now,
+                        half: None,
+                        asked: false,
+                        closing: false,
+                    };
+                    let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
+                    let added = set.and_then(|()| self.insert(socket, Link::Client(client), false));
+                    if let Ok(key) = added {
+                        // Its first bytes have often come along.
+                        self.read(key);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    warn!(self.log, "cannot accept"; "error" => %e);
+                    self.set_accepting(false);
+                    self.set_timer(ACCEPT_PAUSE, Timer::Accept);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Goes on accepting, or pauses.
+    pub(super) fn set_accepting(&mut self, on: bool) {
+        let Some(listener) = &self.listener else { return };
+        let interest = Event { key: LISTENER, readable: on, writable: false };
+        if self.poller.modify_with_mode(listener, interest, PollMode::Level).is_ok() {
+            self.accepting = on;
+        }
+    }
+
+    /// Closes the client that is missed least among those with nothing open.
+    fn make_room(&mut self) -> bool {
+        let now = self.now;
+        let idle = |(place, slot): (usize, &Slot)| match &slot.link {
+            Link::Client(c) => c.missed(now).map(|rank| (rank, Key { place, serial: slot.serial })),
+            _ => None,
+        };
+        let found = self.slots.iter().filter_map(idle).min_by_key(|(rank, _)| *rank);
+        if let Some((_, key)) = found {
+            self.close(key);
+        }
+        found.is_some()
+    }
+
+    /// The round over clients: those that owe something for too long are told so and closed, those
+    /// that have been idle for long make room.
+    pub(super) fn see_out_guests(&mut self) {
+        let crowded = self.clients > self.most_clients / CROWDED;
+        let now = self.now;
+        let judge = |(place, slot): (usize, &Slot)| match &slot.link {
+            Link::Client(c) => c.overstays(now, crowded).map(|why| (Key { place, serial: slot.serial }, why)),
+            _ => None,
+        };
+        let out: Vec<(Key, Overstay)> = self.slots.iter().filter_map(judge).collect();
+        for (key, why) in out {
+            match (why, self.client(key)) {
+                (Overstay::Late, Some(client)) => {
+                    client.protocol.turn_out("57014", "no whole command came in time");
+                    client.closing = true;
+                    self.write(key);
+                }
+                _ => self.close(key),
+            }
+        }
+        if !self.accepting {
+            self.set_accepting(true);
+        }
+    }
+
+    /// Looks at a client's next queries until one is owed its answer.
+    pub(super) fn pump(&mut self, key: Key) {
+        while let Some(demand) = self.client(key).and_then(|client| client.protocol.demand()) {
+            match demand {
+                Demand::Query(text) => self.query(key, text),
+                Demand::Close => {
+                    if let Some(client) = self.client(key) {
+                        client.closing = true;
+                    }
+                }
+            }
+        }
+        let (now, closing) = (self.now, self.phase == Phase::Closing);
+        if let Some(client) = self.client(key) {
+            client.closing |= closing && !client.protocol.is_busy();
+            client.half = client.protocol.is_half().then(|| client.half.unwrap_or(now));
+        }
+        self.write(key);
+    }
+
+    fn query(&mut self, key: Key, text: String) {
+        self.counts.taken += 1;
+        let ask = Statement::parse(text).map_err(|e| e.to_string()).and_then(|statement| {
+            let class = self.classes.iter().position(|name| *name == statement.class);
+            let class = class.ok_or("unknown class")?;
+            if !self.balancer.knows(GroupId(statement.cluster)) {
+                return Err("unknown group".into());
+            }
+            Ok((ClassId(class), statement))
+        });
+        let (now, clock) = (self.now, self.clock);
+        let Some(client) = self.client(key) else { return };
+        let (class, statement) = match ask {
+            Ok(found) => found,
+            Err(message) => {
+                client.protocol.fail("08P01", &message);
+                self.counts.failed += 1;
+                return;
+            }
+        };
+        let time_left = statement.wait - MARGIN;
+        if time_left == Micros(0) {
+            client.protocol.refuse(None);
+            self.counts.refused += 1;
+            return;
+        }
+        let ask = Ask {
+            class,
+            group: GroupId(statement.cluster),
+            session: statement.session,
+            since_commit: statement.after.map(|after| now - clock.at_unix_ms(after)),
+            repeat: statement.repeat,
+            time_left,
+        };
+        let (ticket, verdict) = self.balancer.pick(now, ask);
+        if let Some(client) = self.client(key) {
+            client.asked = true;
+            client.ticket = Some(ticket);
+        }
+        self.ledger.open(ticket, key, statement, now + time_left);
+        self.set_timer(time_left, Timer::GiveUp(ticket));
+        // What fell due before the verdict comes first: connections to be closed before it is sent.
+        while self.do_due() {}
+        self.apply(ticket, verdict);
+    }
+}
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -23,6 +23,11 @@
         Pool { idle: BTreeMap::new(), open: 0, most, keep: idle_limit.scale(KEEP) }
     }
 
+    /// Most connections to hosts.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
     /// Whether one more connection may be opened.
     pub fn has_room(&self) -> bool {
         self.open < self.most
--- a/src/pg/client.rs
+++ b/src/pg/client.rs
@@ -46,9 +46,10 @@
         }
     }
 
-    /// Whether more bytes are welcome: pipelined queries are held up to the longest message.
+    /// Whether more bytes are welcome: pipelined queries, and answers that the client does not read,
+    /// are held up to the longest message.
     pub fn wants_more(&self) -> bool {
-        self.state != State::Closed && self.inbox.len() <= MAX_MESSAGE
+        self.state != State::Closed && self.inbox.len() <= MAX_MESSAGE && self.out.len() <= MAX_MESSAGE
     }
 
     /// Whether a query is owed its answer.
@@ -56,16 +57,14 @@
         self.state == State::Busy
     }
 
-    /// Whether it has not sent its startup yet.
-    pub fn is_new(&self) -> bool {
-        self.state == State::Startup
+    /// Whether a message has begun and the rest of it is awaited.
+    pub fn is_half(&self) -> bool {
+        !matches!(self.state, State::Busy | State::Closed) && !self.inbox.is_empty()
     }
 
     /// Whether it may be closed without loss: nothing owed, nothing half read, nothing half written.
     pub fn is_idle(&self) -> bool {
-        matches!(self.state, State::Startup | State::Idle | State::Closed)
-            && self.inbox.is_empty()
-            && self.out.is_empty()
+        self.state != State::Busy && self.inbox.is_empty() && self.out.is_empty()
     }
 
     /// The next thing to do for the client; `None` until more comes, or while an answer is owed.
@@ -187,6 +186,11 @@
         self.state = State::Idle;
     }
 
+    /// Closes the connection with a word on why, once that has been written.
+    pub fn turn_out(&mut self, code: &str, message: &str) {
+        self.fatal(code, message);
+    }
+
     fn fatal(&mut self, code: &str, message: &str) -> Demand {
         codec::error(&mut self.out.bytes, "FATAL", code, message, None);
         self.state = State::Closed;
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -124,6 +124,11 @@
         Outbox { bytes, written: 0 }
     }
 
+    /// Number of bytes still to be written.
+    pub fn len(&self) -> usize {
+        self.bytes.len() - self.written
+    }
+
     /// Whether everything has been written.
     pub fn is_empty(&self) -> bool {
         self.written == self.bytes.len()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -309,6 +309,30 @@
     rig.end();
 }
 
+/// Guards the descriptors against clients that connect and say nothing, or stop in the middle of a
+/// command: each is closed, and a client that asked in time stays.
+#[test]
+fn clients_that_owe_a_command_are_closed() {
+    let rig = Rig::start(200);
+    let mut good = rig.client();
+    let mut silent = TcpStream::connect(rig.address).expect("accepted");
+    let mut mute = rig.client();
+    let mut half = rig.client();
+    half.socket.write_all(b"Q\0\0\0").expect("written");
+    good.ask(&read("k"));
+    assert_eq!(good.answer().len(), 4);
+    for talk in [&mut mute, &mut half] {
+        let last = talk.answer().pop().expect("a word on it");
+        assert_eq!((last.tag, codec::error_field(&last.body, b'C')), (b'E', Some("57014")));
+    }
+    let mut said = Vec::new();
+    silent.read_to_end(&mut said).expect("closed in order");
+    assert_eq!(said.first(), Some(&b'E'));
+    good.ask(&read("k"));
+    assert_eq!(good.answer().len(), 4);
+    rig.end();
+}
+
 /// Guards against discovery that is silent, cut off or malformed: the last list goes on serving.
 #[test]
 fn broken_discovery_leaves_the_last_list() {
