--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -133,7 +133,7 @@
             b'I' => println!("empty query answered: the gateway is ready"),
             b'D' => println!(
                 "served: {}",
-                String::from_utf8_lossy(codec::first_column(&frame.body).unwrap_or_default())
+                String::from_utf8_lossy(codec::only_column(&frame.body).unwrap_or_default())
             ),
             b'E' => {
                 let field = |name| codec::error_field(&frame.body, name).unwrap_or_default();
--- a/src/api.rs
+++ b/src/api.rs
@@ -299,6 +299,8 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// What came back is no answer; it may have run.
+    Spoilt,
     /// Called off; it may have run.
     Cancelled,
     /// Never sent.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -594,7 +594,8 @@
     fn outcome(&mut self, now: Micros, o: Outcome, actions: &mut Actions) {
         let Some(attempt) = self.attempts.remove(&(o.request, o.attempt)) else { return };
         self.judge(now, &o, &attempt);
-        let answered = matches!(o.status, Status::Ok | Status::Miss | Status::Full | Status::Error);
+        let answered =
+            matches!(o.status, Status::Ok | Status::Miss | Status::Full | Status::Error | Status::Spoilt);
         if answered {
             self.heard(now, o.member);
             self.members.entry(o.member).and_modify(|m| m.breaks = 0);
@@ -664,7 +665,7 @@
                 Some((latency / aim).max(1.0))
             }
             Status::Full => Some(MISSED),
-            Status::Error | Status::ConnectFailed | Status::Reset | Status::Moot | Status::Miss => None,
+            _ => None,
         };
         if let Some(used) = used {
             // Of many drivers each sees few answers, and the noise of their steps evens out: they are longer.
@@ -677,6 +678,8 @@
         }
         match o.status {
             Status::Ok => member.fail -= member.fail * MEMBER_GAIN,
+            // It has done the work and sent something: neither down nor idle.
+            Status::Spoilt => member.fail += (1.0 - member.fail) * MEMBER_GAIN,
             // A member that fails or turns away at once must not look lightly loaded and draw all
             // traffic; one that failed by chance is spared for no longer than a request takes.
             Status::Error | Status::Full | Status::ConnectFailed | Status::Reset => {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -104,9 +104,10 @@
             Ended::Answer { said: Said::Error, .. } => Status::Error,
             Ended::Broken(broken) if broken.may_have_run() => match broken.cause {
                 Cause::TimedOut => Status::Timeout,
+                Cause::Spoilt => Status::Spoilt,
                 Cause::Lost | Cause::NotTried => Status::Reset,
             },
-            Ended::Broken(Broken { cause: Cause::Lost, .. }) => Status::ConnectFailed,
+            Ended::Broken(Broken { cause: Cause::Lost | Cause::Spoilt, .. }) => Status::ConnectFailed,
             Ended::Broken(_) => Status::Moot,
         }
     }
@@ -130,6 +131,7 @@
 pub struct Balancer {
     router: Router,
     needs: Vec<Need>,
+    keyed: Vec<bool>,
     groups: BTreeSet<GroupId>,
     next_ticket: u64,
     tracks: BTreeMap<Ticket, Track>,
@@ -141,10 +143,13 @@
     /// A balancer that knows its settings only. Two attempts at once are ruled out, whatever they say.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let needs = settings.classes.iter().map(|class| class.need).collect();
+        let keyed = settings.classes.iter().map(|class| matches!(class.effect, Effect::Keyed { .. }));
+        let keyed = keyed.collect();
         let settings = Settings { second_copies: false, ..settings };
         Balancer {
             router: Router::new(settings, seed),
             needs,
+            keyed,
             groups: BTreeSet::new(),
             next_ticket: 0,
             tracks: BTreeMap::new(),
@@ -165,6 +170,11 @@
         self.groups.contains(&group)
     }
 
+    /// Whether requests of this class write, and whether they carry a key.
+    pub fn wants(&self, class: ClassId) -> (bool, bool) {
+        (self.needs[class.0] == Need::Write, self.keyed[class.0])
+    }
+
     /// Takes a request on. Unless held it is decided at once.
     pub fn pick(&mut self, now: Micros, ask: Ask) -> (Ticket, Verdict) {
         let ticket = Ticket(self.next_ticket);
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -25,7 +25,7 @@
 use crate::pg::statement::Statement;
 use crate::request::{Broken, Cause, Ledger, Reach};
 use crate::settings::{Site, Zones};
-use crate::{MemberId, Micros};
+use crate::{MemberId, Micros, Role};
 
 const LISTENER: usize = usize::MAX - 1;
 const SIGNALS: usize = usize::MAX - 2;
@@ -36,6 +36,10 @@
 const HOST_PART: usize = 3;
 /// How long a probe may take.
 const PROBE_TIMEOUT: Micros = Micros::millis(250);
+/// An answer that has begun and brings nothing for so long does not end.
+const STALL: Micros = Micros::millis(250);
+/// How far ahead of this clock a position may lie; further ahead it is spoilt.
+const AHEAD: Micros = Micros::millis(1_000);
 /// How long the loop goes on accepting after SIGTERM: the hand-over takes up to 0.4 s.
 const HAND_OVER: Micros = Micros::millis(500);
 /// Time between rounds over idle and late connections.
@@ -114,6 +118,8 @@
     protocol: Host,
     member: MemberId,
     welcome: bool,
+    /// When bytes last came.
+    heard: Micros,
     task: Task,
 }
 
@@ -479,6 +485,7 @@
                 self.ready.push_back(key);
             }
             Link::Host(host) if !ended => {
+                host.heard = now;
                 host.protocol.receive(bytes);
                 while let Some(turn) = self.host(key).and_then(|host| host.protocol.turn()) {
                     self.host_turn(key, turn);
@@ -548,7 +555,7 @@
         if self.ledger.get(ticket).is_none_or(|life| life.attempt().is_some()) {
             return;
         }
-        let key = match self.pool.take(self.now, member) {
+        let key = match self.take_idle(member) {
             Some(key) => key,
             None => match self.connect(member) {
                 Ok(key) => key,
@@ -633,8 +640,8 @@
 
     fn answered(&mut self, ticket: Ticket, answer: Answer) {
         self.ledger.end(ticket);
-        let position = answer.position.map(|ms| self.clock.at_unix_ms(ms));
-        let ended = Ended::Answer { said: answer.said, role: answer.role, position };
+        let (role, position) = self.believed(answer.role, answer.position);
+        let ended = Ended::Answer { said: answer.said, role, position };
         let verdict = self.balancer.report(self.now, ticket, ended);
         if answer.said == Said::Served {
             self.counts.served += 1;
@@ -661,12 +668,26 @@
         self.counts.connects += 1;
         let shortage = |e: &io::Error| matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE));
         let socket = dial(address).map_err(|e| if shortage(&e) { Cause::NotTried } else { Cause::Lost })?;
-        let link = HostLink { protocol: Host::default(), member, welcome: false, task: Task::None };
+        let link =
+            HostLink { protocol: Host::default(), member, welcome: false, heard: self.now, task: Task::None };
         let key = self.insert(socket, Link::Host(link), true).map_err(|_| Cause::NotTried)?;
         self.set_timer(self.connect_timeout, Timer::Connect(key));
         Ok(key)
     }
 
+    /// An idle connection to the member on which nothing has come. What lies unread there is no answer
+    /// to the next request, and must not be taken for it.
+    fn take_idle(&mut self, member: MemberId) -> Option<Key> {
+        while let Some(key) = self.pool.take(self.now, member) {
+            let quiet = |slot: &mut Slot| slot.socket.peek(&mut [0]).err().map(|e| e.kind());
+            if self.slot(key).and_then(quiet) == Some(io::ErrorKind::WouldBlock) {
+                return Some(key);
+            }
+            self.close(key);
+        }
+        None
+    }
+
     fn host_turn(&mut self, key: Key, turn: Turn) {
         let Some(host) = self.host(key) else { return };
         let (member, task) = (host.member, host.task);
@@ -708,7 +729,7 @@
             }
             Turn::Nonsense => {
                 warn!(self.log, "host breaks the protocol"; "host" => self.directory.name(member));
-                self.host_lost(key, Cause::Lost);
+                self.host_lost(key, Cause::Spoilt);
             }
         }
     }
@@ -736,7 +757,7 @@
 
     fn probe(&mut self, member: MemberId) {
         self.counts.probes += 1;
-        let key = match self.pool.take(self.now, member) {
+        let key = match self.take_idle(member) {
             Some(key) => Ok(key),
             None => self.connect(member),
         };
@@ -757,10 +778,19 @@
 
     fn probed(&mut self, member: MemberId, answer: Answer) {
         let (role, position) = host::report(&answer.value.unwrap_or_default());
-        let position = position.map(|ms| self.clock.at_unix_ms(ms));
+        let (role, position) = self.believed(role, position);
         self.balancer.probed(self.now, member, Ended::Answer { said: answer.said, role, position });
     }
 
+    /// What a host says of itself, on this clock; nothing of it where its position cannot be.
+    fn believed(&self, role: Option<Role>, position: Option<f64>) -> (Option<Role>, Option<Micros>) {
+        let position = position.map(|ms| self.clock.at_unix_ms(ms));
+        if position.is_some_and(|at| at > self.now + AHEAD) {
+            return (None, None);
+        }
+        (role, position)
+    }
+
     // ---- Timers and signals ----
 
     fn set_timer(&mut self, after: Micros, timer: Timer) {
@@ -815,6 +845,16 @@
         for key in self.pool.stale(self.now) {
             self.close(key);
         }
+        let half = |(place, slot): (usize, &Slot)| match &slot.link {
+            Link::Host(h) if h.protocol.is_half() && self.now - h.heard >= STALL => {
+                Some(Key { place, serial: slot.serial })
+            }
+            _ => None,
+        };
+        let half: Vec<Key> = self.slots.iter().filter_map(half).collect();
+        for key in half {
+            self.host_lost(key, Cause::Spoilt);
+        }
         self.see_out_guests();
         self.rounds += 1;
         if self.rounds % ROUNDS_A_LINE == 0 {
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -176,6 +176,13 @@
             if !self.balancer.knows(GroupId(statement.cluster)) {
                 return Err("unknown group".into());
             }
+            let (writes, keyed) = self.balancer.wants(ClassId(class));
+            if writes != statement.writes || keyed && !statement.keyed {
+                return Err("the statement does not fit its class".into());
+            }
+            if self.ledger.bears(&statement.id) {
+                return Err("a request of this id is open".into());
+            }
             Ok((ClassId(class), statement))
         });
         let (now, clock) = (self.now, self.clock);
@@ -207,7 +214,8 @@
             client.asked = true;
             client.ticket = Some(ticket);
         }
-        self.ledger.open(ticket, key, statement, now + time_left);
+        let id = statement.id.clone();
+        self.ledger.open(ticket, &id, key, statement, now + time_left);
         self.set_timer(time_left, Timer::GiveUp(ticket));
         // What fell due before the verdict comes first: connections to be closed before it is sent.
         while self.do_due() {}
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -82,8 +82,18 @@
 
     /// The next message, once it is whole.
     pub fn frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        self.frame_within(|_| MAX_MESSAGE)
+    }
+
+    /// The next message, where each type has a longest length; a type that has none is refused as soon
+    /// as its byte is there.
+    pub fn frame_within(&mut self, longest: impl Fn(u8) -> usize) -> Result<Option<Frame>, FrameError> {
         let Some(tag) = self.bytes.get(self.taken).copied() else { return Ok(None) };
-        Ok(self.cut(1, MAX_MESSAGE)?.map(|body| Frame { tag, body }))
+        let longest = longest(tag);
+        if longest == 0 {
+            return Err(FrameError::TooLong);
+        }
+        Ok(self.cut(1, longest)?.map(|body| Frame { tag, body }))
     }
 
     /// Cuts out what a length that stands `at` bytes from the front counts. Judged by its length
@@ -203,15 +213,27 @@
     std::str::from_utf8(&found[1..]).ok()
 }
 
-/// Name and value of a setting.
+/// The code of an error that is well formed: fields that end, the last one empty, and a code among them.
+pub fn error_code(body: &[u8]) -> Option<&str> {
+    let code = error_field(body, b'C').filter(|_| body.ends_with(&[0, 0]))?;
+    (code.len() == 5 && code.bytes().all(|byte| byte.is_ascii_alphanumeric())).then_some(code)
+}
+
+/// Name and value of a setting, if it is well formed.
 pub fn parameter_of(body: &[u8]) -> Option<(&str, &str)> {
-    let mut parts = body.split(|byte| *byte == 0).map(std::str::from_utf8);
-    Some((parts.next()?.ok()?, parts.next()?.ok()?))
+    let text = std::str::from_utf8(body.strip_suffix(&[0])?).ok()?;
+    text.split_once('\0').filter(|(_, value)| !value.contains('\0'))
+}
+
+/// Whether the body describes a row of one column and nothing else.
+pub fn describes_one_column(body: &[u8]) -> bool {
+    let name_ends = body.iter().skip(2).position(|byte| *byte == 0).map(|at| at + 3);
+    body.starts_with(&[0, 1]) && name_ends.is_some_and(|end| body.len() == end + 18)
 }
 
-/// The first column of a data row.
-pub fn first_column(body: &[u8]) -> Option<&[u8]> {
-    let columns = u16::from_be_bytes(*body.first_chunk()?);
-    let length = i32::from_be_bytes(*body.get(2..)?.first_chunk()?);
-    body.get(6..)?.get(..usize::try_from(length).ok()?).filter(|_| columns > 0)
+/// The value of a data row of one column, if the lengths fit.
+pub fn only_column(body: &[u8]) -> Option<&[u8]> {
+    let value = body.strip_prefix(&[0, 1])?;
+    let length = u32::from_be_bytes(*value.first_chunk()?);
+    value.get(4..).filter(|value| value.len() == length as usize)
 }
--- a/src/pg/host.rs
+++ b/src/pg/host.rs
@@ -1,21 +1,44 @@
 //! A connection to a database host, driven by bytes: from greeting through one request at a time.
 
-use super::codec::{self, Inbox, Outbox};
+use super::codec::{self, Frame, Inbox, Outbox};
 use crate::balancer::Said;
 use crate::request::Reach;
 use crate::Role;
 
-/// Most bytes of an answer: one value with its description.
-const MAX_ANSWER: usize = 2 * codec::MAX_MESSAGE;
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Greeting,
     Idle,
-    Busy,
+    /// A request is out, and this much of its answer has come.
+    Busy(Stage),
     Closed,
 }
 
+/// How far an answer has come. Its parts come in this order, each once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Nothing,
+    Described,
+    Row,
+    /// The last word on the request: only its report and ReadyForQuery are still to come.
+    Told,
+}
+
+/// Longest message of a type in this state, by its own word; a type that does not belong there has
+/// none. What is out of place is so told at its first byte, and no length is waited for in vain.
+fn longest(state: State, tag: u8) -> usize {
+    match (tag, state) {
+        (b'N' | b'E', _) => 8 * 1024,
+        (b'S', _) => 4 * 1024,
+        (b'K' | b'v' | b'R', State::Greeting) => 1024,
+        (b'Z', State::Greeting | State::Busy(Stage::Told)) => 5,
+        (b'T', State::Busy(Stage::Nothing)) => 1024,
+        (b'D', State::Busy(Stage::Described)) => codec::MAX_MESSAGE,
+        (b'C', State::Busy(Stage::Row)) => 256,
+        _ => 0,
+    }
+}
+
 /// A host's whole answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
@@ -23,7 +46,7 @@
     pub said: Said,
     /// The messages that a client gets to see.
     pub rows: Vec<u8>,
-    /// The first column of its row.
+    /// The value of its row.
     pub value: Option<Vec<u8>>,
     /// The host's role.
     pub role: Option<Role>,
@@ -40,7 +63,7 @@
     Unwelcome(String),
     /// It has answered the request.
     Answered(Answer),
-    /// It does not keep to the protocol.
+    /// It does not keep to the protocol: what came is no answer, and the connection is of no use.
     Nonsense,
 }
 
@@ -54,8 +77,8 @@
     answer: Answer,
     /// A request is on the connection.
     asked: bool,
-    /// The answer's last word on the request has come.
-    told: bool,
+    /// What the host says of itself beside this answer cannot be read.
+    garbled: bool,
 }
 
 impl Default for Host {
@@ -66,7 +89,7 @@
             state: State::Greeting,
             answer: blank(),
             asked: false,
-            told: false,
+            garbled: false,
         };
         codec::startup(&mut host.out.bytes, "app", "shop");
         host
@@ -89,9 +112,9 @@
         let idle = self.is_idle();
         if idle {
             self.answer = blank();
-            self.told = false;
+            self.garbled = false;
             self.asked = true;
-            self.state = State::Busy;
+            self.state = State::Busy(Stage::Nothing);
             codec::query(&mut self.out.bytes, text);
         }
         idle
@@ -102,60 +125,92 @@
         self.inbox.push(bytes);
     }
 
+    /// Whether an answer has begun and the rest of it is awaited.
+    pub fn is_half(&self) -> bool {
+        match self.state {
+            State::Busy(Stage::Nothing) => !self.inbox.is_empty(),
+            State::Busy(_) => true,
+            _ => false,
+        }
+    }
+
     /// The next thing that the bytes so far amount to.
     pub fn turn(&mut self) -> Option<Turn> {
         while self.state != State::Closed {
-            let frame = match self.inbox.frame() {
-                Ok(frame) => frame?,
-                Err(_) => return Some(self.close(Turn::Nonsense)),
+            let state = self.state;
+            let turn = match self.inbox.frame_within(|tag| longest(state, tag)) {
+                Ok(frame) => self.take(&frame?),
+                Err(_) => Err(Nonsense),
             };
-            match (frame.tag, self.state) {
-                (b'N', _) | (b'K' | b'v' | b'R', State::Greeting) => {}
-                (b'S', _) => self.note(&frame.body),
-                (b'Z', State::Greeting) => {
-                    self.state = State::Idle;
-                    return Some(Turn::Welcome);
-                }
-                (b'E', State::Greeting) => {
-                    let code = codec::error_field(&frame.body, b'C').unwrap_or_default().to_string();
-                    return Some(self.close(Turn::Unwelcome(code)));
-                }
-                (b'E', State::Busy) => {
-                    self.answer.said = match codec::error_field(&frame.body, b'C') {
-                        Some("25006" | "72000") => Said::Miss,
-                        Some("53300" | "57P03") => Said::TurnedAway,
-                        _ => Said::Error,
-                    };
-                    self.answer.rows.clear();
-                    self.told = true;
-                    if matches!(codec::error_field(&frame.body, b'S'), Some("FATAL" | "PANIC")) {
-                        let answer = std::mem::replace(&mut self.answer, blank());
-                        return Some(self.close(Turn::Answered(answer)));
-                    }
-                }
-                (b'T' | b'D' | b'C', State::Busy) if !self.told => {
-                    codec::frame(&mut self.answer.rows, frame.tag, &frame.body);
-                    if self.answer.rows.len() > MAX_ANSWER {
-                        return Some(self.close(Turn::Nonsense));
-                    }
-                    if frame.tag == b'D' {
-                        self.answer.value = codec::first_column(&frame.body).map(<[u8]>::to_vec);
-                    } else if frame.tag == b'C' {
-                        self.answer.said = Said::Served;
-                        self.told = true;
-                    }
-                }
-                (b'Z', State::Busy) if self.told => {
-                    self.state = State::Idle;
-                    self.asked = false;
-                    return Some(Turn::Answered(std::mem::replace(&mut self.answer, blank())));
-                }
-                _ => return Some(self.close(Turn::Nonsense)),
+            match turn {
+                Ok(None) => {}
+                Ok(turn) => return turn,
+                Err(Nonsense) => return Some(self.close(Turn::Nonsense)),
             }
         }
         None
     }
 
+    fn take(&mut self, frame: &Frame) -> Result<Option<Turn>, Nonsense> {
+        let body = frame.body.as_slice();
+        match (frame.tag, self.state) {
+            (b'S', _) => self.note(body),
+            (b'Z', State::Greeting) => {
+                self.state = State::Idle;
+                return Ok(Some(Turn::Welcome));
+            }
+            (b'E', State::Greeting) => {
+                let code = codec::error_code(body).ok_or(Nonsense)?.to_string();
+                return Ok(Some(self.close(Turn::Unwelcome(code))));
+            }
+            (b'E', State::Busy(stage)) if stage != Stage::Told => {
+                self.answer.said = match codec::error_code(body).ok_or(Nonsense)? {
+                    "25006" | "72000" => Said::Miss,
+                    "53300" | "57P03" => Said::TurnedAway,
+                    _ => Said::Error,
+                };
+                self.answer.rows.clear();
+                self.answer.value = None;
+                self.state = State::Busy(Stage::Told);
+                if matches!(codec::error_field(body, b'S'), Some("FATAL" | "PANIC")) {
+                    let answer = self.whole();
+                    return Ok(Some(self.close(Turn::Answered(answer))));
+                }
+            }
+            (b'T', _) if codec::describes_one_column(body) => self.pass_on(frame, Stage::Described),
+            (b'D', _) => {
+                self.answer.value = Some(codec::only_column(body).ok_or(Nonsense)?.to_vec());
+                self.pass_on(frame, Stage::Row);
+            }
+            (b'C', _) if body.ends_with(&[0]) && body[..body.len() - 1].is_ascii() => {
+                self.pass_on(frame, Stage::Told);
+                self.answer.said = Said::Served;
+            }
+            (b'Z', _) if body == b"I" => {
+                self.state = State::Idle;
+                self.asked = false;
+                return Ok(Some(Turn::Answered(self.whole())));
+            }
+            (b'N' | b'K' | b'v' | b'R', _) => {}
+            _ => return Err(Nonsense),
+        }
+        Ok(None)
+    }
+
+    fn pass_on(&mut self, frame: &Frame, stage: Stage) {
+        codec::frame(&mut self.answer.rows, frame.tag, &frame.body);
+        self.state = State::Busy(stage);
+    }
+
+    /// Hands the answer out. A report that cannot be read takes all that it says with it.
+    fn whole(&mut self) -> Answer {
+        let answer = std::mem::replace(&mut self.answer, blank());
+        match self.garbled {
+            true => Answer { role: None, position: None, ..answer },
+            false => answer,
+        }
+    }
+
     /// How far the request had come, if the connection ends now.
     pub fn reach(&self) -> Reach {
         match (self.asked, self.out.is_empty()) {
@@ -168,9 +223,9 @@
     /// The connection has ended: the answer, if its last word had come. Without that word nothing of
     /// it may reach a client.
     pub fn ended(&mut self) -> Option<Answer> {
-        let whole = self.state == State::Busy && self.told;
+        let whole = self.state == State::Busy(Stage::Told);
         self.state = State::Closed;
-        whole.then(|| std::mem::replace(&mut self.answer, blank()))
+        whole.then(|| self.whole())
     }
 
     fn close(&mut self, turn: Turn) -> Turn {
@@ -182,20 +237,40 @@
         match codec::parameter_of(body) {
             Some(("part", "master")) => self.answer.role = Some(Role::Primary),
             Some(("part", "replica")) => self.answer.role = Some(Role::Replica),
-            Some(("caught_up_to", position)) => self.answer.position = position.parse().ok(),
-            _ => {}
+            Some(("caught_up_to", position)) if is_figure(position) => {
+                self.answer.position = position.parse().ok();
+            }
+            Some((name, _)) if !matches!(name, "part" | "caught_up_to") => {}
+            _ => self.garbled = true,
         }
     }
 }
 
+/// What a host sent is no answer.
+struct Nonsense;
+
+/// Whether the text is a plain number: digits, with a point among them at most.
+fn is_figure(text: &str) -> bool {
+    let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
+    let digits = |text: &str| (1..=15).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_digit());
+    digits(whole) && digits(part)
+}
+
 /// Role and position in a load report such as `x0=1767225600.123,x1=1`. There alone a position is in
-/// seconds; it is handed on as Unix time in milliseconds, like any other.
+/// seconds; it is handed on as Unix time in milliseconds, like any other. A report with anything in it
+/// that cannot be read says nothing: the rest of it may be spoilt as well.
 pub fn report(text: &[u8]) -> (Option<Role>, Option<f64>) {
-    let text = std::str::from_utf8(text).unwrap_or_default();
-    let field = |name| {
-        let find = |pair: &str| pair.trim().strip_prefix(name)?.strip_prefix('=')?.parse::<f64>().ok();
-        text.split(',').find_map(find)
-    };
-    let role = field("x1").map(|x| if x == 1.0 { Role::Primary } else { Role::Replica });
-    (role, field("x0").map(|seconds| seconds * 1000.0))
+    let (mut role, mut position) = (None, None);
+    for pair in std::str::from_utf8(text).unwrap_or("?").split(',') {
+        match pair.trim().split_once('=') {
+            Some(("x1", "1" | "1.0")) => role = Some(Role::Primary),
+            Some(("x1", "0" | "0.0")) => role = Some(Role::Replica),
+            Some(("x0", seconds)) if is_figure(seconds) => {
+                position = seconds.parse().ok().map(|seconds: f64| seconds * 1000.0);
+            }
+            Some((name, value)) if !matches!(name, "x0" | "x1") && is_figure(value) => {}
+            _ => return (None, None),
+        }
+    }
+    (role, position)
 }
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -17,6 +17,8 @@
     Bad(&'static str),
     /// It quotes no key.
     NoKey,
+    /// It is neither a read nor a write, or holds what no text does.
+    NoStatement,
 }
 
 impl fmt::Display for Malformed {
@@ -25,14 +27,29 @@
             Malformed::NoComment => write!(f, "the statement ends in no comment"),
             Malformed::Missing(field) => write!(f, "the comment lacks {field}"),
             Malformed::Bad(field) => write!(f, "the comment's {field} has no usable value"),
+            Malformed::NoStatement => write!(f, "the statement is neither SELECT nor INSERT"),
             Malformed::NoKey => write!(f, "the statement quotes no key"),
         }
     }
 }
 
+/// Longest wait that a statement may name, in milliseconds.
+const MAX_WAIT: f64 = 600_000.0;
+
+/// Whether the text may name a request or be its key.
+fn is_name(text: &str) -> bool {
+    (1..=64).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
+}
+
 /// What a statement says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Statement {
+    /// The request's name: new with every request.
+    pub id: String,
+    /// It is a write.
+    pub writes: bool,
+    /// It carries an idempotency key.
+    pub keyed: bool,
     /// The class's name.
     pub class: String,
     /// The group.
@@ -52,21 +69,35 @@
 impl Statement {
     /// Reads a statement.
     pub fn parse(text: String) -> Result<Statement, Malformed> {
+        let writes = match text.get(..7).map(str::to_ascii_uppercase).as_deref() {
+            Some("SELECT ") => false,
+            Some("INSERT ") => true,
+            _ => return Err(Malformed::NoStatement),
+        };
+        if text.contains(|c: char| c.is_control() && !c.is_ascii_whitespace()) {
+            return Err(Malformed::NoStatement);
+        }
         let open = text.rfind("/*").ok_or(Malformed::NoComment)?;
         let close = text.rfind("*/").filter(|close| *close >= open + 2).ok_or(Malformed::NoComment)?;
-        let (mut class, mut cluster, mut wait, mut id) = (None, None, None, false);
+        if !text[close + 2..].trim().trim_end_matches(';').is_empty() {
+            return Err(Malformed::NoComment);
+        }
+        let (mut id, mut class, mut cluster, mut wait, mut keyed) = (None, None, None, None, false);
         let (mut repeat, mut after, mut wait_at) = (false, None, 0..0);
         for field in text[open + 2..close].split(',') {
             let Some((name, value)) = field.split_once('=') else { continue };
             let value = value.trim();
             let value_at = value.as_ptr() as usize - text.as_ptr() as usize;
             match name.trim() {
-                "id" => id = !value.is_empty(),
+                "id" if id.is_some() || !is_name(value) => return Err(Malformed::Bad("id")),
+                "id" => id = Some(value.to_string()),
+                "k" if !is_name(value) => return Err(Malformed::Bad("k")),
+                "k" => keyed = true,
                 "c" => class = Some(value.to_string()),
                 "cluster" => cluster = Some(value.parse().map_err(|_| Malformed::Bad("cluster"))?),
                 "d" => {
                     let ms: f64 = value.parse().map_err(|_| Malformed::Bad("d"))?;
-                    if !(0.0..=86_400_000.0).contains(&ms) {
+                    if !(0.0..=MAX_WAIT).contains(&ms) || wait.is_some() {
                         return Err(Malformed::Bad("d"));
                     }
                     wait = Some(Micros((ms * 1000.0) as u64));
@@ -77,14 +108,14 @@
                 _ => {}
             }
         }
-        if !id {
-            return Err(Malformed::Missing("id"));
-        }
         let mut quoted = text[..open].split('\'');
         let key = quoted.nth(1).filter(|_| quoted.next().is_some()).ok_or(Malformed::NoKey)?;
         let mut hasher = DefaultHasher::new();
         key.hash(&mut hasher);
         Ok(Statement {
+            id: id.ok_or(Malformed::Missing("id"))?,
+            writes,
+            keyed,
             class: class.ok_or(Malformed::Missing("c"))?,
             cluster: cluster.ok_or(Malformed::Missing("cluster"))?,
             wait: wait.ok_or(Malformed::Missing("d"))?,
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,7 +1,7 @@
 //! A request's life: who is owed its answer, which attempt is out and when the client gives up.
 //! Knows no protocol and no sockets: owners and connections are whatever the caller names them by.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::balancer::Ticket;
 use crate::Micros;
@@ -22,6 +22,8 @@
 pub enum Cause {
     /// The connection was refused, never came up or broke.
     Lost,
+    /// What came back is no answer.
+    Spoilt,
     /// The time for it ran out.
     TimedOut,
     /// The gateway did not try: no descriptors, no address, or the choice had gone stale.
@@ -53,6 +55,8 @@
     pub work: W,
     /// When the client stops waiting.
     pub until: Micros,
+    /// Its name, which no other request may bear while it is open.
+    name: String,
     attempt: Option<K>,
 }
 
@@ -67,18 +71,26 @@
 #[derive(Debug)]
 pub struct Ledger<K, W> {
     lives: BTreeMap<Ticket, Life<K, W>>,
+    names: BTreeSet<String>,
 }
 
 impl<K, W> Default for Ledger<K, W> {
     fn default() -> Self {
-        Ledger { lives: BTreeMap::new() }
+        Ledger { lives: BTreeMap::new(), names: BTreeSet::new() }
     }
 }
 
 impl<K: Copy, W> Ledger<K, W> {
     /// Takes a request on.
-    pub fn open(&mut self, ticket: Ticket, owner: K, work: W, until: Micros) {
-        self.lives.insert(ticket, Life { owner, work, until, attempt: None });
+    pub fn open(&mut self, ticket: Ticket, name: &str, owner: K, work: W, until: Micros) {
+        let name = name.to_string();
+        self.names.insert(name.clone());
+        self.lives.insert(ticket, Life { owner, work, until, name, attempt: None });
+    }
+
+    /// Whether a request of this name is open.
+    pub fn bears(&self, name: &str) -> bool {
+        self.names.contains(name)
     }
 
     /// The request, while it is owed an answer.
@@ -100,7 +112,9 @@
 
     /// Ends a request: whoever gets it back must answer, nobody else may.
     pub fn finish(&mut self, ticket: Ticket) -> Option<Life<K, W>> {
-        self.lives.remove(&ticket)
+        let life = self.lives.remove(&ticket)?;
+        self.names.remove(&life.name);
+        Some(life)
     }
 
     /// Number of requests owed an answer.
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -11,6 +11,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+/// The description of a row of one column.
+const DOC: &[u8] = b"\0\x01doc\0\0\0\0\0\0\0\0\0\0\x11\0\0\0\0\0\0\0\x01";
+
 fn fixed(cases: u32) -> ProptestConfig {
     ProptestConfig { cases, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..Default::default() }
 }
@@ -145,7 +148,7 @@
         let said = [Said::Served, Said::Miss, Said::TurnedAway, Said::Error][kind];
         codec::frame(&mut bytes, b'N', b"SNOTICE\0\0");
         if said == Said::Served {
-            codec::frame(&mut bytes, b'T', b"\0\0");
+            codec::frame(&mut bytes, b'T', DOC);
             let mut row = vec![0, 1];
             row.extend_from_slice(&(value.len() as u32).to_be_bytes());
             row.extend_from_slice(&value);
@@ -283,6 +286,16 @@
     assert_eq!(parse("/* id=1,c=a,d=5,cluster=x */").unwrap_err(), Malformed::Bad("cluster"));
     let no_key = Statement::parse("SELECT 1 /* id=1,c=a,d=5,cluster=1 */".into());
     assert_eq!(no_key.unwrap_err(), Malformed::NoKey);
+    for bad in ["id=1,id=2", "id=a'b", "id=1,k=", "id=1,d=5,d=6", "id=1,d=inf", "id=1,d=700000", "id=1,d=x"] {
+        let text = format!("/* {bad},c=a,cluster=1 */");
+        assert!(matches!(parse(&text), Err(Malformed::Bad(_))), "{bad}");
+    }
+    assert_eq!(parse("/* id=1,c=a,d=5,cluster=1 */ AND more").unwrap_err(), Malformed::NoComment);
+    for text in
+        ["GRANT 'k' /* id=1,c=a,d=5,cluster=1 */", "SELECT '\u{1}' /* id=1,c=a,d=5,cluster=1 */", "\u{e9}"]
+    {
+        assert_eq!(Statement::parse(text.into()).unwrap_err(), Malformed::NoStatement);
+    }
     assert!(parse("/* id=1, c=a , d= 5 ,cluster=1 */;").is_ok());
     assert_eq!(Malformed::Missing("c").to_string(), "the comment lacks c");
 }
@@ -301,14 +314,96 @@
 #[test]
 fn answers_do_not_run_into_each_other() {
     let mut host = welcomed();
-    for round in 0..2 {
+    for round in 0..2u8 {
         assert!(host.ask("q"));
         host.out.flush(&mut Vec::new()).expect("written");
-        let mut bytes = Vec::new();
-        codec::frame(&mut bytes, b'C', &[round]);
-        codec::ready(&mut bytes);
+        host.receive(&answer(&[
+            (b'T', DOC),
+            (b'D', &[0, 1, 0, 0, 0, 1, round]),
+            (b'C', b"SELECT 1\0"),
+            READY,
+        ]));
+        let Some(Turn::Answered(Answer { rows, value, position, .. })) = host.turn() else { panic!("none") };
+        assert_eq!((tags(&rows).as_str(), value, position), ("TDC", Some(vec![round]), None));
+    }
+}
+
+type Part<'a> = (u8, &'a [u8]);
+const READY: Part = (b'Z', b"I");
+
+fn answer(parts: &[Part]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for (tag, body) in parts {
+        codec::frame(&mut bytes, *tag, body);
+    }
+    bytes
+}
+
+/// Guards clients against spoilt answers: parts that are missing, doubled or out of order, rows and
+/// lengths that do not fit, errors without a code. All is nonsense at its first wrong message, and
+/// nothing of it is an answer, also when the connection ends right behind it.
+#[test]
+fn a_spoilt_answer_is_no_answer() {
+    let (t, d, c): (Part, Part, Part) = ((b'T', DOC), (b'D', &[0, 1, 0, 0, 0, 1, 9]), (b'C', b"SELECT 1\0"));
+    let spoilt: &[&[Part]] = &[
+        &[d, c, READY],
+        &[t, c, READY],
+        &[t, t, d, c, READY],
+        &[t, d, d, c, READY],
+        &[t, (b'D', &[0, 2, 0, 0, 0, 1, 9]), c],
+        &[t, (b'D', &[0, 1, 0, 0, 0, 2, 9]), c],
+        &[t, (b'D', &[0, 1, 0xc0, 0, 0, 0, 9]), c],
+        &[(b'T', b"\0\x02doc\0"), d, c],
+        &[t, d, (b'C', b"SELECT 1"), READY],
+        &[t, d, (b'C', &[0xff, 0]), READY],
+        &[t, d, c, (b'Z', b"?")],
+        &[t, d, c, (b'E', b"SERROR\0CXX000\0\0")],
+        &[(b'E', b"SERROR\0Mno code\0\0"), READY],
+        &[(b'E', b"CXX000"), READY],
+        &[t, (b'!', b"")],
+    ];
+    for parts in spoilt {
+        let mut host = welcomed();
+        assert!(host.ask("q"));
+        host.out.flush(&mut Vec::new()).expect("written");
+        host.receive(&answer(parts));
+        assert_eq!(host.turn(), Some(Turn::Nonsense), "{parts:?}");
+        assert_eq!((host.reach(), host.ended()), (Reach::WhollyWritten, None), "{parts:?}");
+    }
+    // A value that claims 3 GB, and noise, are told at once: nothing more is waited for.
+    for bytes in [b"T\0\0\0\x1d".to_vec(), b"D\xc0\0\0\0".to_vec(), b"C\0\0\x7f\xff".to_vec(), vec![7]] {
+        let mut host = welcomed();
+        assert!(host.ask("q"));
         host.receive(&bytes);
-        let Some(Turn::Answered(Answer { rows, position, .. })) = host.turn() else { panic!("no answer") };
-        assert_eq!((rows, position), (vec![b'C', 0, 0, 0, 5, round], None));
+        let whole_is_awaited = bytes[0] == b'T';
+        assert_eq!(host.turn().is_none(), whole_is_awaited, "{bytes:?}");
+        assert_eq!(host.is_half(), whole_is_awaited);
+    }
+}
+
+/// Guards what is believed of a host: where its word on itself is spoilt none of it counts, or a
+/// replica that lags would look current, while the value beside it is good.
+#[test]
+fn a_spoilt_report_says_nothing() {
+    use dunemount::pg::host::report;
+    for text in
+        ["x0=inf,x1=0", "x0=NaN,x1=0", "x0=-5,x1=0", "x0=1e99,x1=0", "x0=5,x1=7", "x0=5,x1", "x0=5;x1=0"]
+    {
+        assert_eq!(report(text.as_bytes()), (None, None), "{text}");
+    }
+    for note in [&b"caught_up_to\0inf\0"[..], b"caught_up_to\x0099", b"part\0mast\0", b"\xff\0\0"] {
+        let mut host = welcomed();
+        assert!(host.ask("q"));
+        host.receive(&answer(&[
+            (b'T', DOC),
+            (b'D', &[0, 1, 0, 0, 0, 0]),
+            (b'C', b"SELECT 1\0"),
+            (b'S', b"part\0replica\0"),
+            (b'S', b"caught_up_to\x001767225600123\0"),
+            (b'S', note),
+            READY,
+        ]));
+        let Some(Turn::Answered(answer)) = host.turn() else { panic!("no answer beside {note:?}") };
+        assert_eq!((answer.said, answer.role, answer.position), (Said::Served, None, None), "{note:?}");
     }
 }
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -239,13 +239,15 @@
 fn the_ledger_gives_each_request_away_once() {
     let (mut ledger, mut balancer) = (Ledger::default(), balancer(true));
     let (ticket, _) = balancer.pick(START, ask(0, 1, LONG));
-    ledger.open(ticket, 'c', "work", START);
+    ledger.open(ticket, "name", 'c', "work", START);
+    assert!(ledger.bears("name") && !ledger.bears("other"));
     assert!(ledger.begin(ticket, 'a'));
     assert!(!ledger.begin(ticket, 'b'), "a second attempt while one is out");
     assert_eq!(ledger.end(ticket), Some('a'));
     assert!(ledger.begin(ticket, 'b'));
     assert_eq!(ledger.finish(ticket).and_then(|life| life.attempt()), Some('b'));
     assert!(ledger.finish(ticket).is_none() && !ledger.begin(ticket, 'd') && ledger.is_empty());
+    assert!(!ledger.bears("name"), "an ended request leaves its name");
 }
 
 /// Guards against a request overdue: a client's last try may come with less time than the module needs
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,7 +5,7 @@
 use std::os::unix::net::UnixStream;
 use std::process::Command;
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
-use std::sync::{atomic::AtomicBool, atomic::Ordering, Arc};
+use std::sync::{atomic::AtomicBool, atomic::AtomicUsize, atomic::Ordering, Arc};
 use std::thread::JoinHandle;
 
 use dunemount::net::discovery::{BadAnswer, Directory, Listing, Watch};
@@ -97,6 +97,7 @@
             let _ = heard.send("ended".to_string());
             return;
         }
+        let spoilt = text.contains("'first-spoilt'") && !mood.broke.swap(true, Ordering::SeqCst);
         if text.contains("'first-breaks'") && !mood.broke.swap(true, Ordering::SeqCst) {
             return;
         }
@@ -110,11 +111,14 @@
             let value: &[u8] = if text.contains("'large'") { &[7; 64 * 1024] } else { b"\x01\x00\xff" };
             codec::frame(&mut out, b'T', b"\0\x01doc\0\0\0\0\0\0\0\0\0\0\x11\0\0\0\0\0\0\0\x01");
             let row = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
-            codec::frame(&mut out, b'D', &row);
+            codec::frame(&mut out, if spoilt { b'?' } else { b'D' }, &row);
             codec::frame(&mut out, b'C', b"SELECT 1\0");
             codec::parameter(&mut out, "part", "master");
         }
         codec::ready(&mut out);
+        if text.contains("'doubled'") {
+            out.extend_from_within(..);
+        }
     }
 }
 
@@ -208,12 +212,20 @@
     }
 }
 
+/// A name for each request, as clients give them.
+fn name() -> usize {
+    static NAMES: AtomicUsize = AtomicUsize::new(0);
+    NAMES.fetch_add(1, Ordering::SeqCst)
+}
+
 fn read(key: &str) -> String {
-    format!("SELECT doc FROM items WHERE id = '{key}' /* id=00ab,c=look,d=30000,cluster=1 */")
+    let id = name();
+    format!("SELECT doc FROM items WHERE id = '{key}' /* id={id},c=look,d=30000,cluster=1 */")
 }
 
 fn write(key: &str) -> String {
-    format!("INSERT INTO items (id, doc) VALUES ('{key}', '\\x9f') RETURNING doc /* id=00ab,c=store,d=30000,k=77,cluster=1 */")
+    let id = name();
+    format!("INSERT INTO items (id, doc) VALUES ('{key}', '\\x9f') RETURNING doc /* id={id},c=store,d=30000,k=77,cluster=1 */")
 }
 
 /// Guards the ordinary path: readiness, pipelining in order, large values and bytes passed on as they
@@ -224,13 +236,14 @@
     let mut client = rig.client();
     client.ask("");
     assert_eq!(client.answer()[0].tag, b'I');
-    for text in [read("large"), write("k"), read("k")] {
-        client.ask(&text);
+    let texts = [(64 * 1024, read("large")), (3, write("k")), (3, read("k"))];
+    for (_, text) in &texts {
+        client.ask(text);
     }
-    for (length, text) in [(64 * 1024, read("large")), (3, write("k")), (3, read("k"))] {
+    for (length, text) in texts {
         let answer = client.answer();
         assert_eq!(answer.iter().map(|f| f.tag).collect::<Vec<_>>(), b"TDCZ");
-        assert_eq!(codec::first_column(&answer[1].body).map(<[u8]>::len), Some(length));
+        assert_eq!(codec::only_column(&answer[1].body).map(<[u8]>::len), Some(length));
         let heard = rig.heard.recv().expect("heard");
         let (before, after) = text.split_once("d=30000").expect("a wait");
         assert!(heard.starts_with(before) && heard.ends_with(after), "{heard}");
@@ -247,6 +260,8 @@
         ("SELECT 1".to_string(), "08P01"),
         (read("k").replace("c=look", "c=unheard"), "08P01"),
         (read("k").replace("cluster=1", "cluster=9"), "08P01"),
+        (write("k").replace("c=store", "c=look"), "08P01"),
+        (write("k").replace("k=77,", ""), "08P01"),
         (read("k").replace("d=30000", "d=0"), "53300"),
         (write("never"), "58000"),
     ] {
@@ -258,6 +273,40 @@
     rig.end();
 }
 
+/// Guards the answer that another client is owed: the id of an open request is not taken twice.
+#[test]
+fn an_id_is_open_once() {
+    let rig = Rig::start(200);
+    let (mut first, mut second) = (rig.client(), rig.client());
+    let text = read("held");
+    first.ask(&text);
+    rig.heard.recv().expect("the attempt is out");
+    second.ask(&text);
+    assert_eq!(second.code(), "08P01");
+    rig.mood.released.store(true, Ordering::SeqCst);
+    assert_eq!(first.answer().len(), 4);
+    second.ask(&text);
+    assert_eq!(second.answer().len(), 4, "it is free again");
+    rig.end();
+}
+
+/// Guards clients against spoilt answers and against what comes behind a good one: a second copy must
+/// not be served for the next request.
+#[test]
+fn only_whole_answers_to_the_request_are_served() {
+    let rig = Rig::start(200);
+    let mut client = rig.client();
+    client.ask(&read("first-spoilt"));
+    assert_eq!(client.answer().len(), 4);
+    for _ in 0..6 {
+        client.ask(&read("doubled"));
+        assert_eq!(codec::only_column(&client.answer()[1].body).map(<[u8]>::len), Some(3));
+        client.ask(&read("large"));
+        assert_eq!(codec::only_column(&client.answer()[1].body).map(<[u8]>::len), Some(64 * 1024));
+    }
+    rig.end();
+}
+
 /// Guards a request whose connection breaks after its last byte: a read goes to another host.
 #[test]
 fn a_read_outlives_its_connection() {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -558,6 +558,25 @@
     }
 }
 
+/// Guards sound members against spoilt answers, which any of them may send: they prove that it is up
+/// and eject nobody, and the read they were for goes on to another member.
+#[test]
+fn spoilt_answers_eject_nobody() {
+    let mut rig = Rig::new(Settings { probes: false, ..settings() });
+    for _ in 0..3 {
+        let (id, first) = rig.request(ANY, 1);
+        let mut to = sends(&first)[0].1;
+        for no in 0..2 {
+            rig.now = rig.now + Micros::millis(20);
+            let next = rig.end(id, no, to, Status::Spoilt, None);
+            let [(again, other)] = sends(&next)[..] else { panic!("not sent on: {next:?}") };
+            assert!(again == id && other != to);
+            to = other;
+        }
+        rig.end(id, 2, to, Status::Ok, None);
+    }
+}
+
 /// Requests that every member answers with an error went round all of them.
 #[test]
 fn a_read_that_errors_at_two_members_is_given_up() {
