--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,10 +20,11 @@
 const MEAN_GAIN: f64 = 0.02;
 /// Weight of a new sample in a member's own figures, which must follow a trouble within a second.
 const MEMBER_GAIN: f64 = 0.1;
-/// Part of the aim that a limit steers the mean latency to: about one answer in twenty comes after it.
-const LIMIT_AIM: f64 = 1.0 / 3.0;
-/// Most of its aim that a read may spend waiting in the router; the rest is for its service.
-const PATIENCE: f64 = 0.4;
+/// Part of the aim that a limit steers the mean latency to: few answers come after it.
+const LIMIT_AIM: f64 = 0.27;
+/// Most of its aim that a read may spend waiting in the router: the rest is for its service, and its
+/// client may come again while there is something left of it.
+const PATIENCE: f64 = 0.2;
 /// Most of its client's time that a request may be held without having reached a member.
 const HELD_PART: f64 = 0.45;
 /// Step of a concurrency limit for each answer: tens of answers move it by a request's worth.
@@ -41,7 +42,7 @@
 /// Load under which a member counts as idle and may take a request of any size.
 const SPENT: f64 = 0.1;
 /// Part of the primary's limit open to reads; the rest is for writes, which have no other place.
-const PRIMARY_READ_PART: f64 = 0.7;
+const PRIMARY_READ_PART: f64 = 0.9;
 /// Time in which the memory of failures halves, so that a member gets another chance.
 const FAIL_HALF_LIFE: Micros = Micros::millis(3000);
 /// Least draw weight of a failing member: the trickle that shows its return.
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -192,6 +192,27 @@
     assert_eq!(sends(&rig.request(SESSION, 5).1)[0].1, FAR);
 }
 
+/// Guards a primary's slots against reads that are sent after a long wait only to be given up: one that
+/// found no room is refused within a quarter of its aim, with advice, while its client can come again.
+#[test]
+fn a_read_without_room_is_refused_early() {
+    let mut rig = Rig::new(settings());
+    let lagging = Micros(rig.now.0 - 5_000_000);
+    rig.probed(NEAR, lagging);
+    rig.probed(FAR, lagging);
+    while !sends(&rig.request(BOUNDED, 1).1).is_empty() {}
+    let (last, arrived) = (RequestId(rig.next), rig.now);
+    loop {
+        let actions = rig.sweep(1);
+        let refused =
+            |a: &Action| matches!(a, Action::Refuse { request, retry_after: Some(_) } if *request == last);
+        if actions.iter().any(refused) {
+            break;
+        }
+        assert!(rig.now < arrived + Micros::millis(50), "still held");
+    }
+}
+
 /// Guards session reads against a member that joins later, from a copy older than a commit whose
 /// session was forgotten because all members of its time had passed it.
 #[test]
