--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -48,6 +48,9 @@
 const AHEAD: Micros = Micros::millis(1_000);
 /// How long the loop goes on accepting after SIGTERM: the hand-over takes up to 0.4 s.
 const HAND_OVER: Micros = Micros::millis(500);
+/// Part of all descriptors that clients which have asked before may keep open. For requests, clients
+/// hold a third of the descriptors among them: while they keep idle ones, new ones must find room.
+const KNOWN_PART: usize = 4;
 /// Time between rounds over idle and late connections.
 const ROUND: Micros = Micros::millis(250);
 /// Rounds between two lines on the traffic.
@@ -197,6 +200,8 @@
     longest_message: usize,
     clients: usize,
     most_clients: usize,
+    /// Most clients that are kept open though they have asked before.
+    most_known: usize,
     pool: Pool<Key>,
     ledger: Ledger<Key, Statement>,
     balancer: Balancer,
@@ -246,6 +251,7 @@
             longest_message: (memory / MESSAGE_PART).clamp(codec::MAX_MESSAGE, MOST_ROW),
             clients: 0,
             most_clients: budget - hosts,
+            most_known: (config.sockets / KNOWN_PART).clamp(2, budget - hosts),
             pool: Pool::new(hosts, idle_limit),
             ledger: Ledger::default(),
             balancer: Balancer::new(config.site.settings, config.seed),
@@ -542,6 +548,7 @@
             answer(&mut client.protocol);
             self.write(life.owner);
             self.ready.push_back(life.owner);
+            self.spare_clients();
             if !self.accepting {
                 self.set_accepting(true);
             }
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -25,7 +25,7 @@
 /// How long an answer may lie unread.
 const UNREAD: Micros = Micros::millis(10_000);
 /// A client that has asked nothing for so long goes before those that have.
-const SILENT: Micros = Micros::millis(300);
+const SILENT: Micros = Micros::millis(50);
 
 /// Why a client has to leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,6 +123,27 @@
         found.is_some()
     }
 
+    /// Closes the client that has been idle longest where too many that have asked are open: clients
+    /// that never use a connection again would keep all they may have, and those that wait get none.
+    pub(super) fn spare_clients(&mut self) {
+        if self.clients <= self.most_known {
+            return;
+        }
+        let known = |(place, slot): (usize, &Slot)| match &slot.link {
+            Link::Client(c) if c.asked => {
+                Some((c.protocol.is_idle(), c.used, Key { place, serial: slot.serial }))
+            }
+            _ => None,
+        };
+        let known: Vec<(bool, Micros, Key)> = self.slots.iter().filter_map(known).collect();
+        if known.len() > self.most_known {
+            let idle = known.into_iter().filter(|(idle, ..)| *idle).min_by_key(|(_, used, _)| *used);
+            if let Some((_, _, key)) = idle {
+                self.close(key);
+            }
+        }
+    }
+
     /// The round over clients: those that owe something for too long are told so and closed, those
     /// that have been idle for long make room.
     pub(super) fn see_out_guests(&mut self) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -366,6 +366,26 @@
     rig.gateway.join().expect("it ends by itself");
 }
 
+/// Guards clients that wait for a connection against those that asked once and keep theirs: of these a
+/// quarter of the descriptors stays open, and the one idle longest goes first.
+#[test]
+fn clients_that_asked_once_make_room() {
+    let rig = Rig::start(80);
+    let mut held: Vec<Talk> = Vec::new();
+    for _ in 0..21 {
+        let mut client = rig.client();
+        client.ask(&read("k"));
+        assert_eq!(client.answer().len(), 4);
+        held.push(client);
+    }
+    assert_eq!(held.remove(0).answer().len(), 0, "closed");
+    for client in &mut held {
+        client.ask(&read("k"));
+        assert_eq!(client.answer().len(), 4, "still open");
+    }
+    rig.end();
+}
+
 /// Guards the descriptor budget: with more clients than descriptors the idle ones make room.
 #[test]
 fn idle_clients_make_room_for_new_ones() {
