Open the operators' door: readiness, figures and hosts put down by hand

Counted at the one place where a final answer leaves (finish), tries once the last byte is written (count_try). Checked: a probe whose connection was still coming up is dropped at start_task (admits), an attempt there moves on as before (still_holds).

--- a/src/api.rs
+++ b/src/api.rs
@@ -364,6 +364,13 @@
     Gone(RequestId),
     /// A timer is due.
     Timer(TimerId),
+    /// Operators leave a member out, or put it back.
+    Bar {
+        /// The member.
+        member: MemberId,
+        /// Out, or back.
+        out: bool,
+    },
     /// A probe has ended.
     Probed {
         /// The member probed.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,7 +3,7 @@
 //! The ordinary path: a read goes to a replica whose last known log position covers the read's
 //! token or bound, drawn by weight and load with the primary left out; otherwise to the primary.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -101,6 +101,8 @@
     fail: f64,
     /// Weight in the draw, before zone and load.
     weight: f64,
+    /// Out by the operators' hand, whatever the list says.
+    barred: bool,
     /// The list calling it gone binds nobody: it has not drained since its start.
     unbound: bool,
     /// Connections refused or cut in a row since a request was last answered.
@@ -123,7 +125,15 @@
     }
 
     fn listed(&self) -> bool {
-        self.entry.listed == Listed::Ready || self.entry.listed == Listed::Gone && self.unbound
+        let listed = self.entry.listed == Listed::Ready || self.entry.listed == Listed::Gone && self.unbound;
+        listed && !self.barred
+    }
+
+    /// Books a new start: what was known of its health is void, its position is still valid.
+    fn restart(&mut self, at: Micros, rng: &mut Pcg64Mcg) {
+        self.born = at;
+        self.fail = 0.0;
+        self.credit = -unit(rng);
     }
 
     /// Books a connection that broke or could not be made. One says little: a full table, a slow link
@@ -196,6 +206,8 @@
     rng: Pcg64Mcg,
     members: BTreeMap<MemberId, Member>,
     groups: BTreeMap<GroupId, Group>,
+    /// Members that operators have put down, in the list or not.
+    barred: BTreeSet<MemberId>,
     open: BTreeMap<RequestId, Open>,
     attempts: BTreeMap<(RequestId, AttemptNo), Attempt>,
     sessions: BTreeMap<SessionKey, Session>,
@@ -232,6 +244,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             members: BTreeMap::new(),
             groups: BTreeMap::new(),
+            barred: BTreeSet::new(),
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -258,6 +271,7 @@
             Event::Started { request } => self.close(request),
             Event::Outcome(outcome) => self.outcome(now, outcome, actions),
             Event::Gone(id) => self.close(id),
+            Event::Bar { member, out } => self.bar(now, member, out, actions),
             Event::Timer(SWEEP) if now >= self.wake => self.sweep(now, actions),
             Event::Timer(_) | Event::Peer { .. } => {}
             Event::Probed { member, status, report } => self.probed(now, member, status, report, actions),
@@ -293,11 +307,9 @@
                 group.members.push(entry.member);
                 group.members.sort();
             }
+            member.barred = self.barred.contains(&entry.member);
             if entry.started > member.born {
-                // A new start: what was known of its health is void, its position is still valid.
-                member.born = entry.started;
-                member.fail = 0.0;
-                member.credit = -unit(&mut self.rng);
+                member.restart(entry.started, &mut self.rng);
                 if now - entry.started < self.settings.cold_time {
                     member.limit = start;
                 }
@@ -310,6 +322,43 @@
         }
     }
 
+    /// Leaves a member out by hand, or puts it back. It may have been started anew meanwhile: it comes back
+    /// cold, with its old position and no say in who leads, and nothing else of it counts any more.
+    fn bar(&mut self, now: Micros, id: MemberId, out: bool, actions: &mut Actions) {
+        let changed = if out { self.barred.insert(id) } else { self.barred.remove(&id) };
+        actions.push(Action::CloseIdle { member: id });
+        let Some(member) = self.members.get_mut(&id).filter(|_| changed) else { return };
+        member.barred = out;
+        if !out {
+            let Member { entry, position, position_at, lag, role_at, inflight, load, unbound, .. } = *member;
+            let (limit, weight) = (LIMIT_START * self.limit_share.sqrt(), entry.weight.max(TRICKLE));
+            let kept = Member {
+                entry,
+                position,
+                position_at,
+                lag,
+                role_at,
+                inflight,
+                load,
+                unbound,
+                ..Member::default()
+            };
+            *member = Member { limit, weight, stretch: 1.0, probing: member.probing, ..kept };
+            member.restart(now, &mut self.rng);
+        }
+        self.wake_by(now, actions);
+    }
+
+    /// Whether a member may be sent anything new.
+    pub fn admits(&self, id: MemberId) -> bool {
+        self.members.get(&id).is_some_and(Member::listed)
+    }
+
+    /// Whether a member is left out, by hand or by choice.
+    pub fn avoids(&self, id: MemberId) -> bool {
+        self.barred.contains(&id) || self.members.get(&id).is_some_and(|m| m.ejected.is_some())
+    }
+
     /// Takes in what a member said. A position stays valid for ever; the latest word on the role wins.
     fn learn(&mut self, now: Micros, id: MemberId, role: Option<Role>, at: Micros, position: Option<Micros>) {
         let Some(member) = self.members.get_mut(&id) else { return };
@@ -331,8 +380,7 @@
         member.ejected = None;
         if member.broken.take().is_some_and(|(since, cut)| cut && now - since > AWAY) {
             // Away for so long, its process has most likely started again, whatever the list says: cold.
-            member.born = member.born.max(now);
-            member.credit = -unit(&mut self.rng);
+            member.restart(now, &mut self.rng);
         }
     }
 
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -133,6 +133,8 @@
     needs: Vec<Need>,
     keyed: Vec<bool>,
     groups: BTreeSet<GroupId>,
+    /// The members that the list names.
+    pool: BTreeSet<MemberId>,
     next_ticket: u64,
     tracks: BTreeMap<Ticket, Track>,
     timers: BTreeSet<(Micros, TimerId)>,
@@ -151,6 +153,7 @@
             needs,
             keyed,
             groups: BTreeSet::new(),
+            pool: BTreeSet::new(),
             next_ticket: 0,
             tracks: BTreeMap::new(),
             timers: BTreeSet::new(),
@@ -161,10 +164,34 @@
     /// Takes in a member list or a change to it.
     pub fn members(&mut self, now: Micros, full: bool, entries: Vec<Entry>) {
         self.groups.extend(entries.iter().map(|entry| entry.group));
+        if full {
+            self.pool.clear();
+        }
+        for entry in &entries {
+            match entry.listed {
+                Listed::Ready | Listed::Draining => self.pool.insert(entry.member),
+                Listed::Gone => self.pool.remove(&entry.member),
+            };
+        }
         let kind = if full { ListKind::Full } else { ListKind::Changes };
         self.drive(now, Event::Members { kind, entries });
     }
 
+    /// Leaves a member out at the operators' word, whatever the list says, or puts it back.
+    pub fn bar(&mut self, now: Micros, member: MemberId, out: bool) {
+        self.drive(now, Event::Bar { member, out });
+    }
+
+    /// Number of members in the list, and of those among them that are avoided.
+    pub fn pool(&self) -> (usize, usize) {
+        (self.pool.len(), self.pool.iter().filter(|member| self.router.avoids(**member)).count())
+    }
+
+    /// Whether the member may be sent anything new.
+    pub fn admits(&self, member: MemberId) -> bool {
+        self.router.admits(member)
+    }
+
     /// Whether a list has ever named this group.
     pub fn knows(&self, group: GroupId) -> bool {
         self.groups.contains(&group)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,7 +79,9 @@
 mod api;
 mod balance;
 pub mod balancer;
+pub mod http;
 pub mod net;
+pub mod ops;
 pub mod pg;
 pub mod request;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,6 +20,7 @@
 struct File {
     name: String,
     listen: String,
+    admin_addr: Option<String>,
     discovery: String,
     seed: String,
     limits: Limits,
@@ -52,8 +53,10 @@
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed))?;
     let mut zones = Zones::default();
     let site = file.settings.site(&mut zones).map_err(|e| format!("settings: {e}"))?;
+    let admin = std::env::var("GW_ADMIN_ADDR").ok().or(file.admin_addr);
     let config = Config {
         listen: address("GW_LISTEN", told("GW_LISTEN", file.listen))?,
+        admin: admin.map(|text| address("GW_ADMIN_ADDR", text)).transpose()?,
         discovery: address("GW_DISCOVERY", told("GW_DISCOVERY", file.discovery))?,
         seed,
         sockets: file.limits.sockets,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 use super::clock::Clock;
+use crate::http::{self, BadBody, Extent};
 use crate::settings::Zones;
 use crate::{Entry, GroupId, Listed, MemberId, Micros};
 
@@ -73,6 +74,11 @@
         self.hosts.get(&member).map(|(address, _)| *address)
     }
 
+    /// The host of this name, if a list has ever named it.
+    pub fn member(&self, name: &str) -> Option<MemberId> {
+        self.numbers.get(name).copied()
+    }
+
     /// The host's name in the list.
     pub fn name(&self, member: MemberId) -> &str {
         self.hosts.get(&member).map_or("?", |(_, name)| name)
@@ -119,6 +125,15 @@
     Body,
 }
 
+impl BadAnswer {
+    fn of(bad: BadBody, malformed: BadAnswer) -> BadAnswer {
+        match bad {
+            BadBody::Malformed => malformed,
+            BadBody::TooLong => BadAnswer::TooLong,
+        }
+    }
+}
+
 /// The watch: which version is known, and the bytes of the answer so far.
 #[derive(Debug)]
 pub struct Watch {
@@ -166,21 +181,15 @@
             Err(_) => return Err(BadAnswer::Head),
         };
         let status = response.code.unwrap_or_default();
-        let header = |name: &str| {
-            let found = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
-            std::str::from_utf8(found.value).ok().map(str::trim)
-        };
         let body = &self.bytes[head..];
-        let whole = if header("transfer-encoding").is_some_and(|t| t.eq_ignore_ascii_case("chunked")) {
-            unchunk(body)?
-        } else if let Some(length) = header("content-length") {
-            let length: usize = length.parse().map_err(|_| BadAnswer::Head)?;
-            if length > MAX_BODY {
-                return Err(BadAnswer::TooLong);
+        let extent =
+            http::extent(response.headers, MAX_BODY).map_err(|bad| BadAnswer::of(bad, BadAnswer::Head))?;
+        let whole = match extent {
+            Extent::Chunked => {
+                http::unchunk(body, MAX_BODY).map_err(|bad| BadAnswer::of(bad, BadAnswer::Body))?
             }
-            body.get(..length).map(<[u8]>::to_vec)
-        } else {
-            ended.then(|| body.to_vec())
+            Extent::Length(length) => body.get(..length).map(<[u8]>::to_vec),
+            Extent::Unsaid => ended.then(|| body.to_vec()),
         };
         let Some(whole) = whole else {
             return match body.len() {
@@ -198,26 +207,3 @@
         Ok(Some(listing))
     }
 }
-
-/// The body that chunks make up, once the last has come.
-fn unchunk(mut rest: &[u8]) -> Result<Option<Vec<u8>>, BadAnswer> {
-    let mut body = Vec::new();
-    loop {
-        let (start, size) = match httparse::parse_chunk_size(rest) {
-            Ok(httparse::Status::Complete(chunk)) => chunk,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(BadAnswer::Body),
-        };
-        if size > MAX_BODY as u64 || body.len() > MAX_BODY {
-            return Err(BadAnswer::TooLong);
-        }
-        let end = start + size as usize;
-        let Some(chunk) = rest.get(start..end) else { return Ok(None) };
-        let Some(after) = rest.get(end + 2..) else { return Ok(None) };
-        if size == 0 {
-            return Ok(Some(body));
-        }
-        body.extend_from_slice(chunk);
-        rest = after;
-    }
-}
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -12,13 +12,16 @@
 use slog::{debug, error, info, warn, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 
+mod door;
 mod guests;
 mod watching;
 
+use self::door::CallerLink;
 use super::clock::Clock;
 use super::discovery::{Directory, Listing, Watch};
 use super::pool::Pool;
 use crate::balancer::{Balancer, Due, Ended, Said, Ticket, Verdict};
+use crate::ops::figures::Figures;
 use crate::pg::client::Client;
 use crate::pg::codec::{self, Outbox};
 use crate::pg::host::{self, Answer, Host, Turn};
@@ -30,7 +33,9 @@
 const LISTENER: usize = usize::MAX - 1;
 const SIGNALS: usize = usize::MAX - 2;
 const RELOAD: usize = usize::MAX - 3;
-/// Descriptors kept back: standard streams, poller, signals, listener, discovery, and some to spare.
+const DOOR: usize = usize::MAX - 4;
+/// Descriptors kept back: standard streams, poller, signals, listeners, discovery, callers, and some to
+/// spare.
 const RESERVE: usize = 40;
 /// Part of the others that connections to hosts may take.
 const HOST_PART: usize = 3;
@@ -65,6 +70,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub admin: Option<SocketAddr>,
     /// Discovery's address.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -109,6 +116,7 @@
     Client(ClientLink),
     Host(HostLink),
     Discovery(Outbox),
+    Caller(CallerLink),
 }
 
 struct ClientLink {
@@ -129,6 +137,8 @@
     protocol: Host,
     member: MemberId,
     welcome: bool,
+    /// The attempt on it is counted among those written whole.
+    counted: bool,
     /// When bytes last came.
     heard: Micros,
     task: Task,
@@ -178,6 +188,13 @@
     spoilt: u64,
 }
 
+/// A final answer.
+enum Final<'a> {
+    Served(&'a [u8]),
+    Refused(Option<Micros>),
+    Failed,
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
     Serving,
@@ -192,6 +209,9 @@
     now: Micros,
     poller: Poller,
     listener: Option<TcpListener>,
+    /// The operators' listener.
+    door: Option<TcpListener>,
+    figures: Figures,
     accepting: bool,
     signals: Signals,
     slots: Slab<Slot>,
@@ -233,6 +253,14 @@
             pipe.set_nonblocking(true)?;
             poller.add_with_mode(pipe, Event::readable(key), PollMode::Level)?;
         }
+        let door = config.admin.map(listen).transpose()?;
+        if let Some(door) = &door {
+            poller.add_with_mode(door, Event::readable(DOOR), PollMode::Level)?;
+        }
+        let mut figures = Figures::default();
+        for class in &config.site.classes {
+            figures.class(class);
+        }
         let clock = Clock::start();
         let budget = config.sockets.saturating_sub(RESERVE).max(8);
         let hosts = budget / HOST_PART;
@@ -243,6 +271,8 @@
             clock,
             poller,
             listener: Some(listener),
+            door,
+            figures,
             accepting: true,
             signals,
             slots: Slab::new(),
@@ -282,6 +312,11 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
+    /// Where operators call.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.door.as_ref()?.local_addr().ok()
+    }
+
     /// Serves until a signal ends it and all that was taken is answered.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
@@ -330,6 +365,7 @@
     fn on_event(&mut self, event: Event) {
         match event.key {
             LISTENER => self.accept(),
+            DOOR => self.answer_door(),
             SIGNALS => self.on_signal(),
             RELOAD => self.on_reload(),
             place => {
@@ -403,7 +439,7 @@
         match link {
             Link::Client(_) => self.clients += 1,
             Link::Host(_) => self.pool.opened(),
-            Link::Discovery(_) => {}
+            Link::Discovery(_) | Link::Caller(_) => {}
         }
         self.slots.insert(Slot { serial: key.serial, socket, interest: (true, writable), link });
         Ok(key)
@@ -418,7 +454,7 @@
         match slot.link {
             Link::Client(_) => self.clients -= 1,
             Link::Host(host) => self.pool.closed(host.member, key),
-            Link::Discovery(_) => {}
+            Link::Discovery(_) | Link::Caller(_) => {}
         }
         if !self.accepting {
             self.set_accepting(true);
@@ -432,6 +468,7 @@
             Link::Client(client) => (client.protocol.wants_more(), !client.protocol.out.is_empty()),
             Link::Host(host) => (true, !host.protocol.out.is_empty()),
             Link::Discovery(out) => (true, !out.is_empty()),
+            Link::Caller(caller) => (true, !caller.call.out.is_empty()),
         };
         if wants == slot.interest {
             return;
@@ -451,12 +488,15 @@
             Link::Client(client) => &mut client.protocol.out,
             Link::Host(host) => &mut host.protocol.out,
             Link::Discovery(out) => out,
+            Link::Caller(caller) => &mut caller.call.out,
         };
         match out.flush(&mut slot.socket) {
             Ok(true) => {
-                if let Link::Client(ClientLink { closing: true, .. }) = slot.link {
-                    self.close(key);
-                    return;
+                match &slot.link {
+                    Link::Client(ClientLink { closing: true, .. }) => return self.close(key),
+                    Link::Caller(caller) if caller.call.is_answered() => self.caller_served(key),
+                    Link::Host(_) => self.count_try(key),
+                    _ => {}
                 }
                 self.arm(key);
             }
@@ -512,6 +552,7 @@
                 }
             }
             Link::Discovery(_) => self.discovery_says(key, bytes, ended),
+            Link::Caller(_) => self.caller_says(key, bytes, ended),
             _ => self.lose(key),
         }
     }
@@ -532,20 +573,31 @@
             }
             Link::Host(_) => self.host_lost(key, Cause::Lost),
             Link::Discovery(_) => self.discovery_failed(key, "connection broke"),
+            Link::Caller(_) => self.close(key),
         }
     }
 
     // ---- Answers ----
 
-    /// Gives the final answer.
-    fn finish(&mut self, ticket: Ticket, answer: impl FnOnce(&mut Client)) {
+    /// Gives the final answer, and counts it.
+    fn finish(&mut self, ticket: Ticket, answer: Final) {
         self.drop_attempt(ticket);
         let Some(life) = self.ledger.finish(ticket) else { return };
         let now = self.now;
+        let tally = self.figures.class(&life.work.class);
+        match answer {
+            Final::Served(_) => tally.ok += 1,
+            Final::Refused(_) => tally.shed += 1,
+            Final::Failed => tally.errors += 1,
+        }
         if let Some(client) = self.client(life.owner) {
             client.ticket = None;
             client.used = now;
-            answer(&mut client.protocol);
+            match answer {
+                Final::Served(rows) => client.protocol.serve(rows),
+                Final::Refused(come_back) => client.protocol.refuse(come_back),
+                Final::Failed => client.protocol.fail("58000", "no answer in time, it may have run"),
+            }
             self.write(life.owner);
             self.ready.push_back(life.owner);
             self.spare_clients();
@@ -563,11 +615,11 @@
             Verdict::Send { member, timeout } => self.send(ticket, member, timeout),
             Verdict::Refuse { come_back } => {
                 self.counts.refused += 1;
-                self.finish(ticket, |client| client.refuse(come_back));
+                self.finish(ticket, Final::Refused(come_back));
             }
             Verdict::Fail => {
                 self.counts.failed += 1;
-                self.finish(ticket, |client| client.fail("58000", "no answer in time, it may have run"));
+                self.finish(ticket, Final::Failed);
             }
         }
     }
@@ -600,12 +652,17 @@
     fn start_task(&mut self, key: Key) {
         let now = self.now;
         let Some(host) = self.host(key).filter(|host| host.welcome) else { return };
-        let member = host.member;
-        let text = match host.task {
+        let (member, task) = (host.member, host.task);
+        let text = match task {
             Task::None => {
                 self.pool.put(now, member, key);
                 return;
             }
+            Task::Probe if !self.balancer.admits(member) => {
+                self.free(key);
+                let broken = Broken { reach: Reach::NotConnected, cause: Cause::NotTried };
+                return self.balancer.probed(now, member, Ended::Broken(broken));
+            }
             Task::Probe => "SHOW gauges".to_string(),
             Task::Attempt(ticket) => {
                 let holds = self.balancer.still_holds(now, ticket);
@@ -629,11 +686,23 @@
         }
     }
 
+    /// Counts the attempt on a connection once its last byte is written.
+    fn count_try(&mut self, key: Key) {
+        let Some(host) = self.host(key) else { return };
+        let Task::Attempt(ticket) = host.task else { return };
+        if host.protocol.reach() == Reach::WhollyWritten && !std::mem::replace(&mut host.counted, true) {
+            if let Some(life) = self.ledger.get(ticket) {
+                self.figures.class(&life.work.class).tries += 1;
+            }
+        }
+    }
+
     /// Puts a welcomed connection that carries nothing back into the pool.
     fn free(&mut self, key: Key) {
         let now = self.now;
         let Some(host) = self.host(key) else { return };
         host.task = Task::None;
+        host.counted = false;
         let (member, idle, welcome) = (host.member, host.protocol.is_idle(), host.welcome);
         if idle {
             self.pool.put(now, member, key);
@@ -666,7 +735,7 @@
         let verdict = self.balancer.report(self.now, ticket, ended);
         if answer.said == Said::Served {
             self.counts.served += 1;
-            self.finish(ticket, |client| client.serve(&answer.rows));
+            self.finish(ticket, Final::Served(&answer.rows));
         } else {
             while self.do_due() {}
             self.apply(ticket, verdict);
@@ -693,6 +762,7 @@
             protocol: Host::taking(self.longest_row),
             member,
             welcome: false,
+            counted: false,
             heard: self.now,
             task: Task::None,
         };
@@ -886,6 +956,7 @@
             self.host_lost(key, Cause::Spoilt);
         }
         self.see_out_guests();
+        self.see_out_callers();
         self.rounds += 1;
         if self.rounds % ROUNDS_A_LINE == 0 {
             let counts = std::mem::take(&mut self.counts);
--- /dev/null
+++ b/src/net/event_loop/door.rs
@@ -0,0 +1,138 @@
+//! The loop's part for operators: their listener and their calls. Callers have places of their own, so
+//! that neither clients keep them out nor they the clients, and those without a whole call go first.
+
+use std::net::Shutdown;
+
+use slog::{info, warn};
+
+use super::{Gateway, Key, Link, Phase};
+use crate::ops::call::{Call, Order, Status};
+use crate::ops::figures::Figures;
+use crate::Micros;
+
+/// Most callers at a time.
+const CALLERS: usize = 12;
+/// How long a caller may take for its whole call, and how long for reading the answer.
+const PATIENCE: Micros = Micros::millis(5_000);
+const LINGER: Micros = Micros::millis(1_000);
+
+/// An operator's connection.
+pub(super) struct CallerLink {
+    pub(super) call: Call,
+    /// When it connected, or when it got its answer.
+    since: Micros,
+}
+
+impl Gateway {
+    /// Accepts callers. A call that has come along is answered at once.
+    pub(super) fn answer_door(&mut self) {
+        while let Some(Ok((socket, _))) = self.door.as_ref().map(|door| door.accept()) {
+            self.clear_doorstep();
+            let link = CallerLink { call: Call::default(), since: self.now };
+            let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
+            if let Ok(key) = set.and_then(|()| self.insert(socket, Link::Caller(link), false)) {
+                self.read(key);
+            }
+        }
+    }
+
+    fn callers(&self) -> impl Iterator<Item = (Key, &CallerLink)> {
+        self.slots.iter().filter_map(|(place, slot)| match &slot.link {
+            Link::Caller(link) => Some((Key { place, serial: slot.serial }, link)),
+            _ => None,
+        })
+    }
+
+    /// Makes a place: whoever has its answer goes first, then whoever has waited longest with half a call.
+    fn clear_doorstep(&mut self) {
+        if self.callers().count() >= CALLERS {
+            let rank = |(_, link): &(Key, &CallerLink)| (!link.call.is_answered(), link.since);
+            if let Some(key) = self.callers().min_by_key(rank).map(|(key, _)| key) {
+                self.close(key);
+            }
+        }
+    }
+
+    /// The round over callers: half a call is told so in the end, an answer need not be waited with.
+    pub(super) fn see_out_callers(&mut self) {
+        let now = self.now;
+        let limit = |link: &CallerLink| if link.call.is_answered() { LINGER } else { PATIENCE };
+        let late = self.callers().filter(|(_, link)| now - link.since >= limit(link));
+        let late: Vec<Key> = late.map(|(key, _)| key).collect();
+        for key in late {
+            match self.caller(key) {
+                Some(link) if !link.call.is_answered() => self.reply(key, Status::TooLate, "no whole call\n"),
+                _ => self.close(key),
+            }
+        }
+    }
+
+    fn caller(&mut self, key: Key) -> Option<&mut CallerLink> {
+        match &mut self.slot(key)?.link {
+            Link::Caller(link) => Some(link),
+            _ => None,
+        }
+    }
+
+    /// Takes in bytes of a caller, or its end: one that got its answer has read it, one that did not
+    /// will get none.
+    pub(super) fn caller_says(&mut self, key: Key, bytes: &[u8], ended: bool) {
+        let Some(link) = self.caller(key) else { return };
+        if ended && link.call.out.is_empty() {
+            return self.close(key);
+        }
+        match link.call.receive(bytes) {
+            None => {}
+            Some(Ok(order)) => self.obey(key, order),
+            Some(Err(status)) => self.reply(key, status, "the call cannot be carried out\n"),
+        }
+    }
+
+    fn obey(&mut self, key: Key, order: Order) {
+        match order {
+            Order::Readiness if self.phase == Phase::Serving => self.reply(key, Status::Ok, "ready\n"),
+            Order::Readiness => self.reply(key, Status::Unavailable, "ending\n"),
+            Order::Stats => {
+                let text = self.figures().to_string();
+                self.reply(key, Status::Ok, &text);
+            }
+            Order::Down(name) => self.bar(key, &name, true),
+            Order::Up(name) => self.bar(key, &name, false),
+        }
+    }
+
+    /// The figures as they stand.
+    fn figures(&mut self) -> &Figures {
+        self.figures.active = self.ledger.len();
+        (self.figures.pool_size, self.figures.pool_ejected) = self.balancer.pool();
+        &self.figures
+    }
+
+    fn bar(&mut self, key: Key, name: &str, out: bool) {
+        let Some(member) = self.directory.member(name) else {
+            warn!(self.log, "operators name a host that nobody has"; "host" => name);
+            return self.reply(key, Status::NotFound, "no such database host\n");
+        };
+        info!(self.log, "{}", if out { "host put down by hand" } else { "host put back up" }; "host" => name);
+        self.balancer.bar(self.now, member, out);
+        // Its idle connections close before the yes.
+        while self.do_due() {}
+        self.reply(key, Status::Ok, if out { "down\n" } else { "up\n" });
+    }
+
+    fn reply(&mut self, key: Key, status: Status, text: &str) {
+        let now = self.now;
+        if let Some(link) = self.caller(key) {
+            link.call.answer(status, text);
+            link.since = now;
+            self.write(key);
+        }
+    }
+
+    /// The answer is written: the caller sees its end, and closes when it has read it.
+    pub(super) fn caller_served(&mut self, key: Key) {
+        if let Some(slot) = self.slot(key) {
+            let _ = slot.socket.shutdown(Shutdown::Write);
+        }
+    }
+}
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -220,6 +220,7 @@
         if time_left == Micros(0) {
             client.protocol.refuse(None);
             self.counts.refused += 1;
+            self.figures.class(&statement.class).shed += 1;
             return;
         }
         let ask = Ask {
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -70,6 +70,7 @@
         match (self.signals.reread)() {
             Ok(discovery) => {
                 info!(self.log, "configuration read anew"; "discovery" => %discovery);
+                self.figures.config_applied += 1;
                 self.discovery = discovery;
                 self.discovery_fails = 0;
                 self.watch.restart();
@@ -78,7 +79,10 @@
                 }
                 self.call_discovery();
             }
-            Err(why) => warn!(self.log, "new configuration not usable, the old one stays"; "why" => why),
+            Err(why) => {
+                warn!(self.log, "new configuration not usable, the old one stays"; "why" => why);
+                self.figures.config_rejected += 1;
+            }
         }
     }
 
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -284,3 +284,64 @@
         assert!(now < START + LONG.scale(0.5), "class {class}: held until {now:?}");
     }
 }
+
+/// Guards hosts put down by hand: whatever the list says, and also once it forgets them and names them
+/// again, nothing new goes there until the call back, not even what waits for a connection. Back up, a
+/// host counts as cold and gets its share within seconds.
+#[test]
+fn a_member_put_down_gets_nothing_until_it_is_back_up() {
+    let (mut balancer, out) = (balancer(true), MemberId(2));
+    let entry = |id: u64, listed| Entry {
+        member: MemberId(id),
+        group: GroupId(1),
+        weight: 1.0,
+        primary: id == 1,
+        listed,
+        ..Entry::default()
+    };
+    let mut now = START;
+    // Counts what each member is sent in so many milliseconds of reads, all answered at once.
+    let mut serve = |balancer: &mut Balancer, ms: u64| {
+        let mut sent = BTreeMap::new();
+        for _ in 0..ms / 20 {
+            now = now + Micros::millis(20);
+            while let Some(due) = balancer.tick(now) {
+                if let Due::Probe(member) = due {
+                    *sent.entry(member).or_insert(0) += 1;
+                    balancer.probed(now, member, answer(Said::Served, member, now));
+                }
+            }
+            if let (ticket, Verdict::Send { member, .. }) = balancer.pick(now, ask(0, 1, LONG)) {
+                *sent.entry(member).or_insert(0) += 1;
+                balancer.report(now, ticket, answer(Said::Served, member, now));
+            }
+        }
+        (now, sent)
+    };
+    let (at, sent) = serve(&mut balancer, 2_000);
+    assert!(sent[&out] > 10);
+    let (waiting, verdict) = loop {
+        let (ticket, verdict) = balancer.pick(at, ask(0, 1, LONG));
+        if matches!(verdict, Verdict::Send { member, .. } if member == out) {
+            break (ticket, verdict);
+        }
+    };
+    assert!(matches!(verdict, Verdict::Send { .. }) && balancer.still_holds(at, waiting));
+    for _ in 0..2 {
+        balancer.bar(at, out, true);
+        assert!(!balancer.admits(out) && !balancer.still_holds(at, waiting));
+    }
+    assert_eq!(balancer.pool(), (3, 1));
+    let (at, sent) = serve(&mut balancer, 1_000);
+    assert!(!sent.contains_key(&out));
+    balancer.members(at, true, vec![entry(1, Listed::Ready), entry(3, Listed::Ready)]);
+    assert_eq!(balancer.pool(), (2, 0));
+    let (at, _) = serve(&mut balancer, 1_000);
+    balancer.members(at, false, vec![entry(2, Listed::Ready)]);
+    let (at, sent) = serve(&mut balancer, 1_000);
+    assert!(!sent.contains_key(&out), "it is back in the list and still down");
+    balancer.bar(at, out, false);
+    assert_eq!(balancer.pool(), (3, 0));
+    let (_, sent) = serve(&mut balancer, 5_000);
+    assert!((1..120).contains(&sent[&out]), "a trickle for a cold member: {}", sent[&out]);
+}
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,168 @@
+//! The operators' door: calls against random cuts, and the door of a running gateway.
+
+mod rig;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::Ordering;
+
+use dunemount::ops::call::{Call, Order, Status};
+use dunemount::ops::figures::Figures;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rig::{read, write, Rig};
+
+fn call(door: SocketAddr, text: &str) -> String {
+    let mut socket = TcpStream::connect(door).expect("accepted");
+    socket.write_all(text.as_bytes()).expect("written");
+    let mut said = String::new();
+    socket.read_to_string(&mut said).expect("an answer, then the end");
+    said
+}
+
+fn get(door: SocketAddr, path: &str) -> String {
+    call(door, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"))
+}
+
+fn order(door: SocketAddr, word: &str, id: &str) -> bool {
+    let length = id.len();
+    let head =
+        format!("POST /ops/database-hosts/{word} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+    let said = call(door, &(head + id));
+    said.starts_with("HTTP/1.1 200 ")
+}
+
+fn figure(door: SocketAddr, name: &str) -> u64 {
+    let said = get(door, "/ops/stats");
+    let line = said.lines().find_map(|line| line.strip_prefix(&format!("gw.{name}:")));
+    let (value, _kind) = line.and_then(|line| line.split_once('|')).expect("the figure");
+    value.parse().expect("a number")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards calls against their cuts: however the bytes come the order is the same, said once and not
+    /// before the last byte, and whatever follows it is passed over.
+    #[test]
+    fn a_call_is_one_order_however_it_is_cut(cuts in prop::collection::vec(1usize..40, 1..60), which in 0usize..5) {
+        let down = Order::Down("s-1".into());
+        let (text, wanted) = [
+            ("GET /ops/readiness HTTP/1.1\r\n\r\n", Ok(Order::Readiness)),
+            ("GET /ops/stats?all=1 HTTP/1.1\r\nHost: a\r\n\r\n", Ok(Order::Stats)),
+            ("POST /ops/database-hosts/down HTTP/1.1\r\nContent-Length: 5\r\n\r\ns-1\r\n", Ok(down.clone())),
+            ("POST /ops/database-hosts/down HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ns-\r\n1\r\n1\r\n0\r\n\r\n", Ok(down)),
+            ("GET /ops/database-hosts/up HTTP/1.1\r\n\r\n", Err(Status::WrongMethod)),
+        ][which].clone();
+        let mut call = Call::default();
+        let (mut rest, mut said) = (text.as_bytes(), Vec::new());
+        for cut in cuts.iter().cycle() {
+            let (now, later) = rest.split_at((*cut).min(rest.len()));
+            prop_assert!(said.is_empty());
+            said.extend(call.receive(now));
+            rest = later;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(said, vec![wanted]);
+        call.answer(Status::Ok, "yes");
+        call.answer(Status::NotFound, "no");
+        prop_assert_eq!(call.receive(text.as_bytes()), None);
+        let out = String::from_utf8(call.out.bytes.clone()).expect("text");
+        prop_assert!(out.starts_with("HTTP/1.1 200 OK\r\n") && out.ends_with("\r\n\r\nyes"));
+    }
+
+    /// Guards the loop against callers that send anything at all: an order, a fault, or patience.
+    #[test]
+    fn nothing_read_from_a_caller_panics(bytes in prop::collection::vec(any::<u8>(), 0..20_000)) {
+        let mut call = Call::default();
+        let said = call.receive(&bytes);
+        prop_assert!(bytes.len() <= 8 * 1024 || said.is_some(), "held without end");
+    }
+}
+
+/// Guards the form of the figures, which staff and their programs read line by line.
+#[test]
+fn figures_print_themselves() {
+    let mut figures = Figures::default();
+    (figures.active, figures.pool_size, figures.pool_ejected, figures.config_applied) = (14, 9, 2, 3);
+    figures.class("own-read").ok = 812;
+    figures.class("own-read").tries = 820;
+    let wanted = "gw.responses.own-read.ok:812|c\ngw.responses.own-read.shed:0|c\n\
+        gw.responses.own-read.errors:0|c\ngw.responses.own-read.tries:820|c\ngw.active:14|g\n\
+        gw.pool_size:9|g\ngw.pool_ejected:2|g\ngw.config_applied:3|c\ngw.config_rejected:0|c\n";
+    assert_eq!(figures.to_string(), wanted);
+}
+
+/// Guards what the figures count: final answers by class, attempts written, what is open now.
+#[test]
+fn figures_follow_the_requests() {
+    let rig = Rig::start(200);
+    assert!(get(rig.admin, "/ops/readiness").starts_with("HTTP/1.1 200 "));
+    let mut client = rig.client();
+    for (text, frames) in
+        [(read("k"), 4), (write("k"), 4), (write("never"), 2), (read("k").replace("c=look", "c=no"), 2)]
+    {
+        client.ask(&text);
+        assert_eq!(client.answer().len(), frames);
+    }
+    client.ask(&read("held"));
+    while !rig.heard.recv().expect("heard").contains("'held'") {}
+    for (name, value) in [
+        ("responses.look.ok", 1),
+        ("responses.look.tries", 2),
+        ("responses.store.ok", 1),
+        ("responses.store.errors", 1),
+        ("responses.store.shed", 0),
+        ("active", 1),
+        ("pool_size", 3),
+        ("pool_ejected", 0),
+        ("config_applied", 0),
+    ] {
+        assert_eq!(figure(rig.admin, name), value, "{name}");
+    }
+    assert!(figure(rig.admin, "responses.store.tries") >= 2);
+    rig.mood.released.store(true, Ordering::SeqCst);
+    assert_eq!(client.answer().len(), 4);
+    rig.end();
+}
+
+/// Guards the door against callers that connect and do not finish: they never keep another waiting, and
+/// as many as come hold no more than the door's own places.
+#[test]
+fn callers_without_a_whole_call_delay_nobody() {
+    let rig = Rig::start(200);
+    let silent: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(rig.admin).expect("accepted")).collect();
+    for mut socket in &silent {
+        let _ = socket.write_all(b"GET /ops/readiness HT");
+    }
+    for _ in 0..20 {
+        assert!(get(rig.admin, "/ops/readiness").starts_with("HTTP/1.1 200 "));
+    }
+    drop(silent);
+    rig.end();
+}
+
+/// Guards the calls on hosts: ids that nobody has are turned down, two calls out need one back, and the
+/// other hosts go on serving meanwhile.
+#[test]
+fn hosts_are_put_down_and_back_up_by_name() {
+    let rig = Rig::start(200);
+    let mut client = rig.client();
+    assert!(!order(rig.admin, "down", "s-9") && !order(rig.admin, "up", ""));
+    for _ in 0..2 {
+        assert!(order(rig.admin, "down", "s-0"));
+        assert_eq!(figure(rig.admin, "pool_ejected"), 1);
+    }
+    assert_eq!(figure(rig.admin, "pool_size"), 3);
+    for _ in 0..20 {
+        client.ask(&read("k"));
+        assert_eq!(client.answer().len(), 4);
+    }
+    assert!(order(rig.admin, "up", "s-0"));
+    assert_eq!(figure(rig.admin, "pool_ejected"), 0);
+    client.ask(&write("k"));
+    assert_eq!(client.answer().len(), 4);
+    rig.end();
+}
--- /dev/null
+++ b/tests/rig/mod.rs
@@ -0,0 +1,237 @@
+//! What tests of the whole gateway share: a gateway on loopback sockets, with toy hosts and a toy
+//! discovery in threads of the test. Each test file uses its part of it.
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
+use std::sync::{atomic::AtomicBool, atomic::AtomicUsize, atomic::Ordering, Arc};
+use std::thread::JoinHandle;
+
+use dunemount::net::event_loop::{Config, Gateway, Signals};
+use dunemount::pg::codec::{self, Frame, Inbox};
+use dunemount::settings::{Params, Zones};
+use serde_json::{json, Value};
+
+pub fn settings() -> Value {
+    json!({
+        "Balancers": 1, "Zone": "a", "TickMs": 5.0, "RegistryMode": "pushed",
+        "Classes": [
+            {"Name": "look", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 1.0, "Effect": "read_like"},
+            {"Name": "store", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 2.0, "LateWorth": 0.5,
+             "Effect": "idempotency_key", "Group": "cell", "RepeatWindowMs": 30000.0}],
+        "Specifics": {"CountedFromMs": 0.0, "NeedsByClass": ["loose", "update"], "ServerChecks": "none",
+                      "SessionMarks": "router"},
+        "Permissions": {"Cancelling": true, "RetryAfter": true, "MaxRetryAfterMs": 500.0,
+                        "ConnIdleMs": 60000.0, "ConnectTimeoutMs": 10000.0, "SendCap": 4},
+        "Safety": {"ColdFrom": 0.2, "ColdMs": 9000.0, "FallMs": 2000.0, "StopSendingWithinMs": 500.0,
+                   "TipMultiple": 2.0}
+    })
+}
+
+pub fn listing(endpoints: &[SocketAddr]) -> Value {
+    let entry = |(index, endpoint): (usize, &SocketAddr)| {
+        json!({"uid": format!("s-{index}"), "endpoint": endpoint.to_string(), "az": "a", "pod_group": 1,
+               "state": "Ready", "capacity_hint": 1.0, "boot_ms": 0, "part": if index == 0 { "master" } else { "replica" }})
+    };
+    let targets: Vec<Value> = endpoints.iter().enumerate().map(entry).collect();
+    json!({"rev": 4, "all": true, "targets": targets})
+}
+
+pub fn local() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+/// Reads the next message, or `None` at the end of the connection.
+pub fn next_frame(socket: &mut TcpStream, inbox: &mut Inbox) -> Option<Frame> {
+    let mut bytes = [0; 4096];
+    loop {
+        if let Some(frame) = inbox.frame_within(|_| usize::MAX).expect("well framed") {
+            return Some(frame);
+        }
+        match socket.read(&mut bytes) {
+            Ok(count) if count > 0 => inbox.push(&bytes[..count]),
+            _ => return None,
+        }
+    }
+}
+
+/// What the test and its hosts share.
+#[derive(Default)]
+pub struct Mood {
+    pub broke: AtomicBool,
+    pub released: AtomicBool,
+}
+
+/// A toy host that tells the test each statement it gets. What it does hangs on the quoted key.
+fn toy_host(heard: Sender<String>, mood: Arc<Mood>) -> SocketAddr {
+    let listener = local();
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let (heard, mood) = (heard.clone(), mood.clone());
+            std::thread::spawn(move || host_session(socket, &mood, &heard));
+        }
+    });
+    address
+}
+
+fn host_session(mut socket: TcpStream, mood: &Mood, heard: &Sender<String>) {
+    let mut inbox = Inbox::default();
+    let mut bytes = [0; 4096];
+    while inbox.startup().expect("a startup").is_none() {
+        let count = socket.read(&mut bytes).unwrap_or(0);
+        inbox.push(&bytes[..count]);
+    }
+    let mut out = Vec::new();
+    codec::frame(&mut out, b'R', &[0; 4]);
+    codec::ready(&mut out);
+    while socket.write_all(&out).is_ok() {
+        let Some(query) = next_frame(&mut socket, &mut inbox) else { return };
+        let text = String::from_utf8_lossy(&query.body).trim_end_matches('\0').to_string();
+        let _ = heard.send(text.clone());
+        if text.contains("'silent'") {
+            // Until the gateway ends the connection.
+            assert_eq!(socket.read(&mut bytes).unwrap_or(0), 0);
+            let _ = heard.send("ended".to_string());
+            return;
+        }
+        let spoilt = text.contains("'first-spoilt'") && !mood.broke.swap(true, Ordering::SeqCst);
+        if text.contains("'first-breaks'") && !mood.broke.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        while text.contains("'held'") && !mood.released.load(Ordering::SeqCst) {
+            std::thread::yield_now();
+        }
+        out.clear();
+        if text.contains("'never'") {
+            codec::error(&mut out, "ERROR", "XX000", "internal", None);
+        } else {
+            let value: &[u8] = match text.split('\'').nth(1) {
+                Some("large") => &[7; 64 * 1024],
+                Some("huge") => &[7; 1024 * 1024],
+                _ => b"\x01\x00\xff",
+            };
+            codec::frame(&mut out, b'T', b"\0\x01doc\0\0\0\0\0\0\0\0\0\0\x11\0\0\0\0\0\0\0\x01");
+            let row = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
+            codec::frame(&mut out, if spoilt { b'?' } else { b'D' }, &row);
+            codec::frame(&mut out, b'C', b"SELECT 1\0");
+            codec::parameter(&mut out, "part", "master");
+        }
+        codec::ready(&mut out);
+        if text.contains("'doubled'") {
+            out.extend_from_within(..);
+        }
+    }
+}
+
+pub struct Rig {
+    pub address: SocketAddr,
+    pub admin: SocketAddr,
+    pub stop: UnixStream,
+    pub reload: UnixStream,
+    /// What rereading the configuration brings; a send waits until it is read.
+    pub file: SyncSender<Result<SocketAddr, String>>,
+    pub gateway: JoinHandle<()>,
+    pub heard: Receiver<String>,
+    pub discovery: TcpListener,
+    pub mood: Arc<Mood>,
+}
+
+impl Rig {
+    pub fn start(limit: usize) -> Rig {
+        let (sender, heard) = channel();
+        let discovery = local();
+        let mood = Arc::new(Mood::default());
+        let hosts: Vec<_> = (0..3).map(|_| toy_host(sender.clone(), mood.clone())).collect();
+        let (stop, end) = UnixStream::pair().expect("a pair");
+        let (reload, anew) = UnixStream::pair().expect("a pair");
+        let (file, read) = sync_channel(0);
+        let reread = Box::new(move || read.recv().expect("a file"));
+        let signals = Signals { end, reload: anew, reread };
+        let mut zones = Zones::default();
+        let params: Params = serde_json::from_value(settings()).expect("settings");
+        let config = Config {
+            listen: "127.0.0.1:0".parse().expect("an address"),
+            admin: Some("127.0.0.1:0".parse().expect("an address")),
+            discovery: discovery.local_addr().expect("bound"),
+            seed: 1,
+            sockets: limit,
+            memory_mb: 48,
+            known: serde_json::from_value(listing(&hosts)).expect("a listing"),
+            site: params.site(&mut zones).expect("a site"),
+            zones,
+        };
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let mut gateway = Gateway::open(config, signals, log).expect("it opens");
+        let address = gateway.address().expect("it listens");
+        let admin = gateway.admin_address().expect("it has a door");
+        let gateway = std::thread::spawn(move || gateway.run().expect("it runs"));
+        Rig { address, admin, stop, reload, file, gateway, heard, discovery, mood }
+    }
+
+    pub fn client(&self) -> Talk {
+        let mut socket = TcpStream::connect(self.address).expect("accepted");
+        let mut hello = Vec::new();
+        codec::startup(&mut hello, "app", "shop");
+        socket.write_all(&hello).expect("written");
+        let mut talk = Talk { socket, inbox: Inbox::default() };
+        assert_eq!(talk.answer().pop().map(|frame| frame.tag), Some(b'Z'));
+        talk
+    }
+
+    /// Ends the gateway as a signal does, and waits for it.
+    pub fn end(mut self) {
+        self.stop.write_all(&[1]).expect("told");
+        self.gateway.join().expect("it ends by itself");
+    }
+}
+
+pub struct Talk {
+    pub socket: TcpStream,
+    pub inbox: Inbox,
+}
+
+impl Talk {
+    pub fn ask(&mut self, text: &str) {
+        let mut bytes = Vec::new();
+        codec::query(&mut bytes, text);
+        self.socket.write_all(&bytes).expect("written");
+    }
+
+    /// The messages up to the next ReadyForQuery, that included, or to the end.
+    pub fn answer(&mut self) -> Vec<Frame> {
+        let mut frames = Vec::new();
+        while let Some(frame) = next_frame(&mut self.socket, &mut self.inbox) {
+            let last = frame.tag == b'Z';
+            frames.push(frame);
+            if last {
+                break;
+            }
+        }
+        frames
+    }
+
+    pub fn code(&mut self) -> String {
+        let answer = self.answer();
+        assert_eq!(answer.iter().map(|f| f.tag).collect::<Vec<_>>(), b"EZ");
+        codec::error_field(&answer[0].body, b'C').expect("a code").to_string()
+    }
+}
+
+/// A name for each request, as clients give them.
+pub fn name() -> usize {
+    static NAMES: AtomicUsize = AtomicUsize::new(0);
+    NAMES.fetch_add(1, Ordering::SeqCst)
+}
+
+pub fn read(key: &str) -> String {
+    let id = name();
+    format!("SELECT doc FROM items WHERE id = '{key}' /* id={id},c=look,d=30000,cluster=1 */")
+}
+
+pub fn write(key: &str) -> String {
+    let id = name();
+    format!("INSERT INTO items (id, doc) VALUES ('{key}', '\\x9f') RETURNING doc /* id={id},c=store,d=30000,k=77,cluster=1 */")
+}
