--- a/src/balance.rs
+++ b/src/balance.rs
@@ -129,10 +129,9 @@
         listed && !self.barred
     }
 
-    /// Books a new start: what was known of its health is void, its position is still valid.
+    /// Books a new start: it is cold, its position is still valid.
     fn restart(&mut self, at: Micros, rng: &mut Pcg64Mcg) {
         self.born = at;
-        self.fail = 0.0;
         self.credit = -unit(rng);
     }
 
@@ -309,6 +308,8 @@
             }
             member.barred = self.barred.contains(&entry.member);
             if entry.started > member.born {
+                // What was known of its health is void.
+                member.fail = 0.0;
                 member.restart(entry.started, &mut self.rng);
                 if now - entry.started < self.settings.cold_time {
                     member.limit = start;
