Upgrade without a stop: hand estate, listener and clients to the next process

The loop reads the line after the turn's reads and before it pumps any query (run), a commit is sent before its answer (answered). Ruled out on the way: a hang in tests, an arm for lines that stood before the one for signals in on_event.

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,8 +5,10 @@
 
 use std::ops::{Add, Sub};
 
+use serde::{Deserialize, Serialize};
+
 /// A point on the driver's clock, or a length of time, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Micros(pub u64);
 
 impl Micros {
@@ -44,7 +46,7 @@
 macro_rules! id {
     ($(#[$doc:meta] $name:ident($inner:ty);)*) => {$(
         #[$doc]
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     )*};
 }
@@ -212,7 +214,7 @@
 }
 
 /// What the list says of a member's state.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listed {
     /// It takes work.
     #[default]
@@ -224,7 +226,7 @@
 }
 
 /// A line of a member list.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Entry {
     /// The member.
     pub member: MemberId,
@@ -275,7 +277,7 @@
 }
 
 /// A member's part in its group.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Role {
     /// Takes writes.
     Primary,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,9 +7,14 @@
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 
 use crate::api::*;
 
+mod estate;
+
+pub use estate::Estate;
+
 // ---- Constants. Figures of a deployment come from its settings or from what is observed. ----
 
 /// Ticks between sweeps while a request waits: two, to cost little beside the events of its ticks.
@@ -76,7 +81,7 @@
 
 type Actions = Vec<Action>;
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Member {
     entry: Entry,
     /// Cold since then; zero when long ago.
@@ -87,8 +92,10 @@
     lag: Micros,
     role: Role,
     role_at: Micros,
+    #[serde(skip)]
     inflight: u32,
     /// Cost of the attempts in flight, in usual requests.
+    #[serde(skip)]
     load: f64,
     /// Cost of what failed at once, held against the member for as long as work would have taken.
     ghost: f64,
@@ -112,6 +119,7 @@
     /// Out of the draw since then.
     ejected: Option<Micros>,
     probed_at: Micros,
+    #[serde(skip)]
     probing: bool,
     /// Last send or answer: since then its connections are idle.
     used_at: Micros,
@@ -147,7 +155,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Group {
     members: Vec<MemberId>,
     /// Cost served of late, over `Router::span`.
@@ -156,6 +164,7 @@
     live: f64,
     /// The latest commit whose session was forgotten: a member that joins later may not have it yet.
     floor: Micros,
+    #[serde(skip)]
     waiting: Vec<RequestId>,
 }
 
@@ -193,8 +202,10 @@
     load: f64,
 }
 
+#[derive(Clone, Serialize, Deserialize)]
 struct Session {
     group: GroupId,
+    #[serde(skip)]
     pending: u32,
     commit: Micros,
 }
@@ -411,8 +422,7 @@
         let aim = if class.late_worth > 0.0 { deadline } else { deadline.min(now + class.aim) };
         let give_up = aim - self.settings.tick;
         if let (Need::Write, Some(key)) = (class.need, req.session) {
-            let new = Session { group: req.group, pending: 0, commit: Micros(0) };
-            self.sessions.entry(key).or_insert(new).pending += 1;
+            self.session(req.group, key).pending += 1;
         }
         let paid = PROBE_SPEND / self.settings.probe_price.max(f64::MIN_POSITIVE);
         self.probe_credit = (self.probe_credit + paid).min(PROBE_SAVED);
@@ -430,6 +440,16 @@
         self.wake_by(if waits { now + self.period() } else { give_up.min(now + SURVEY) }, actions);
     }
 
+    fn session(&mut self, group: GroupId, key: SessionKey) -> &mut Session {
+        self.sessions.entry(key).or_insert(Session { group, pending: 0, commit: Micros(0) })
+    }
+
+    /// A session's write was committed, here or at the process beside this one.
+    pub fn committed(&mut self, group: GroupId, key: SessionKey, commit: Micros) {
+        let session = self.session(group, key);
+        session.commit = session.commit.max(commit);
+    }
+
     /// Cost of a request in usual requests: its class's mean latency against the smallest.
     fn cost(&self, class: ClassId) -> f64 {
         let least = self.means.iter().copied().fold(f64::INFINITY, f64::min);
@@ -655,9 +675,9 @@
         self.learn(now, o.member, o.role, now, o.position);
         self.learn(now, o.member, o.report.role, o.report.position.unwrap_or_default(), o.report.position);
         if o.status == Status::Ok && write {
-            let key = self.open.get(&o.request).and_then(|open| open.req.session);
-            if let (Some(session), Some(commit)) = (key.and_then(|k| self.sessions.get_mut(&k)), o.position) {
-                session.commit = session.commit.max(commit);
+            let req = self.open.get(&o.request).map(|open| open.req);
+            if let (Some(Request { group, session: Some(key), .. }), Some(commit)) = (req, o.position) {
+                self.committed(group, key, commit);
             }
         }
         let Some(member) = self.members.get_mut(&o.member) else { return };
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -4,8 +4,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use crate::api::*;
-use crate::balance::Router;
+use crate::balance::{self, Router};
 use crate::request::{Broken, Cause};
 
 /// A request's number, unique while the gateway runs.
@@ -127,6 +129,14 @@
     flight: Option<Flight>,
 }
 
+/// What a balancer knows, for the process that follows.
+#[derive(Serialize, Deserialize)]
+pub struct Estate {
+    groups: BTreeSet<GroupId>,
+    pool: BTreeSet<MemberId>,
+    router: balance::Estate,
+}
+
 /// The facade over the decision module.
 pub struct Balancer {
     router: Router,
@@ -177,6 +187,24 @@
         self.drive(now, Event::Members { kind, entries });
     }
 
+    /// What is known, for the process that follows.
+    pub fn estate(&self) -> Estate {
+        Estate { groups: self.groups.clone(), pool: self.pool.clone(), router: self.router.estate() }
+    }
+
+    /// Takes over what another process knew. `place` says where a class of this one stood there.
+    pub fn inherit(&mut self, estate: Estate, place: impl Fn(ClassId) -> Option<ClassId>) {
+        let known = |class| place(ClassId(class)).and_then(|at| estate.router.means.get(at.0).copied());
+        let means: Vec<Option<f64>> = (0..self.needs.len()).map(known).collect();
+        (self.groups, self.pool) = (estate.groups, estate.pool);
+        self.router.inherit(estate.router, &means);
+    }
+
+    /// A session's write was committed at another process of this gateway.
+    pub fn committed(&mut self, group: GroupId, session: SessionKey, commit: Micros) {
+        self.router.committed(group, session, commit);
+    }
+
     /// Leaves a member out at the operators' word, whatever the list says, or puts it back.
     pub fn bar(&mut self, now: Micros, member: MemberId, out: bool) {
         self.drive(now, Event::Bar { member, out });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod pg;
 pub mod request;
 pub mod settings;
+pub mod upgrade;
 
 pub use api::*;
 pub use balance::Router;
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
+    /// What it showed then.
+    base: Micros,
     /// Unix time in microseconds less the clock's own.
     offset: i64,
 }
@@ -18,13 +20,23 @@
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), offset: unix.as_micros() as i64 - BASE.0 as i64 }
+        Clock { start: Instant::now(), base: BASE, offset: unix_now() - BASE.0 as i64 }
+    }
+
+    /// Goes on with the clock of another process on this machine, which told its offset.
+    pub fn resume(offset: i64) -> Self {
+        let base = Micros(unix_now().saturating_sub(offset).max(BASE.0 as i64) as u64);
+        Clock { start: Instant::now(), base, offset }
+    }
+
+    /// Unix time in microseconds less this clock's own.
+    pub fn offset(&self) -> i64 {
+        self.offset
     }
 
     /// The present time.
     pub fn read(&self) -> Micros {
-        BASE + Micros(self.start.elapsed().as_micros() as u64)
+        self.base + Micros(self.start.elapsed().as_micros() as u64)
     }
 
     /// A Unix time in milliseconds on this clock; zero for what lies before its reach.
@@ -32,3 +44,7 @@
         Micros(((ms * 1000.0) as i64).saturating_sub(self.offset).max(0) as u64)
     }
 }
+
+fn unix_now() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use super::clock::Clock;
@@ -56,7 +56,7 @@
 }
 
 /// Names, numbers and addresses of the hosts.
-#[derive(Default)]
+#[derive(Clone, Default, Deserialize, Serialize)]
 pub struct Directory {
     numbers: BTreeMap<String, MemberId>,
     hosts: BTreeMap<MemberId, (SocketAddr, String)>,
@@ -69,6 +69,22 @@
         Directory { zones, ..Directory::default() }
     }
 
+    /// The names of the zones.
+    pub fn zones(&self) -> &Zones {
+        &self.zones
+    }
+
+    /// Takes on the numbers of more zones.
+    pub fn know_zones(&mut self, zones: Zones) {
+        self.zones = zones;
+    }
+
+    /// The host of this name; a name not met before gets the next number.
+    pub fn number(&mut self, name: &str) -> MemberId {
+        let next = MemberId(self.numbers.len() as u64 + 1);
+        *self.numbers.entry(name.to_string()).or_insert(next)
+    }
+
     /// Where a host listens.
     pub fn address(&self, member: MemberId) -> Option<SocketAddr> {
         self.hosts.get(&member).map(|(address, _)| *address)
@@ -90,8 +106,7 @@
         let mut entries = Vec::with_capacity(lines);
         for target in listing.targets {
             let Ok(target) = serde_json::from_value::<Target>(target) else { continue };
-            let next = MemberId(self.numbers.len() as u64 + 1);
-            let member = *self.numbers.entry(target.uid.clone()).or_insert(next);
+            let member = self.number(&target.uid);
             self.hosts.insert(member, (target.endpoint, target.uid));
             entries.push(Entry {
                 member,
@@ -147,6 +162,11 @@
         Watch { known: rev, bytes: Vec::new() }
     }
 
+    /// The version that is known.
+    pub fn known(&self) -> Option<u64> {
+        self.known
+    }
+
     /// The text of the next call.
     pub fn call(&mut self, host: &str) -> String {
         self.bytes.clear();
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -3,8 +3,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use polling::{Event, PollMode, Poller};
@@ -14,9 +16,11 @@
 
 mod door;
 mod guests;
+mod succession;
 mod watching;
 
 use self::door::CallerLink;
+use self::succession::Peer;
 use super::clock::Clock;
 use super::discovery::{Directory, Listing, Watch};
 use super::pool::Pool;
@@ -28,12 +32,16 @@
 use crate::pg::statement::Statement;
 use crate::request::{Broken, Cause, Ledger, Reach};
 use crate::settings::{Site, Zones};
-use crate::{MemberId, Micros, Role};
+use crate::upgrade::line::Inheritance;
+use crate::{GroupId, MemberId, Micros, Role};
 
 const LISTENER: usize = usize::MAX - 1;
 const SIGNALS: usize = usize::MAX - 2;
 const RELOAD: usize = usize::MAX - 3;
 const DOOR: usize = usize::MAX - 4;
+const HEIRS: usize = usize::MAX - 5;
+/// From here on: the lines to other processes of this gateway.
+const PEERS: usize = usize::MAX / 2;
 /// Descriptors kept back: standard streams, poller, signals, listeners, discovery, callers, and some to
 /// spare.
 const RESERVE: usize = 40;
@@ -86,6 +94,12 @@
     pub site: Site,
     /// The zones that the settings name.
     pub zones: Zones,
+    /// The configuration's text, for the process that follows.
+    pub text: String,
+    /// Where this process waits for the one that follows.
+    pub line: Option<PathBuf>,
+    /// What the process before hands over.
+    pub inherited: Option<Inheritance>,
 }
 
 /// What comes from outside while the gateway runs.
@@ -212,6 +226,13 @@
     /// The operators' listener.
     door: Option<TcpListener>,
     figures: Figures,
+    config: String,
+    line_path: Option<PathBuf>,
+    /// Where the process that follows calls.
+    heirs: Option<OwnedFd>,
+    /// Other processes of this gateway, and the one among them that takes the clients.
+    peers: Slab<Peer>,
+    heir: Option<usize>,
     accepting: bool,
     signals: Signals,
     slots: Slab<Slot>,
@@ -247,13 +268,16 @@
     /// Opens the listener.
     pub fn open(config: Config, signals: Signals, log: Logger) -> io::Result<Gateway> {
         let poller = Poller::new()?;
-        let listener = listen(config.listen)?;
+        let (line, estate, listener) = match config.inherited {
+            Some(left) => (Some(left.line), Some(left.estate), left.listener.into()),
+            None => (None, None, listen(config.listen, true)?),
+        };
         poller.add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)?;
         for (pipe, key) in [(&signals.end, SIGNALS), (&signals.reload, RELOAD)] {
             pipe.set_nonblocking(true)?;
             poller.add_with_mode(pipe, Event::readable(key), PollMode::Level)?;
         }
-        let door = config.admin.map(listen).transpose()?;
+        let door = config.admin.map(|address| listen(address, false)).transpose()?;
         if let Some(door) = &door {
             poller.add_with_mode(door, Event::readable(DOOR), PollMode::Level)?;
         }
@@ -261,7 +285,7 @@
         for class in &config.site.classes {
             figures.class(class);
         }
-        let clock = Clock::start();
+        let clock = estate.as_ref().map_or_else(Clock::start, |estate| Clock::resume(estate.clock));
         let budget = config.sockets.saturating_sub(RESERVE).max(8);
         let hosts = budget / HOST_PART;
         let memory = config.memory_mb.saturating_mul(1024 * 1024);
@@ -273,6 +297,11 @@
             listener: Some(listener),
             door,
             figures,
+            config: config.text,
+            line_path: config.line,
+            heirs: None,
+            peers: Slab::new(),
+            heir: None,
             accepting: true,
             signals,
             slots: Slab::new(),
@@ -301,7 +330,11 @@
             phase: Phase::Serving,
             log,
         };
-        gateway.listed(config.known, true);
+        match (line, estate) {
+            (Some(line), Some(estate)) => gateway.take_estate(line, estate),
+            _ => gateway.listed(config.known, true),
+        }
+        gateway.await_heirs();
         gateway.call_discovery();
         gateway.set_timer(ROUND, Timer::Round);
         Ok(gateway)
@@ -321,7 +354,7 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
         info!(self.log, "ready"; "clients" => self.most_clients, "hosts" => self.pool.most());
-        while !(self.phase == Phase::Closing && self.clients == 0) {
+        while self.phase != Phase::Closing || self.clients > 0 || self.is_telling() {
             let next = self.timers.keys().next().map(|(at, _)| *at);
             let next = next.into_iter().chain(self.balancer.next_due()).min();
             let wait = next.map(|at| Duration::from_micros((at - self.clock.read()).0));
@@ -341,6 +374,8 @@
             for event in others.into_iter().chain(clients) {
                 self.guard(event.key, |gateway| gateway.on_event(event));
             }
+            // What the other process has told counts before any of the bytes just read is acted upon.
+            self.guard(SIGNALS, Gateway::hear_peers);
             // The module's own timers come first: a request that ends now gets its verdict, and only
             // what the module leaves over falls to the backstop.
             self.guard(SIGNALS, Gateway::settle);
@@ -366,8 +401,10 @@
         match event.key {
             LISTENER => self.accept(),
             DOOR => self.answer_door(),
+            HEIRS => self.on_heir(),
             SIGNALS => self.on_signal(),
             RELOAD => self.on_reload(),
+            place if place >= PEERS => self.push_on(place - PEERS),
             place => {
                 let Some(key) = self.key_at(place) else { return };
                 if event.writable {
@@ -446,12 +483,15 @@
     }
 
     fn close(&mut self, key: Key) {
-        if self.slot(key).is_none() {
-            return;
-        }
+        drop(self.remove(key));
+    }
+
+    /// Takes a connection out of the loop.
+    fn remove(&mut self, key: Key) -> Option<Slot> {
+        self.slot(key)?;
         let slot = self.slots.remove(key.place);
         let _ = self.poller.delete(&slot.socket);
-        match slot.link {
+        match &slot.link {
             Link::Client(_) => self.clients -= 1,
             Link::Host(host) => self.pool.closed(host.member, key),
             Link::Discovery(_) | Link::Caller(_) => {}
@@ -459,6 +499,7 @@
         if !self.accepting {
             self.set_accepting(true);
         }
+        Some(slot)
     }
 
     /// Asks the poller for what the connection needs now.
@@ -735,6 +776,11 @@
         let verdict = self.balancer.report(self.now, ticket, ended);
         if answer.said == Said::Served {
             self.counts.served += 1;
+            let work = self.ledger.get(ticket).map(|life| &life.work).filter(|work| work.writes);
+            let told = work.map(|work| (GroupId(work.cluster), work.session));
+            if let (Some((group, session)), Some(commit), false) = (told, position, self.peers.is_empty()) {
+                self.share_commit(group, session, commit);
+            }
             self.finish(ticket, Final::Served(&answer.rows));
         } else {
             while self.do_due() {}
@@ -957,6 +1003,10 @@
         }
         self.see_out_guests();
         self.see_out_callers();
+        self.ledger.forget_others(self.now);
+        if self.heir.is_some() {
+            self.pass_clients();
+        }
         self.rounds += 1;
         if self.rounds % ROUNDS_A_LINE == 0 {
             let counts = std::mem::take(&mut self.counts);
@@ -975,13 +1025,17 @@
         if self.phase == Phase::Serving {
             info!(self.log, "signal to end, handing over"; "owed" => self.ledger.len());
             self.phase = Phase::HandingOver;
-            self.set_timer(HAND_OVER, Timer::HandedOver);
+            // A process that follows has the listener: nobody has to be waited for.
+            let wait = if self.heir.is_some() { Micros(0) } else { HAND_OVER };
+            self.set_timer(wait, Timer::HandedOver);
         }
     }
 
     /// The hand-over is done: takes what has arrived, then closes the listener and idle clients.
     fn close_doors(&mut self) {
-        self.accept();
+        if self.heir.is_none() {
+            self.accept();
+        }
         if let Some(listener) = self.listener.take() {
             let _ = self.poller.delete(&listener);
         }
@@ -997,9 +1051,11 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Listens; a shared address may be listened on by the process that follows as well.
+fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
+    rustix::net::sockopt::set_socket_reuseport(&socket, shared)?;
     socket.bind(&address.into())?;
     socket.listen(1024)?;
     socket.set_nonblocking(true)?;
--- a/src/net/event_loop/door.rs
+++ b/src/net/event_loop/door.rs
@@ -115,6 +115,7 @@
         };
         info!(self.log, "{}", if out { "host put down by hand" } else { "host put back up" }; "host" => name);
         self.balancer.bar(self.now, member, out);
+        self.share_bar(name, out);
         // Its idle connections close before the yes.
         while self.do_due() {}
         self.reply(key, Status::Ok, if out { "down\n" } else { "up\n" });
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -37,6 +37,11 @@
 }
 
 impl ClientLink {
+    /// A client that has just come.
+    pub(super) fn new(protocol: Client, now: Micros) -> Self {
+        ClientLink { protocol, ticket: None, since: now, used: now, half: None, asked: false, closing: false }
+    }
+
     /// Whether the client has to leave now.
     fn overstays(&self, now: Micros, crowded: bool) -> Option<Overstay> {
         if self.ticket.is_some() || self.protocol.is_busy() {
@@ -63,7 +68,7 @@
     /// Accepts connections, as far as there is room for clients.
     pub(super) fn accept(&mut self) {
         for _ in 0..ACCEPTS {
-            if self.clients >= self.most_clients && !self.make_room() {
+            if self.clients + self.lent() >= self.most_clients && !self.make_room() {
                 warn!(self.log, "no descriptors left for clients"; "open" => self.clients);
                 self.set_accepting(false);
                 return;
@@ -71,15 +76,7 @@
             let Some(listener) = &self.listener else { return };
             match listener.accept() {
                 Ok((socket, _)) => {
-                    let client = ClientLink {
-                        protocol: Client::taking(self.longest_message),
-                        ticket: None,
-                        since: self.now,
-                        used: self.now,
-                        half: None,
-                        asked: false,
-                        closing: false,
-                    };
+                    let client = ClientLink::new(Client::taking(self.longest_message), self.now);
                     let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
                     let added = set.and_then(|()| self.insert(socket, Link::Client(client), false));
                     if let Ok(key) = added {
@@ -102,7 +99,7 @@
 
     /// Goes on accepting, or pauses.
     pub(super) fn set_accepting(&mut self, on: bool) {
-        let Some(listener) = &self.listener else { return };
+        let Some(listener) = self.listener.as_ref().filter(|_| self.heir.is_none() || !on) else { return };
         let interest = Event { key: LISTENER, readable: on, writable: false };
         if self.poller.modify_with_mode(listener, interest, PollMode::Level).is_ok() {
             self.accepting = on;
@@ -171,6 +168,9 @@
 
     /// Looks at a client's next queries until one is owed its answer.
     pub(super) fn pump(&mut self, key: Key) {
+        if self.pass_on(key) {
+            return;
+        }
         while let Some(demand) = self.client(key).and_then(|client| client.protocol.demand()) {
             match demand {
                 Demand::Query(text) => self.query(key, text),
--- /dev/null
+++ b/src/net/event_loop/succession.rs
@@ -0,0 +1,263 @@
+//! The loop's part for upgrades: the line to the process that follows and to the one before.
+
+use std::io;
+use std::net::TcpStream;
+use std::os::fd::OwnedFd;
+
+use polling::{Event, PollMode};
+use slog::{info, warn};
+
+use super::{ClientLink, Gateway, Key, Link, Phase, HEIRS, PEERS};
+use crate::net::discovery::Watch;
+use crate::pg::client::Client;
+use crate::upgrade::line::{self, Line};
+use crate::upgrade::message::{Estate, Message};
+use crate::{ClassId, GroupId, Micros, SessionKey};
+
+/// Descriptors that the other process takes for itself while there are two.
+const OTHERS: usize = 24;
+
+/// Another process of this gateway.
+pub(super) struct Peer {
+    line: Line,
+    /// It follows this one.
+    follows: bool,
+    /// Clients that the process before still holds.
+    holding: usize,
+    interest: bool,
+}
+
+impl Gateway {
+    /// Waits for the process that follows, where there is a path for it.
+    pub(super) fn await_heirs(&mut self) {
+        let Some(path) = &self.line_path else { return };
+        let waits = line::listen(path).and_then(|at| {
+            self.poller.add_with_mode(&at, Event::readable(HEIRS), PollMode::Level)?;
+            Ok(at)
+        });
+        match waits {
+            Ok(at) => self.heirs = Some(at),
+            Err(e) => warn!(self.log, "no upgrade without a stop: cannot wait for it"; "error" => %e),
+        }
+    }
+
+    /// A process that follows has come: it gets the estate and a copy of the listener.
+    pub(super) fn on_heir(&mut self) {
+        let Some(accepted) = self.heirs.as_ref().map(Line::accept) else { return };
+        let listener = self.listener.as_ref().and_then(|listener| listener.try_clone().ok());
+        let (Ok(line), Some(listener)) = (accepted, listener) else { return };
+        let estate = Estate {
+            clock: self.clock.offset(),
+            config: self.config.clone(),
+            discovery: self.discovery,
+            rev: self.watch.known(),
+            directory: self.directory.clone(),
+            classes: self.classes.clone(),
+            balancer: self.balancer.estate(),
+            open: self.ledger.names().map(|(name, until)| (name.to_string(), until)).collect(),
+            clients: self.clients,
+        };
+        info!(self.log, "upgrade: estate handed over"; "clients" => self.clients, "owed" => self.ledger.len());
+        if let Some(peer) = self.meet(line, true, 0) {
+            self.tell(peer, &Message::Estate(Box::new(estate)), Some(listener.into()));
+        }
+    }
+
+    /// Takes up a line.
+    pub(super) fn meet(&mut self, line: Line, follows: bool, holding: usize) -> Option<usize> {
+        let index = self.peers.vacant_key();
+        let added = self.poller.add_with_mode(&line, Event::readable(PEERS + index), PollMode::Level);
+        added.ok().map(|()| self.peers.insert(Peer { line, follows, holding, interest: false }))
+    }
+
+    /// The process before has handed over: this one takes clients, and says so.
+    pub(super) fn succeed(&mut self, line: Line, holding: usize) {
+        if let Some(peer) = self.meet(line, false, holding) {
+            self.tell(peer, &Message::Ready, None);
+        }
+        self.share_budget();
+    }
+
+    /// Takes over what the process before knew, and the lead.
+    pub(super) fn take_estate(&mut self, line: Line, estate: Estate) {
+        let Estate { discovery, rev, mut directory, classes, balancer, open, clients, .. } = estate;
+        // Zones that only the new settings name have got their numbers by now.
+        directory.know_zones(self.directory.zones().clone());
+        self.directory = directory;
+        self.discovery = discovery;
+        self.watch = Watch::from(rev);
+        let place =
+            |class: ClassId| classes.iter().position(|name| *name == self.classes[class.0]).map(ClassId);
+        self.balancer.inherit(balancer, place);
+        self.ledger.leave_to_others(open);
+        info!(self.log, "upgrade: estate taken over"; "clients" => clients, "rev" => rev.unwrap_or(0));
+        self.succeed(line, clients);
+    }
+
+    /// While there are two processes each has its part of what both may hold.
+    fn share_budget(&mut self) {
+        let parts = if self.peers.is_empty() { 1 } else { 2 };
+        self.pool.share(parts);
+        while !self.pool.has_room() {
+            let Some(idle) = self.pool.oldest() else { break };
+            self.close(idle);
+        }
+    }
+
+    /// Clients that this process has no room for because of another.
+    pub(super) fn lent(&self) -> usize {
+        let held: usize = self.peers.iter().map(|(_, peer)| peer.holding + OTHERS).sum();
+        held.min(self.most_clients / 2)
+    }
+
+    fn tell(&mut self, index: usize, message: &Message, with: Option<OwnedFd>) {
+        let Some(peer) = self.peers.get_mut(index) else { return };
+        let sent = peer.line.send(message, with);
+        self.tend(index, sent);
+    }
+
+    fn tell_others(&mut self, but: Option<usize>, message: &Message) {
+        let others: Vec<usize> = self.peers.iter().map(|(index, _)| index).collect();
+        for index in others.into_iter().filter(|index| Some(*index) != but) {
+            self.tell(index, message, None);
+        }
+    }
+
+    /// After something was sent on a line: asks the poller for what it needs, or gives it up.
+    fn tend(&mut self, index: usize, sent: io::Result<()>) {
+        let Some(peer) = self.peers.get_mut(index) else { return };
+        let behind = peer.line.is_behind();
+        let interest = Event { key: PEERS + index, readable: true, writable: behind };
+        let armed = sent.and_then(|()| match std::mem::replace(&mut peer.interest, behind) == behind {
+            true => Ok(()),
+            false => self.poller.modify_with_mode(&peer.line, interest, PollMode::Level),
+        });
+        if let Err(e) = armed {
+            self.part_from(index, &e);
+        }
+    }
+
+    /// Sends what waited for room on a line.
+    pub(super) fn push_on(&mut self, index: usize) {
+        if let Some(peer) = self.peers.get_mut(index) {
+            let sent = peer.line.flush();
+            self.tend(index, sent);
+        }
+    }
+
+    /// The other process has ended, or makes no sense. If it was to take the clients, this one goes on.
+    fn part_from(&mut self, index: usize, why: &io::Error) {
+        let Some(peer) = self.peers.try_remove(index) else { return };
+        let _ = self.poller.delete(&peer.line);
+        info!(self.log, "upgrade: the other process is gone"; "followed" => peer.follows, "why" => %why);
+        if self.heir == Some(index) {
+            self.heir = None;
+            if self.phase == Phase::Serving {
+                self.await_heirs();
+                self.set_accepting(true);
+            }
+        }
+        self.share_budget();
+    }
+
+    /// Reads all lines, so that nothing is decided before what the other process has told.
+    pub(super) fn hear_peers(&mut self) {
+        let peers: Vec<usize> = self.peers.iter().map(|(index, _)| index).collect();
+        for index in peers {
+            while let Some(peer) = self.peers.get_mut(index) {
+                match peer.line.receive() {
+                    Ok(None) => break,
+                    Ok(Some((message, with))) => self.heed(index, message, with),
+                    Err(e) => self.part_from(index, &e),
+                }
+            }
+        }
+    }
+
+    fn heed(&mut self, index: usize, message: Message, with: Option<OwnedFd>) {
+        match message {
+            Message::Ready => {
+                info!(self.log, "upgrade: the next process takes clients"; "clients" => self.clients);
+                self.heir = Some(index);
+                self.set_accepting(false);
+                if let Some(at) = self.heirs.take() {
+                    let _ = self.poller.delete(&at);
+                }
+                self.share_budget();
+                self.pass_clients();
+            }
+            Message::Client { greeted, asked, bytes } => {
+                if let Some(peer) = self.peers.get_mut(index) {
+                    peer.holding = peer.holding.saturating_sub(1);
+                }
+                if let Some(socket) = with {
+                    self.adopt(socket.into(), Client::resume(self.longest_message, greeted, &bytes), asked);
+                }
+            }
+            Message::Holding { clients } => {
+                if let Some(peer) = self.peers.get_mut(index) {
+                    peer.holding = clients;
+                }
+            }
+            Message::Commit { group, session, commit } => {
+                self.balancer.committed(group, session, commit);
+                self.tell_others(Some(index), &Message::Commit { group, session, commit });
+            }
+            Message::Bar { host, out } => {
+                let member = self.directory.number(&host);
+                self.balancer.bar(self.now, member, out);
+                self.tell_others(Some(index), &Message::Bar { host, out });
+            }
+            Message::Estate(_) => warn!(self.log, "upgrade: an estate out of place"),
+        }
+    }
+
+    /// A client that the process before has passed on.
+    fn adopt(&mut self, socket: TcpStream, protocol: Client, asked: bool) {
+        let client = ClientLink { asked, ..ClientLink::new(protocol, self.now) };
+        if let Ok(key) = self.insert(socket, Link::Client(client), false) {
+            self.ready.push_back(key);
+        }
+    }
+
+    /// Passes a client on to the process that follows, if it is owed nothing. False if it stays.
+    pub(super) fn pass_on(&mut self, key: Key) -> bool {
+        let Some(heir) = self.heir else { return false };
+        let Some(client) = self.client(key).filter(|client| client.ticket.is_none() && !client.closing)
+        else {
+            return false;
+        };
+        let asked = client.asked;
+        let Some((greeted, bytes)) = client.protocol.part() else { return false };
+        if let Some(slot) = self.remove(key) {
+            self.tell(heir, &Message::Client { greeted, asked, bytes }, Some(slot.socket.into()));
+        }
+        true
+    }
+
+    /// Passes on all clients that are owed nothing, and says how many are left.
+    pub(super) fn pass_clients(&mut self) {
+        let keys: Vec<Key> = self.slots.iter().map(|(place, s)| Key { place, serial: s.serial }).collect();
+        for key in keys {
+            self.pass_on(key);
+        }
+        if let Some(heir) = self.heir {
+            self.tell(heir, &Message::Holding { clients: self.clients }, None);
+        }
+    }
+
+    /// Tells the other process of a session's commit, before its client hears of it.
+    pub(super) fn share_commit(&mut self, group: GroupId, session: SessionKey, commit: Micros) {
+        self.tell_others(None, &Message::Commit { group, session, commit });
+    }
+
+    /// Tells the other process what operators have said of a host, before they hear yes.
+    pub(super) fn share_bar(&mut self, host: &str, out: bool) {
+        self.tell_others(None, &Message::Bar { host: host.to_string(), out });
+    }
+
+    /// Whether something is still on its way to another process.
+    pub(super) fn is_telling(&self) -> bool {
+        self.peers.iter().any(|(_, peer)| peer.line.is_behind())
+    }
+}
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -14,23 +14,30 @@
     idle: BTreeMap<MemberId, Vec<(K, Micros)>>,
     open: usize,
     most: usize,
+    /// Parts that these are shared by.
+    parts: usize,
     keep: Micros,
 }
 
 impl<K: Copy + PartialEq> Pool<K> {
     /// A pool for at most so many connections to hosts that close them after `idle_limit`.
     pub fn new(most: usize, idle_limit: Micros) -> Self {
-        Pool { idle: BTreeMap::new(), open: 0, most, keep: idle_limit.scale(KEEP) }
+        Pool { idle: BTreeMap::new(), open: 0, most, parts: 1, keep: idle_limit.scale(KEEP) }
     }
 
     /// Most connections to hosts.
     pub fn most(&self) -> usize {
-        self.most
+        self.most / self.parts
+    }
+
+    /// Shares the connections with other processes of this gateway.
+    pub fn share(&mut self, parts: usize) {
+        self.parts = parts.max(1);
     }
 
     /// Whether one more connection may be opened.
     pub fn has_room(&self) -> bool {
-        self.open < self.most
+        self.open < self.most()
     }
 
     /// Books a connection that was opened.
--- a/src/pg/client.rs
+++ b/src/pg/client.rs
@@ -45,6 +45,22 @@
         Client { inbox: Inbox::default(), out: Outbox::default(), state: State::Startup, longest }
     }
 
+    /// A client that another process has greeted or not, with the bytes that it had not understood.
+    pub fn resume(longest: usize, greeted: bool, bytes: &[u8]) -> Self {
+        let mut client = Client::taking(longest);
+        if greeted {
+            client.state = State::Idle;
+        }
+        client.inbox.push(bytes);
+        client
+    }
+
+    /// What [`Client::resume`] needs, unless the client is owed something or is about to end.
+    pub fn part(&self) -> Option<(bool, Vec<u8>)> {
+        let free = matches!(self.state, State::Startup | State::Idle) && self.out.is_empty();
+        free.then(|| (self.state == State::Idle, self.inbox.rest().to_vec()))
+    }
+
     /// Takes bytes in.
     pub fn receive(&mut self, bytes: &[u8]) {
         if self.state != State::Closed {
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -58,6 +58,11 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// The bytes held.
+    pub fn rest(&self) -> &[u8] {
+        &self.bytes[self.taken..]
+    }
+
     /// Number of bytes held.
     pub fn len(&self) -> usize {
         self.bytes.len() - self.taken
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -1,7 +1,6 @@
 //! The comment that a statement carries, and the key that it quotes.
 
 use std::fmt;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::Range;
 
 use crate::{Micros, SessionKey};
@@ -41,6 +40,13 @@
     (1..=64).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
 }
 
+/// The session that a key names: FNV-1a, since the process that follows this one may be built otherwise
+/// and must come to the same.
+fn session_of(key: &str) -> SessionKey {
+    let step = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    SessionKey(key.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+}
+
 /// What a statement says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Statement {
@@ -110,8 +116,6 @@
         }
         let mut quoted = text[..open].split('\'');
         let key = quoted.nth(1).filter(|_| quoted.next().is_some()).ok_or(Malformed::NoKey)?;
-        let mut hasher = DefaultHasher::new();
-        key.hash(&mut hasher);
         Ok(Statement {
             id: id.ok_or(Malformed::Missing("id"))?,
             writes,
@@ -119,7 +123,7 @@
             class: class.ok_or(Malformed::Missing("c"))?,
             cluster: cluster.ok_or(Malformed::Missing("cluster"))?,
             wait: wait.ok_or(Malformed::Missing("d"))?,
-            session: SessionKey(hasher.finish()),
+            session: session_of(key),
             repeat,
             after,
             wait_at,
--- a/src/request.rs
+++ b/src/request.rs
@@ -72,11 +72,13 @@
 pub struct Ledger<K, W> {
     lives: BTreeMap<Ticket, Life<K, W>>,
     names: BTreeSet<String>,
+    /// Names of requests that another process answers, and when each ends at the latest.
+    others: BTreeMap<String, Micros>,
 }
 
 impl<K, W> Default for Ledger<K, W> {
     fn default() -> Self {
-        Ledger { lives: BTreeMap::new(), names: BTreeSet::new() }
+        Ledger { lives: BTreeMap::new(), names: BTreeSet::new(), others: BTreeMap::new() }
     }
 }
 
@@ -90,7 +92,22 @@
 
     /// Whether a request of this name is open.
     pub fn bears(&self, name: &str) -> bool {
-        self.names.contains(name)
+        self.names.contains(name) || self.others.contains_key(name)
+    }
+
+    /// The names of the open requests, and when each ends at the latest.
+    pub fn names(&self) -> impl Iterator<Item = (&str, Micros)> {
+        self.lives.values().map(|life| (life.name.as_str(), life.until))
+    }
+
+    /// Books requests that another process answers.
+    pub fn leave_to_others(&mut self, open: impl IntoIterator<Item = (String, Micros)>) {
+        self.others.extend(open);
+    }
+
+    /// Forgets those of them that have ended.
+    pub fn forget_others(&mut self, now: Micros) {
+        self.others.retain(|_, until| *until > now);
     }
 
     /// The request, while it is owed an answer.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -168,7 +168,7 @@
 }
 
 /// Zone names and the numbers given to them.
-#[derive(Default)]
+#[derive(Clone, Default, Deserialize, Serialize)]
 pub struct Zones(Vec<String>);
 
 impl Zones {
--- /dev/null
+++ b/src/upgrade/message.rs
@@ -0,0 +1,71 @@
+//! What two processes of one gateway tell each other.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::balancer;
+use crate::net::discovery::Directory;
+use crate::{GroupId, Micros, SessionKey};
+
+/// All that the process which follows needs before it takes clients.
+#[derive(Serialize, Deserialize)]
+pub struct Estate {
+    /// The clock that all times in here are on, as [`crate::net::clock::Clock::resume`] takes it.
+    pub clock: i64,
+    /// The configuration in force.
+    pub config: String,
+    /// Discovery's address, which a new configuration may have moved.
+    pub discovery: SocketAddr,
+    /// The version of the list.
+    pub rev: Option<u64>,
+    /// Names, numbers and addresses of the hosts.
+    pub directory: Directory,
+    /// Names of the classes, in the order of their numbers.
+    pub classes: Vec<String>,
+    /// What the decision module knows.
+    pub balancer: balancer::Estate,
+    /// Names of the open requests, and when each ends at the latest.
+    pub open: Vec<(String, Micros)>,
+    /// Clients that the old process still holds.
+    pub clients: usize,
+}
+
+/// A message; some carry a socket along.
+#[derive(Serialize, Deserialize)]
+pub enum Message {
+    /// The estate, and the listening socket.
+    Estate(Box<Estate>),
+    /// The sender takes clients now: the receiver accepts nobody any more.
+    Ready,
+    /// A client and its socket.
+    Client {
+        /// It has been greeted.
+        greeted: bool,
+        /// It has asked before.
+        asked: bool,
+        /// Bytes that came and are not understood yet.
+        bytes: Vec<u8>,
+    },
+    /// How many clients the sender still holds.
+    Holding {
+        /// Their number.
+        clients: usize,
+    },
+    /// A session's write was committed.
+    Commit {
+        /// The session's group.
+        group: GroupId,
+        /// The session.
+        session: SessionKey,
+        /// Its position.
+        commit: Micros,
+    },
+    /// Operators put a host down, or back up.
+    Bar {
+        /// Its name.
+        host: String,
+        /// Down, or up.
+        out: bool,
+    },
+}
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -345,3 +345,29 @@
     let (_, sent) = serve(&mut balancer, 5_000);
     assert!((1..120).contains(&sent[&out]), "a trickle for a cold member: {}", sent[&out]);
 }
+
+/// Guards the rules across an upgrade: what the process before knew binds this one, through the text
+/// that it is passed on as. A session reads what it has written there, a replica's position counts, and
+/// who was put down stays down.
+#[test]
+fn what_another_process_knew_binds_this_one() {
+    let mut before = balancer(true);
+    for member in [2, 3] {
+        before.probed(START, MemberId(member), answer(Said::Served, MemberId(member), START));
+    }
+    before.bar(START, MemberId(2), true);
+    before.committed(GroupId(1), SessionKey(9), START + Micros::millis(50));
+    let text = serde_json::to_string(&before.estate()).expect("written");
+    let mut after = balancer(true);
+    after.inherit(serde_json::from_str(&text).expect("read"), Some);
+    let now = START + Micros::millis(100);
+    for (session, wanted) in [(9, 1), (8, 3)] {
+        let (_, verdict) = after.pick(now, ask(1, session, LONG));
+        assert!(matches!(verdict, Verdict::Send { member: MemberId(to), .. } if to == wanted), "{verdict:?}");
+    }
+    // What is told later counts as well.
+    after.committed(GroupId(1), SessionKey(8), now);
+    let (_, verdict) = after.pick(now, ask(1, 8, LONG));
+    assert!(matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{verdict:?}");
+    assert_eq!(after.pool(), (3, 1));
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -2,42 +2,15 @@
 
 mod rig;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 
 use dunemount::ops::call::{Call, Order, Status};
 use dunemount::ops::figures::Figures;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rig::{read, write, Rig};
-
-fn call(door: SocketAddr, text: &str) -> String {
-    let mut socket = TcpStream::connect(door).expect("accepted");
-    socket.write_all(text.as_bytes()).expect("written");
-    let mut said = String::new();
-    socket.read_to_string(&mut said).expect("an answer, then the end");
-    said
-}
-
-fn get(door: SocketAddr, path: &str) -> String {
-    call(door, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"))
-}
-
-fn order(door: SocketAddr, word: &str, id: &str) -> bool {
-    let length = id.len();
-    let head =
-        format!("POST /ops/database-hosts/{word} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
-    let said = call(door, &(head + id));
-    said.starts_with("HTTP/1.1 200 ")
-}
-
-fn figure(door: SocketAddr, name: &str) -> u64 {
-    let said = get(door, "/ops/stats");
-    let line = said.lines().find_map(|line| line.strip_prefix(&format!("gw.{name}:")));
-    let (value, _kind) = line.and_then(|line| line.split_once('|')).expect("the figure");
-    value.parse().expect("a number")
-}
+use rig::{figure, get, order, read, write, Rig};
 
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
 use std::sync::{atomic::AtomicBool, atomic::AtomicUsize, atomic::Ordering, Arc};
 use std::thread::JoinHandle;
@@ -12,6 +13,7 @@
 use dunemount::net::event_loop::{Config, Gateway, Signals};
 use dunemount::pg::codec::{self, Frame, Inbox};
 use dunemount::settings::{Params, Zones};
+use dunemount::upgrade::line::Inheritance;
 use serde_json::{json, Value};
 
 pub fn settings() -> Value {
@@ -141,6 +143,11 @@
 
 impl Rig {
     pub fn start(limit: usize) -> Rig {
+        Rig::beside(limit, None, None)
+    }
+
+    /// A gateway that waits at this path for the one that follows, and may follow one itself.
+    pub fn beside(limit: usize, line: Option<PathBuf>, inherited: Option<Inheritance>) -> Rig {
         let (sender, heard) = channel();
         let discovery = local();
         let mood = Arc::new(Mood::default());
@@ -162,6 +169,9 @@
             known: serde_json::from_value(listing(&hosts)).expect("a listing"),
             site: params.site(&mut zones).expect("a site"),
             zones,
+            text: String::new(),
+            line,
+            inherited,
         };
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let mut gateway = Gateway::open(config, signals, log).expect("it opens");
@@ -220,6 +230,34 @@
     }
 }
 
+/// Sends operators' bytes to a door and reads all that it says.
+pub fn call(door: SocketAddr, text: &str) -> String {
+    let mut socket = TcpStream::connect(door).expect("accepted");
+    socket.write_all(text.as_bytes()).expect("written");
+    let mut said = String::new();
+    socket.read_to_string(&mut said).expect("an answer, then the end");
+    said
+}
+
+pub fn get(door: SocketAddr, path: &str) -> String {
+    call(door, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"))
+}
+
+/// Whether the door says yes to a word on a host.
+pub fn order(door: SocketAddr, word: &str, id: &str) -> bool {
+    let length = id.len();
+    let head =
+        format!("POST /ops/database-hosts/{word} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+    call(door, &(head + id)).starts_with("HTTP/1.1 200 ")
+}
+
+pub fn figure(door: SocketAddr, name: &str) -> u64 {
+    let said = get(door, "/ops/stats");
+    let line = said.lines().find_map(|line| line.strip_prefix(&format!("gw.{name}:")));
+    let (value, _kind) = line.and_then(|line| line.split_once('|')).expect("the figure");
+    value.parse().expect("a number")
+}
+
 /// A name for each request, as clients give them.
 pub fn name() -> usize {
     static NAMES: AtomicUsize = AtomicUsize::new(0);
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,159 @@
+//! Upgrades: two gateways at one address, the line between them, and starts without a peer.
+
+mod rig;
+
+use std::io::Write;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use dunemount::upgrade::line::{self, Line};
+use dunemount::upgrade::message::Message;
+use dunemount::{GroupId, Micros, SessionKey};
+use rig::{figure, get, order, read, write, Rig};
+
+/// However busy the machine, a peer in the same process answers within this.
+const LONG: Duration = Duration::from_secs(60);
+
+/// A path of this test's own.
+fn path(test: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("dunemount-{test}-{}.line", std::process::id()))
+}
+
+fn follow(path: &PathBuf) -> Rig {
+    Rig::beside(200, Some(path.clone()), Some(line::inherit(path, LONG).expect("handed over")))
+}
+
+/// Guards clients through an upgrade: one that was idle goes on at the next process on the same
+/// connection, half a command included, one that was owed an answer gets it first, and new ones meet no
+/// refusal. Then the old process ends by itself.
+#[test]
+fn clients_go_over_to_the_next_process() {
+    let at = path("clients");
+    let mut old = Rig::beside(200, Some(at.clone()), None);
+    let (mut idle, mut half, mut busy) = (old.client(), old.client(), old.client());
+    idle.ask(&read("k"));
+    assert_eq!(idle.answer().len(), 4);
+    busy.ask(&read("held"));
+    while !old.heard.recv().expect("heard").contains("'held'") {}
+    half.socket.write_all(b"Q\0\0").expect("written");
+    let new = follow(&at);
+    assert!(get(new.admin, "/ops/readiness").starts_with("HTTP/1.1 200 "));
+    idle.ask(&read("k"));
+    assert_eq!(idle.answer().len(), 4);
+    half.socket.write_all(b"\0\x05\0").expect("written");
+    assert_eq!(half.answer().first().map(|frame| frame.tag), Some(b'I'), "the empty query is whole");
+    while figure(new.admin, "responses.look.ok") < 1 {}
+    let mut fresh = old.client();
+    fresh.ask(&read("k"));
+    assert_eq!(fresh.answer().len(), 4);
+    old.stop.write_all(&[1]).expect("told");
+    assert!(!old.gateway.is_finished(), "it still owes an answer");
+    old.mood.released.store(true, Ordering::SeqCst);
+    assert_eq!(busy.answer().len(), 4);
+    old.gateway.join().expect("it ends by itself");
+    busy.ask(&read("k"));
+    assert_eq!(busy.answer().len(), 4, "it has gone over as well");
+    assert_eq!(figure(new.admin, "responses.look.ok"), 3);
+    new.end();
+}
+
+/// Guards hosts put down by hand: a ban outlives the process that took it, and a word at either door of
+/// two counts at both.
+#[test]
+fn bans_hold_at_both_processes() {
+    let at = path("bans");
+    let old = Rig::beside(200, Some(at.clone()), None);
+    assert!(order(old.admin, "down", "s-1"));
+    let new = follow(&at);
+    assert_eq!(figure(new.admin, "pool_ejected"), 1);
+    assert!(order(old.admin, "down", "s-2"));
+    while figure(new.admin, "pool_ejected") != 2 {}
+    old.end();
+    assert!(order(new.admin, "up", "s-1") && order(new.admin, "up", "s-2"));
+    assert_eq!((figure(new.admin, "pool_ejected"), figure(new.admin, "pool_size")), (0, 3));
+    new.end();
+}
+
+/// Guards several upgrades in a row, and an upgrade that fails: when the next process ends early, the
+/// one before serves again and hands over to another.
+#[test]
+fn a_process_that_follows_may_fail_and_another_come() {
+    let at = path("row");
+    let first = Rig::beside(200, Some(at.clone()), None);
+    let failed = line::inherit(&at, LONG).expect("handed over");
+    drop(failed);
+    let second = follow(&at);
+    second.end();
+    // The second has ended: the first accepts again, and waits for the next.
+    let mut client = first.client();
+    client.ask(&write("k"));
+    assert_eq!(client.answer().len(), 4);
+    let third = loop {
+        match line::inherit(&at, LONG) {
+            Ok(inherited) => break Rig::beside(200, Some(at.clone()), Some(inherited)),
+            Err(_) => std::thread::yield_now(),
+        }
+    };
+    first.end();
+    client.ask(&write("k"));
+    assert_eq!(client.answer().len(), 4);
+    third.end();
+}
+
+/// Guards starts without a sound peer: nobody there, one that died and left its path, one that says
+/// nothing and one that says nonsense. None holds a start up for longer than its patience.
+#[test]
+fn a_missing_or_broken_peer_stops_no_start() {
+    let at = path("alone");
+    let soon = Duration::from_millis(50);
+    assert!(line::inherit(&at, soon).is_err(), "nobody");
+    drop(line::listen(&at).expect("a path"));
+    assert!(line::inherit(&at, soon).is_err(), "left behind by a process that died");
+    let silent = line::listen(&at).expect("the path is taken over");
+    assert!(line::inherit(&at, soon).is_err(), "silent");
+    let (called, ended) = std::sync::mpsc::channel();
+    let caller = at.clone();
+    std::thread::spawn(move || called.send(line::inherit(&caller, LONG).is_err()));
+    // The silent call still waits in front.
+    for _ in 0..2 {
+        let mut line = loop {
+            match Line::accept(&silent) {
+                Ok(line) => break line,
+                Err(_) => std::thread::yield_now(),
+            }
+        };
+        let _ = line.send(&Message::Ready, None);
+    }
+    assert!(ended.recv().expect("it gave up"), "no estate");
+    std::fs::remove_file(at).expect("removed");
+}
+
+/// Guards the order and wholeness of what is told: long messages arrive whole, sockets with the message
+/// that they belong to, also where the other end reads late.
+#[test]
+fn a_line_keeps_messages_whole_and_in_order() {
+    let at = path("order");
+    let waits = line::listen(&at).expect("a path");
+    let (caller, long) = (at.clone(), "x".repeat(300_000));
+    let reader = std::thread::spawn(move || line::inherit(&caller, LONG).err());
+    let mut line = loop {
+        match Line::accept(&waits) {
+            Ok(line) => break line,
+            Err(_) => std::thread::yield_now(),
+        }
+    };
+    // A first message other than an estate ends the call; what was sent is still whole on this side.
+    let (socket, mut other) = UnixStream::pair().expect("a pair");
+    let bar = Message::Bar { host: long, out: true };
+    line.send(&bar, Some(OwnedFd::from(socket))).expect("sent");
+    let commit = Message::Commit { group: GroupId(1), session: SessionKey(u64::MAX), commit: Micros(7) };
+    while line.send(&commit, None).is_ok() && line.is_behind() {
+        line.flush().unwrap_or_default();
+    }
+    assert!(reader.join().expect("it returns").is_some());
+    assert!(other.write_all(&[0; 1 << 20]).is_err(), "the socket went over and was closed there");
+    std::fs::remove_file(at).expect("removed");
+}
