--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -22,8 +22,8 @@
     std::env::temp_dir().join(format!("dunemount-{test}-{}.line", std::process::id()))
 }
 
-fn follow(path: &PathBuf) -> Rig {
-    Rig::beside(200, Some(path.clone()), Some(line::inherit(path, LONG).expect("handed over")))
+fn follow(path: &Path) -> Rig {
+    Rig::beside(200, Some(path.to_path_buf()), Some(line::inherit(path, LONG).expect("handed over")))
 }
 
 /// Guards clients through an upgrade: one that was idle goes on at the next process on the same
