Take new settings at SIGHUP whole or not at all; open requests keep their rules

At fault: on_reload took discovery alone; Params filled missing keys and Ms clamped what was negative. Ruled out: the figures themselves (untrue only where the settings differed).

--- a/src/api.rs
+++ b/src/api.rs
@@ -117,7 +117,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time has its full worth.
     pub aim: Micros,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -173,6 +173,8 @@
     req: Request,
     arrived: Micros,
     deadline: Micros,
+    /// Most attempts, as the settings had it when it arrived.
+    most: u32,
     /// After this an answer is worth nothing.
     give_up: Micros,
     attempts: u32,
@@ -266,6 +268,16 @@
         }
     }
 
+    /// Goes on under new settings. Their classes stand at the old places wherever a request is open.
+    pub fn retune(&mut self, settings: Settings) {
+        for (place, class) in settings.classes.iter().enumerate() {
+            let same = self.settings.classes.get(place).is_some_and(|old| old == class);
+            self.means.resize(self.means.len().max(place + 1), 0.0);
+            self.means[place] = if same { self.means[place] } else { class.aim.as_f64() / 5.0 };
+        }
+        self.settings = settings;
+    }
+
     /// Takes one event at `now` and appends what the driver must do, in order.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if self.wake == Micros(0) {
@@ -426,7 +438,8 @@
         }
         let paid = PROBE_SPEND / self.settings.probe_price.max(f64::MIN_POSITIVE);
         self.probe_credit = (self.probe_credit + paid).min(PROBE_SAVED);
-        self.open.insert(req.id, Open { req, arrived: now, deadline, give_up, ..Open::default() });
+        let most = self.settings.max_attempts;
+        self.open.insert(req.id, Open { req, arrived: now, deadline, most, give_up, ..Open::default() });
         // What is left of a late retry may be less than a sweep: it is not sent only to be given up.
         if now + self.period() >= give_up {
             return self.give_up(now, req.id, actions);
@@ -518,7 +531,7 @@
     fn may_send(&self, now: Micros, open: &Open) -> bool {
         let free = open.unrun();
         let copies = open.out.is_empty() || self.settings.second_copies;
-        open.attempts < self.settings.max_attempts
+        open.attempts < open.most
             && match self.settings.classes[open.req.class.0].effect {
                 Effect::Safe => copies && open.errors < EJECT_AFTER,
                 Effect::Unsafe | Effect::Keyed { scope: RepeatScope::Zone, .. } => free,
@@ -601,7 +614,7 @@
         if let Some(member) = self.primary(open.req.group) {
             return Some(member).filter(fits);
         }
-        if !open.out.is_empty() || open.attempts + 2 > self.settings.max_attempts {
+        if !open.out.is_empty() || open.attempts + 2 > open.most {
             return None;
         }
         let mut unsure = self.candidates(open.req.group);
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -124,6 +124,7 @@
 
 /// A request as far as the facade follows it.
 struct Track {
+    class: ClassId,
     until: Micros,
     sends: u32,
     flight: Option<Flight>,
@@ -140,8 +141,8 @@
 /// The facade over the decision module.
 pub struct Balancer {
     router: Router,
-    needs: Vec<Need>,
-    keyed: Vec<bool>,
+    /// Need and effect of each class.
+    kinds: Vec<(Need, Effect)>,
     groups: BTreeSet<GroupId>,
     /// The members that the list names.
     pool: BTreeSet<MemberId>,
@@ -154,14 +155,10 @@
 impl Balancer {
     /// A balancer that knows its settings only. Two attempts at once are ruled out, whatever they say.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let needs = settings.classes.iter().map(|class| class.need).collect();
-        let keyed = settings.classes.iter().map(|class| matches!(class.effect, Effect::Keyed { .. }));
-        let keyed = keyed.collect();
         let settings = Settings { second_copies: false, ..settings };
         Balancer {
+            kinds: settings.classes.iter().map(|class| (class.need, class.effect)).collect(),
             router: Router::new(settings, seed),
-            needs,
-            keyed,
             groups: BTreeSet::new(),
             pool: BTreeSet::new(),
             next_ticket: 0,
@@ -171,6 +168,17 @@
         }
     }
 
+    /// Goes on under new settings. Classes that open requests bear keep their places.
+    pub fn retune(&mut self, settings: Settings) {
+        self.kinds = settings.classes.iter().map(|class| (class.need, class.effect)).collect();
+        self.router.retune(Settings { second_copies: false, ..settings });
+    }
+
+    /// Whether an open request is of this class.
+    pub fn bears(&self, class: ClassId) -> bool {
+        self.tracks.values().any(|track| track.class == class)
+    }
+
     /// Takes in a member list or a change to it.
     pub fn members(&mut self, now: Micros, full: bool, entries: Vec<Entry>) {
         self.groups.extend(entries.iter().map(|entry| entry.group));
@@ -195,7 +203,7 @@
     /// Takes over what another process knew. `place` says where a class of this one stood there.
     pub fn inherit(&mut self, estate: Estate, place: impl Fn(ClassId) -> Option<ClassId>) {
         let known = |class| place(ClassId(class)).and_then(|at| estate.router.means.get(at.0).copied());
-        let means: Vec<Option<f64>> = (0..self.needs.len()).map(known).collect();
+        let means: Vec<Option<f64>> = (0..self.kinds.len()).map(known).collect();
         (self.groups, self.pool) = (estate.groups, estate.pool);
         self.router.inherit(estate.router, &means);
     }
@@ -227,15 +235,17 @@
 
     /// Whether requests of this class write, and whether they carry a key.
     pub fn wants(&self, class: ClassId) -> (bool, bool) {
-        (self.needs[class.0] == Need::Write, self.keyed[class.0])
+        let (need, effect) = self.kinds[class.0];
+        (need == Need::Write, matches!(effect, Effect::Keyed { .. }))
     }
 
     /// Takes a request on. Unless held it is decided at once.
     pub fn pick(&mut self, now: Micros, ask: Ask) -> (Ticket, Verdict) {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        self.tracks.insert(ticket, Track { until: now + ask.time_left, sends: 0, flight: None });
-        let keyed = matches!(self.needs.get(ask.class.0), Some(Need::Write | Need::Session));
+        self.tracks
+            .insert(ticket, Track { class: ask.class, until: now + ask.time_left, sends: 0, flight: None });
+        let keyed = matches!(self.kinds.get(ask.class.0), Some((Need::Write | Need::Session, _)));
         self.drive(
             now,
             Event::Request(Request {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,6 +79,8 @@
 mod api;
 mod balance;
 pub mod balancer;
+pub mod classes;
+pub mod config;
 pub mod http;
 pub mod net;
 pub mod ops;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,18 +2,16 @@
 
 use std::cell::Cell;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use dunemount::net::discovery::Listing;
+use dunemount::config::{self, File, InForce, Taken};
 use dunemount::net::event_loop::{Config, Gateway, Signals};
-use dunemount::settings::Params;
+use dunemount::settings::Zones;
 use dunemount::upgrade::line;
-use serde::Deserialize;
 use slog::{info, o, warn, Drain, Level, Logger};
 
 /// How long the process before may take to hand over.
@@ -21,25 +19,6 @@
 /// Most log lines in a second; what is beyond is counted and dropped.
 const LINES_A_SECOND: u32 = 100;
 
-#[derive(Deserialize)]
-struct File {
-    name: String,
-    listen: String,
-    admin_addr: Option<String>,
-    discovery: String,
-    seed: String,
-    limits: Limits,
-    known: Listing,
-    settings: Params,
-}
-
-#[derive(Deserialize)]
-struct Limits {
-    sockets: usize,
-    #[serde(default)]
-    memory_mb: usize,
-}
-
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
@@ -53,9 +32,11 @@
 fn start() -> Result<(), String> {
     let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG does not name a configuration file")?;
     let read = read_file(&path);
-    let told = |name: &str, or: Option<&String>| std::env::var(name).ok().or(or.cloned());
-    let name = told("GW_NAME", read.as_ref().ok().map(|(_, file)| &file.name));
+    let said = |name: &str| std::env::var(name).ok();
+    let (mut in_force, mut zones) = (InForce::default(), Zones::default());
     // The process before this one waits in the folder that both share, if it still serves.
+    let named = |text: &String| serde_json::from_str::<File>(text).ok().map(|file| file.name);
+    let name = said("GW_NAME").or_else(|| read.as_ref().ok().and_then(named));
     let line = name.as_ref().and_then(|name| line_path(name));
     let inherited = line.as_deref().map(|line| line::inherit(line, ESTATE_PATIENCE));
     let (inherited, missed) = match inherited {
@@ -65,20 +46,23 @@
         }
         _ => (None, None),
     };
-    // A file that cannot be used now was turned down by the process before as well: what it runs on counts.
-    let (text, file) = match (read, &inherited) {
-        (Err(_), Some(before)) => parse(&path, before.estate.config.clone())?,
-        (read, _) => read?,
+    // A file that cannot be taken now was turned down by the process before as well: what it runs on counts.
+    let mut taken = None;
+    if let Some(before) = &inherited {
+        zones = before.estate.directory.zones().clone();
+        taken = in_force.take(before.estate.config.clone(), &mut zones).ok();
+    }
+    let new = read.and_then(|text| in_force.take(text, &mut zones).map_err(|e| format!("{path}: {e}")));
+    let Taken { file, seed, site, .. } = match (new, taken) {
+        (Ok(new), _) => new,
+        (Err(_), Some(taken)) => taken,
+        (Err(why), None) => return Err(why),
     };
-    let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed))?;
-    let mut zones = inherited.as_ref().map(|i| i.estate.directory.zones().clone()).unwrap_or_default();
-    let site = file.settings.site(&mut zones).map_err(|e| format!("settings: {e}"))?;
-    let needed = |name: &str, or: &String| address(name, told(name, Some(or)).unwrap_or_default());
+    let needed = |name: &str, or: &String| config::address(name, said(name).as_ref().unwrap_or(or));
+    let admin = said("GW_ADMIN_ADDR").or(file.admin_addr);
     let config = Config {
         listen: needed("GW_LISTEN", &file.listen)?,
-        admin: told("GW_ADMIN_ADDR", file.admin_addr.as_ref())
-            .map(|text| address("GW_ADMIN_ADDR", text))
-            .transpose()?,
+        admin: admin.map(|text| config::address("GW_ADMIN_ADDR", &text)).transpose()?,
         discovery: needed("GW_DISCOVERY", &file.discovery)?,
         seed,
         sockets: file.limits.sockets,
@@ -86,7 +70,7 @@
         known: file.known,
         site,
         zones,
-        text,
+        text: in_force.text().to_string(),
         line,
         inherited,
     };
@@ -95,7 +79,10 @@
         end: pipe_of(&[SIGTERM, SIGINT]).map_err(|e| format!("cannot watch for signals: {e}"))?,
         reload: pipe_of(&[SIGHUP]).map_err(|e| format!("cannot watch for signals: {e}"))?,
         // The file is the latest word: what the environment said at the start is over with it.
-        reread: Box::new(move || address("discovery", read_file(&path)?.1.discovery)),
+        reread: Box::new(move |zones| {
+            let taken = in_force.take(read_file(&path)?, zones)?;
+            Ok((in_force.text().to_string(), taken))
+        }),
     };
     let (log, _flushed_at_end) = logger(name.unwrap_or(file.name));
     if let Some(e) = missed {
@@ -108,13 +95,8 @@
     gateway.run().map_err(|e| format!("cannot wait for events: {e}"))
 }
 
-fn read_file(path: &str) -> Result<(String, File), String> {
-    parse(path, std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))?)
-}
-
-fn parse(path: &str, text: String) -> Result<(String, File), String> {
-    let file = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
-    Ok((text, file))
+fn read_file(path: &str) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))
 }
 
 /// Where processes of this gateway meet: in `TMPDIR`, where one is named.
@@ -124,10 +106,6 @@
     Some(PathBuf::from(folder).join(format!("dunemount-{plain}.line")))
 }
 
-fn address(name: &str, text: String) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))
-}
-
 /// A pipe that becomes readable when one of the signals arrives.
 fn pipe_of(signals: &[libc::c_int]) -> std::io::Result<UnixStream> {
     let (wake, pipe) = UnixStream::pair()?;
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -25,6 +25,8 @@
 use super::discovery::{Directory, Listing, Watch};
 use super::pool::Pool;
 use crate::balancer::{Balancer, Due, Ended, Said, Ticket, Verdict};
+use crate::classes::Classes;
+use crate::config::Taken;
 use crate::ops::figures::Figures;
 use crate::pg::client::Client;
 use crate::pg::codec::{self, Outbox};
@@ -102,14 +104,17 @@
     pub inherited: Option<Inheritance>,
 }
 
+/// Reads the configuration anew, with the zones that are known.
+pub type Reread = Box<dyn FnMut(&mut Zones) -> Result<(String, Taken), String> + Send>;
+
 /// What comes from outside while the gateway runs.
 pub struct Signals {
     /// Becomes readable when the gateway is to end.
     pub end: UnixStream,
     /// Becomes readable when the configuration is to be read anew.
     pub reload: UnixStream,
-    /// Reads the configuration anew: discovery's address, or why it cannot be used.
-    pub reread: Box<dyn FnMut() -> Result<SocketAddr, String> + Send>,
+    /// Reads the configuration anew: its text and what it brings, or why it cannot be used.
+    pub reread: Reread,
 }
 
 /// A connection's place and a number that tells it from others that had the place before.
@@ -246,7 +251,7 @@
     pool: Pool<Key>,
     ledger: Ledger<Key, Statement>,
     balancer: Balancer,
-    classes: Vec<String>,
+    classes: Classes,
     connect_timeout: Micros,
     directory: Directory,
     discovery: SocketAddr,
@@ -285,6 +290,9 @@
         for class in &config.site.classes {
             figures.class(class);
         }
+        let named = config.site.classes.into_iter().zip(config.site.settings.classes.clone());
+        let mut classes = Classes::default();
+        classes.adopt(Micros(0), named.collect(), |_| false);
         let clock = estate.as_ref().map_or_else(Clock::start, |estate| Clock::resume(estate.clock));
         let budget = config.sockets.saturating_sub(RESERVE).max(8);
         let hosts = budget / HOST_PART;
@@ -314,7 +322,7 @@
             pool: Pool::new(hosts, idle_limit),
             ledger: Ledger::default(),
             balancer: Balancer::new(config.site.settings, config.seed),
-            classes: config.site.classes,
+            classes,
             connect_timeout: config.site.connect_timeout.max(Micros::millis(10)),
             directory: Directory::new(config.zones),
             discovery: config.discovery,
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -11,7 +11,7 @@
 use crate::balancer::Ask;
 use crate::pg::client::{Client, Demand};
 use crate::pg::statement::Statement;
-use crate::{ClassId, GroupId, Micros};
+use crate::{GroupId, Micros};
 
 /// Time taken off what a client waits: for the way there and back, and for the turn of the loop.
 const MARGIN: Micros = Micros::millis(3);
@@ -192,19 +192,18 @@
     fn query(&mut self, key: Key, text: String) {
         self.counts.taken += 1;
         let ask = Statement::parse(text).map_err(|e| e.to_string()).and_then(|statement| {
-            let class = self.classes.iter().position(|name| *name == statement.class);
-            let class = class.ok_or("unknown class")?;
+            let class = self.classes.id(self.now, &statement.class).ok_or("unknown class")?;
             if !self.balancer.knows(GroupId(statement.cluster)) {
                 return Err("unknown group".into());
             }
-            let (writes, keyed) = self.balancer.wants(ClassId(class));
+            let (writes, keyed) = self.balancer.wants(class);
             if writes != statement.writes || keyed && !statement.keyed {
                 return Err("the statement does not fit its class".into());
             }
             if self.ledger.bears(&statement.id) {
                 return Err("a request of this id is open".into());
             }
-            Ok((ClassId(class), statement))
+            Ok((class, statement))
         });
         let (now, clock) = (self.now, self.clock);
         let Some(client) = self.client(key) else { return };
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -12,7 +12,7 @@
 use crate::pg::client::Client;
 use crate::upgrade::line::{self, Line};
 use crate::upgrade::message::{Estate, Message};
-use crate::{ClassId, GroupId, Micros, SessionKey};
+use crate::{GroupId, Micros, SessionKey};
 
 /// Descriptors that the other process takes for itself while there are two.
 const OTHERS: usize = 24;
@@ -52,7 +52,7 @@
             discovery: self.discovery,
             rev: self.watch.known(),
             directory: self.directory.clone(),
-            classes: self.classes.clone(),
+            classes: self.classes.names().map(|(name, id)| (name.clone(), id)).collect(),
             balancer: self.balancer.estate(),
             open: self.ledger.names().map(|(name, until)| (name.to_string(), until)).collect(),
             clients: self.clients,
@@ -86,8 +86,10 @@
         self.directory = directory;
         self.discovery = discovery;
         self.watch = Watch::from(rev);
-        let place =
-            |class: ClassId| classes.iter().position(|name| *name == self.classes[class.0]).map(ClassId);
+        let place = |class| {
+            let (name, _) = self.classes.names().find(|(_, id)| *id == class)?;
+            classes.get(name).copied()
+        };
         self.balancer.inherit(balancer, place);
         self.ledger.leave_to_others(open);
         info!(self.log, "upgrade: estate taken over"; "clients" => clients, "rev" => rev.unwrap_or(0));
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -1,12 +1,15 @@
 //! The loop's part that watches discovery, and that follows it to a new address.
 
 use std::io::Read;
+use std::net::SocketAddr;
 
 use slog::{info, warn};
 
 use super::{dial, Gateway, Key, Link, Timer};
 use crate::net::discovery::{self, Listing};
 use crate::pg::codec::Outbox;
+use crate::settings::Site;
+use crate::Micros;
 
 impl Gateway {
     /// Calls discovery, unless a call is out: there is one watch at a time.
@@ -61,23 +64,21 @@
         self.close(key);
     }
 
-    /// Reads the configuration anew. Discovery may have moved: the watch goes on there at once, with
-    /// the whole list, since versions of the one need mean nothing to the other. Clients, attempts and
-    /// all that is known of the hosts stay. A file that cannot be used changes nothing.
+    /// Reads the configuration anew and takes all of it that may change, or nothing. Clients, attempts
+    /// and all that is known of the hosts stay.
     pub(super) fn on_reload(&mut self) {
         let mut bytes = [0; 16];
         let _ = self.signals.reload.read(&mut bytes);
-        match (self.signals.reread)() {
-            Ok(discovery) => {
-                info!(self.log, "configuration read anew"; "discovery" => %discovery);
+        let mut zones = self.directory.zones().clone();
+        match (self.signals.reread)(&mut zones) {
+            Ok((text, taken)) => {
+                info!(self.log, "configuration read anew"; "discovery" => %taken.discovery,
+                    "classes" => taken.site.classes.len());
+                self.directory.know_zones(zones);
+                self.config = text;
                 self.figures.config_applied += 1;
-                self.discovery = discovery;
-                self.discovery_fails = 0;
-                self.watch.restart();
-                if let Some(key) = self.calling {
-                    self.end_call(key);
-                }
-                self.call_discovery();
+                self.settle_in(taken.site);
+                self.follow_discovery(taken.discovery);
             }
             Err(why) => {
                 warn!(self.log, "new configuration not usable, the old one stays"; "why" => why);
@@ -86,6 +87,32 @@
         }
     }
 
+    /// Goes on under new settings.
+    fn settle_in(&mut self, site: Site) {
+        let mut settings = site.settings;
+        let names = site.classes.iter().cloned();
+        let new = names.zip(std::mem::take(&mut settings.classes)).collect();
+        settings.classes = self.classes.adopt(self.now, new, |class| self.balancer.bears(class));
+        for class in &site.classes {
+            self.figures.class(class);
+        }
+        self.pool.keep_for(settings.connection_idle);
+        self.connect_timeout = site.connect_timeout.max(Micros::millis(10));
+        self.balancer.retune(settings);
+    }
+
+    /// Discovery may have moved: the watch goes on there at once, with the whole list, since versions of
+    /// the one need mean nothing to the other.
+    fn follow_discovery(&mut self, discovery: SocketAddr) {
+        self.discovery = discovery;
+        self.discovery_fails = 0;
+        self.watch.restart();
+        if let Some(key) = self.calling {
+            self.end_call(key);
+        }
+        self.call_discovery();
+    }
+
     /// Takes a listing in.
     pub(super) fn listed(&mut self, listing: Listing, known: bool) {
         let (rev, all) = (listing.rev, listing.all);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -25,6 +25,11 @@
         Pool { idle: BTreeMap::new(), open: 0, most, parts: 1, keep: idle_limit.scale(KEEP) }
     }
 
+    /// Hosts now close idle connections after this time.
+    pub fn keep_for(&mut self, idle_limit: Micros) {
+        self.keep = idle_limit.scale(KEEP);
+    }
+
     /// Most connections to hosts.
     pub fn most(&self) -> usize {
         self.most / self.parts
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -24,7 +24,7 @@
 }
 
 /// The settings object as it stands in JSON.
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Params {
     balancers: u32,
@@ -76,14 +76,15 @@
     Cell,
 }
 
-#[derive(Clone, Copy, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "snake_case")]
 enum RegistryMode {
+    #[default]
     Pushed,
     OnRequest,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Specifics {
     counted_from_ms: Ms,
@@ -104,22 +105,24 @@
     Loose,
 }
 
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum ServerChecks {
+    #[default]
     None,
     Reject,
     Hold,
 }
 
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum SessionMarks {
+    #[default]
     Client,
     Router,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Permissions {
     #[serde(default)]
@@ -148,7 +151,7 @@
     probe: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Safety {
     cold_from: f64,
@@ -203,9 +206,23 @@
         if self.classes.is_empty() {
             return Err("Classes: empty".into());
         }
+        if needs.len() != self.classes.len() {
+            return Err("NeedsByClass: not one for each of Classes".into());
+        }
+        if self.permissions.send_cap == 0 {
+            return Err("SendCap: not positive".into());
+        }
         let mut classes = Vec::new();
         for (index, class) in self.classes.iter().enumerate() {
-            let need = needs.get(index).ok_or("NeedsByClass: shorter than Classes")?;
+            let need = &needs[index];
+            for (key, time) in [("AimMs", class.aim_ms), ("DeadlineMs", class.deadline_ms)] {
+                if Micros::from(time) == Micros(0) {
+                    return Err(format!("{}: {key}: not positive", class.name));
+                }
+            }
+            if self.classes[..index].iter().any(|other| other.name == class.name) {
+                return Err(format!("{}: named twice", class.name));
+            }
             let bound = self.specifics.lag_allowed_ms.get(index);
             classes.push(Class {
                 aim: class.aim_ms.into(),
--- a/src/upgrade/message.rs
+++ b/src/upgrade/message.rs
@@ -1,12 +1,13 @@
 //! What two processes of one gateway tell each other.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use crate::balancer;
 use crate::net::discovery::Directory;
-use crate::{GroupId, Micros, SessionKey};
+use crate::{ClassId, GroupId, Micros, SessionKey};
 
 /// All that the process which follows needs before it takes clients.
 #[derive(Serialize, Deserialize)]
@@ -21,8 +22,8 @@
     pub rev: Option<u64>,
     /// Names, numbers and addresses of the hosts.
     pub directory: Directory,
-    /// Names of the classes, in the order of their numbers.
-    pub classes: Vec<String>,
+    /// Names of the classes with their numbers.
+    pub classes: BTreeMap<String, ClassId>,
     /// What the decision module knows.
     pub balancer: balancer::Estate,
     /// Names of the open requests, and when each ends at the latest.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -242,12 +242,11 @@
     let mut busy = rig.client();
     busy.ask(&read("held"));
     rig.heard.recv().expect("the attempt is out");
-    rig.reload.write_all(&[1]).expect("told");
-    rig.file.send(Err("no file".into())).expect("read");
+    rig.retune("");
     let moved = local();
     for _ in 0..2 {
-        rig.reload.write_all(&[1]).expect("told");
-        rig.file.send(Ok(moved.local_addr().expect("bound"))).expect("read");
+        let address = moved.local_addr().expect("bound").to_string();
+        rig.retune(&rig.with("/discovery", Some(json!(address))));
         let (mut call, asked) = called(&moved);
         assert!(asked.starts_with("GET /catalog/members HTTP"), "the whole list, without a wait: {asked}");
         assert_eq!(old.read(&mut [0; 8]).unwrap_or(0), 0, "the old watch is closed");
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -10,9 +10,10 @@
 use std::sync::{atomic::AtomicBool, atomic::AtomicUsize, atomic::Ordering, Arc};
 use std::thread::JoinHandle;
 
+use dunemount::config::InForce;
 use dunemount::net::event_loop::{Config, Gateway, Signals};
 use dunemount::pg::codec::{self, Frame, Inbox};
-use dunemount::settings::{Params, Zones};
+use dunemount::settings::Zones;
 use dunemount::upgrade::line::Inheritance;
 use serde_json::{json, Value};
 
@@ -133,8 +134,10 @@
     pub admin: SocketAddr,
     pub stop: UnixStream,
     pub reload: UnixStream,
-    /// What rereading the configuration brings; a send waits until it is read.
-    pub file: SyncSender<Result<SocketAddr, String>>,
+    /// What the configuration file holds; a send waits until it is read.
+    pub file: SyncSender<String>,
+    /// The text that it held at the start.
+    pub text: String,
     pub gateway: JoinHandle<()>,
     pub heard: Receiver<String>,
     pub discovery: TcpListener,
@@ -155,30 +158,37 @@
         let (stop, end) = UnixStream::pair().expect("a pair");
         let (reload, anew) = UnixStream::pair().expect("a pair");
         let (file, read) = sync_channel(0);
-        let reread = Box::new(move || read.recv().expect("a file"));
-        let signals = Signals { end, reload: anew, reread };
-        let mut zones = Zones::default();
-        let params: Params = serde_json::from_value(settings()).expect("settings");
+        let (mut in_force, mut zones) = (InForce::default(), Zones::default());
+        let text = json!({"name": "n", "listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0",
+            "discovery": discovery.local_addr().expect("bound").to_string(), "seed": "1f",
+            "limits": {"sockets": limit, "memory_mb": 48}, "known": listing(&hosts), "settings": settings()})
+        .to_string();
+        let taken = in_force.take(text.clone(), &mut zones).expect("a configuration");
         let config = Config {
             listen: "127.0.0.1:0".parse().expect("an address"),
             admin: Some("127.0.0.1:0".parse().expect("an address")),
-            discovery: discovery.local_addr().expect("bound"),
-            seed: 1,
+            discovery: taken.discovery,
+            seed: taken.seed,
             sockets: limit,
             memory_mb: 48,
-            known: serde_json::from_value(listing(&hosts)).expect("a listing"),
-            site: params.site(&mut zones).expect("a site"),
+            known: taken.file.known,
+            site: taken.site,
             zones,
-            text: String::new(),
+            text: text.clone(),
             line,
             inherited,
         };
+        let reread = Box::new(move |zones: &mut Zones| {
+            let text: String = read.recv().expect("a file");
+            in_force.take(text.clone(), zones).map(|taken| (text, taken))
+        });
+        let signals = Signals { end, reload: anew, reread };
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let mut gateway = Gateway::open(config, signals, log).expect("it opens");
         let address = gateway.address().expect("it listens");
         let admin = gateway.admin_address().expect("it has a door");
         let gateway = std::thread::spawn(move || gateway.run().expect("it runs"));
-        Rig { address, admin, stop, reload, file, gateway, heard, discovery, mood }
+        Rig { address, admin, stop, reload, file, text, gateway, heard, discovery, mood }
     }
 
     pub fn client(&self) -> Talk {
@@ -191,6 +201,24 @@
         talk
     }
 
+    /// Replaces the configuration file and sends the signal, as operators do.
+    pub fn retune(&mut self, text: &str) {
+        self.reload.write_all(&[1]).expect("told");
+        self.file.send(text.to_string()).expect("read");
+    }
+
+    /// The configuration at the start with a value in it replaced, or dropped.
+    pub fn with(&self, pointer: &str, value: Option<Value>) -> String {
+        let mut config: Value = serde_json::from_str(&self.text).expect("as it was written");
+        let (parent, key) = pointer.rsplit_once('/').expect("a path");
+        match (config.pointer_mut(parent).expect("a place"), value) {
+            (Value::Object(map), Some(value)) => drop(map.insert(key.to_string(), value)),
+            (Value::Object(map), None) => drop(map.remove(key)),
+            (place, value) => place[key.parse::<usize>().expect("an index")] = value.unwrap_or_default(),
+        }
+        config.to_string()
+    }
+
     /// Ends the gateway as a signal does, and waits for it.
     pub fn end(mut self) {
         self.stop.write_all(&[1]).expect("told");
