Give members their room back once an answer flows

At fault: balance.rs kept load and inflight of an attempt until its last byte, so slow readers filled the limits of members that had long done the work (Event::Started closed the request only). Now Started releases the member (Router::started, Member::release); the end books latency and position once.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -128,6 +128,11 @@
 }
 
 impl Member {
+    fn new(entry: Entry, role: Role, limit: f64) -> Member {
+        let weight = entry.weight.max(TRICKLE);
+        Member { entry, role, limit, weight, stretch: 1.0, ..Member::default() }
+    }
+
     fn usable(&self) -> bool {
         self.listed() && self.ejected.is_none()
     }
@@ -137,6 +142,12 @@
         listed && !self.barred
     }
 
+    /// Books that an attempt of this cost takes no room any more.
+    fn release(&mut self, cost: f64) {
+        self.inflight = self.inflight.saturating_sub(1);
+        self.load = if self.inflight == 0 { 0.0 } else { (self.load - cost).max(0.0) };
+    }
+
     /// Books a new start: it is cold, its position is still valid.
     fn restart(&mut self, at: Micros, rng: &mut Pcg64Mcg) {
         self.born = at;
@@ -203,6 +214,8 @@
     needed: Micros,
     cost: f64,
     load: f64,
+    /// Its answer flows: the member has done the work and has room again.
+    flows: bool,
 }
 
 #[derive(Clone, Serialize, Deserialize)]
@@ -291,7 +304,7 @@
         match event {
             Event::Members { kind, entries } => self.members_listed(now, kind, entries, actions),
             Event::Request(req) => self.arrive(now, req, actions),
-            Event::Started { request } => self.close(request),
+            Event::Started { request } => self.started(now, request, actions),
             Event::Outcome(outcome) => self.outcome(now, outcome, actions),
             Event::Gone(id) => self.close(id),
             Event::Bar { member, out } => self.bar(now, member, out, actions),
@@ -317,14 +330,7 @@
         let start = LIMIT_START * self.limit_share.sqrt();
         for entry in entries {
             let role = if entry.primary { Role::Primary } else { Role::Replica };
-            let member = self.members.entry(entry.member).or_insert_with(|| Member {
-                entry,
-                role,
-                limit: start,
-                stretch: 1.0,
-                weight: entry.weight.max(TRICKLE),
-                ..Member::default()
-            });
+            let member = self.members.entry(entry.member).or_insert_with(|| Member::new(entry, role, start));
             let group = self.groups.entry(entry.group).or_default();
             if !group.members.contains(&entry.member) {
                 group.members.push(entry.member);
@@ -355,20 +361,12 @@
         let Some(member) = self.members.get_mut(&id).filter(|_| changed) else { return };
         member.barred = out;
         if !out {
-            let Member { entry, position, position_at, lag, role_at, inflight, load, unbound, .. } = *member;
-            let (limit, weight) = (LIMIT_START * self.limit_share.sqrt(), entry.weight.max(TRICKLE));
-            let kept = Member {
-                entry,
-                position,
-                position_at,
-                lag,
-                role_at,
-                inflight,
-                load,
-                unbound,
-                ..Member::default()
-            };
-            *member = Member { limit, weight, stretch: 1.0, probing: member.probing, ..kept };
+            let limit = LIMIT_START * self.limit_share.sqrt();
+            let new = Member::new(member.entry, Role::Replica, limit);
+            let old = std::mem::replace(member, new);
+            (member.position, member.position_at, member.lag) = (old.position, old.position_at, old.lag);
+            (member.inflight, member.load, member.probing) = (old.inflight, old.load, old.probing);
+            (member.role_at, member.unbound) = (old.role_at, old.unbound);
             member.restart(now, &mut self.rng);
         }
         self.wake_by(now, actions);
@@ -670,8 +668,10 @@
         member.load += cost;
         member.credit -= cost;
         let session = open.req.session;
-        self.attempts
-            .insert((id, attempt), Attempt { class, session, idle, needed, cost, load: member.load });
+        self.attempts.insert(
+            (id, attempt),
+            Attempt { class, session, idle, needed, cost, load: member.load, flows: false },
+        );
         actions.push(Action::Send { request: id, member: to, timeout: None });
     }
 
@@ -719,6 +719,20 @@
         self.place_waiting(now, group, actions);
     }
 
+    /// An answer has begun to flow: the request belongs to its client, and the member has room again.
+    fn started(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
+        let Some(Open { req, out, .. }) = self.open.get(&id) else { return };
+        for (no, to) in out {
+            if let (Some(a), Some(m)) = (self.attempts.get_mut(&(id, *no)), self.members.get_mut(to)) {
+                a.flows = true;
+                m.release(a.cost);
+            }
+        }
+        let group = req.group;
+        self.close(id);
+        self.place_waiting(now, group, actions);
+    }
+
     /// Books an outcome to its member: load, limit, latency and failures.
     fn judge(&mut self, now: Micros, o: &Outcome, attempt: &Attempt) {
         let mean = &mut self.means[attempt.class.0];
@@ -726,8 +740,9 @@
         let latency = o.latency.as_f64();
         let Some(member) = self.members.get_mut(&o.member) else { return };
         member.used_at = if o.status == Status::ConnectFailed { Micros(0) } else { now };
-        member.inflight = member.inflight.saturating_sub(1);
-        member.load = if member.inflight == 0 { 0.0 } else { (member.load - attempt.cost).max(0.0) };
+        if !attempt.flows {
+            member.release(attempt.cost);
+        }
         // Answers that stay out on idle connections only: something drops those unseen. Shorter idle
         // times are trusted then, not so where none can be made, and the member is not blamed.
         let silent = matches!(o.status, Status::Timeout | Status::Cancelled | Status::Reset);
@@ -857,8 +872,7 @@
             self.reweigh(now);
             self.check_members(now, actions);
         }
-        let ids: Vec<RequestId> = self.open.keys().copied().collect();
-        for id in ids {
+        for id in self.open.keys().copied().collect::<Vec<_>>() {
             self.check_request(now, id, actions);
         }
         let waits = |g: &Group| !g.waiting.is_empty();
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -371,3 +371,38 @@
     assert!(matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{verdict:?}");
     assert_eq!(after.pool(), (3, 1));
 }
+
+/// Guards room at members whose answers flow: their work is done, and a slow reader must not keep
+/// others waiting. The end of the answer is booked once, and a write's commit binds its session though
+/// its request was closed at the first byte.
+#[test]
+fn a_member_has_room_again_once_its_answer_flows() {
+    let mut balancer = balancer(true);
+    for member in [2, 3] {
+        balancer.probed(START, MemberId(member), answer(Said::Served, MemberId(member), START));
+    }
+    let mut out = Vec::new();
+    let held = loop {
+        match balancer.pick(START, ask(0, 1, LONG)) {
+            (ticket, Verdict::Send { member, .. }) => out.push((ticket, member)),
+            (ticket, _) => break ticket,
+        }
+    };
+    for (ticket, _) in &out {
+        balancer.started(START, *ticket);
+    }
+    let placed = std::iter::from_fn(|| balancer.tick(START))
+        .any(|due| matches!(due, Due::Verdict(ticket, Verdict::Send { .. }) if ticket == held));
+    assert!(placed, "the one that was held goes out while the answers still flow");
+    let late = START + Micros::millis(5_000);
+    for (ticket, member) in out {
+        balancer.gone(START, held);
+        assert_eq!(balancer.report(late, ticket, answer(Said::Served, member, START)), Verdict::Held);
+    }
+    let (write, verdict) = balancer.pick(late, ask(3, 5, LONG));
+    assert!(matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{verdict:?}");
+    balancer.started(late, write);
+    balancer.report(late, write, answer(Said::Served, MemberId(1), late));
+    let (_, verdict) = balancer.pick(late, ask(1, 5, LONG));
+    assert!(matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{verdict:?}");
+}
