--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -265,12 +265,14 @@
     }
 
     /// The attempt's answer has begun to flow to the client: the request is its own from here on, and
-    /// nothing will be decided about it any more.
-    pub fn started(&mut self, now: Micros, ticket: Ticket) {
-        if let Some(flight) = self.tracks.get_mut(&ticket).and_then(|track| track.flight.as_mut()) {
-            flight.began = Some(now);
-            self.drive(now, Event::Started { request: RequestId(ticket.0) });
-        }
+    /// nothing will be decided about it any more. False if it has been decided already.
+    #[must_use]
+    pub fn started(&mut self, now: Micros, ticket: Ticket) -> bool {
+        let track = self.tracks.get_mut(&ticket);
+        let Some(flight) = track.and_then(|track| track.flight.as_mut()) else { return false };
+        flight.began = Some(now);
+        self.drive(now, Event::Started { request: RequestId(ticket.0) });
+        true
     }
 
     /// Books the end of the attempt that is out. A served request is finished; for any other the
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -1,6 +1,6 @@
 //! One loop over all sockets. It carries out what the balancer decides and decides nothing itself.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -237,6 +237,8 @@
     figures: Figures,
     config: String,
     line_path: Option<PathBuf>,
+    /// Names of the hosts that operators have put down.
+    down: BTreeSet<String>,
     /// Where the process that follows calls.
     heirs: Option<OwnedFd>,
     /// Other processes of this gateway, and the one among them that takes the clients.
@@ -310,6 +312,7 @@
             figures,
             config: config.text,
             line_path: config.line,
+            down: BTreeSet::new(),
             heirs: None,
             peers: Slab::new(),
             heir: None,
@@ -342,7 +345,10 @@
         };
         match (line, estate) {
             (Some(line), Some(estate)) => gateway.take_estate(line, estate),
-            _ => gateway.listed(config.known, true),
+            _ => {
+                gateway.listed(config.known, true);
+                gateway.recall_bans();
+            }
         }
         gateway.await_heirs();
         gateway.call_discovery();
@@ -647,8 +653,9 @@
 
     /// The answer on a connection to a host begins to flow: the request belongs to its client.
     fn begin_flow(&mut self, ticket: Ticket) {
-        self.balancer.started(self.now, ticket);
-        self.ledger.flow(ticket);
+        if self.balancer.started(self.now, ticket) {
+            self.ledger.flow(ticket);
+        }
     }
 
     /// Passes on what has come of an answer that flows.
--- a/src/net/event_loop/door.rs
+++ b/src/net/event_loop/door.rs
@@ -1,6 +1,8 @@
 //! The loop's part for operators: their listener and their calls. Callers have places of their own, so
 //! that neither clients keep them out nor they the clients, and those without a whole call go first.
 
+use std::collections::BTreeSet;
+use std::io;
 use std::net::Shutdown;
 
 use slog::{info, warn};
@@ -115,12 +117,46 @@
         };
         info!(self.log, "{}", if out { "host put down by hand" } else { "host put back up" }; "host" => name);
         self.balancer.bar(self.now, member, out);
+        self.remember_ban(name, out);
         self.share_bar(name, out);
         // Its idle connections close before the yes.
         while self.do_due() {}
         self.reply(key, Status::Ok, if out { "down\n" } else { "up\n" });
     }
 
+    /// Keeps the names of the hosts that are down in a file beside the line, for a start without a
+    /// process to take over from: a ban holds until the call back.
+    pub(super) fn remember_ban(&mut self, name: &str, out: bool) {
+        let changed = if out { self.down.insert(name.to_string()) } else { self.down.remove(name) };
+        let Some(path) = self.line_path.as_ref().filter(|_| changed) else { return };
+        let (path, new) = (path.with_extension("down"), path.with_extension("new"));
+        let written = serde_json::to_vec(&self.down).map_err(io::Error::from);
+        let kept =
+            written.and_then(|text| std::fs::write(&new, text)).and_then(|()| std::fs::rename(new, path));
+        if let Err(e) = kept {
+            warn!(self.log, "hosts put down by hand cannot be kept in a file"; "error" => %e);
+        }
+    }
+
+    /// Puts down the hosts that were when the process before ended.
+    pub(super) fn recall_bans(&mut self) {
+        let Some(path) = self.line_path.as_ref().map(|path| path.with_extension("down")) else { return };
+        let Ok(text) = std::fs::read(path) else { return };
+        match serde_json::from_slice::<BTreeSet<String>>(&text) {
+            Ok(down) => {
+                for name in &down {
+                    let member = self.directory.number(name);
+                    self.balancer.bar(self.now, member, true);
+                }
+                if !down.is_empty() {
+                    info!(self.log, "hosts still down by hand"; "hosts" => down.len());
+                }
+                self.down = down;
+            }
+            Err(e) => warn!(self.log, "hosts put down by hand cannot be read"; "error" => %e),
+        }
+    }
+
     fn reply(&mut self, key: Key, status: Status, text: &str) {
         let now = self.now;
         if let Some(link) = self.caller(key) {
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -54,6 +54,7 @@
             directory: self.directory.clone(),
             classes: self.classes.names().map(|(name, id)| (name.clone(), id)).collect(),
             balancer: self.balancer.estate(),
+            down: self.down.clone(),
             open: self.ledger.names().map(|(name, until)| (name.to_string(), until)).collect(),
             clients: self.clients,
         };
@@ -80,7 +81,8 @@
 
     /// Takes over what the process before knew, and the lead.
     pub(super) fn take_estate(&mut self, line: Line, estate: Estate) {
-        let Estate { discovery, rev, mut directory, classes, balancer, open, clients, .. } = estate;
+        let Estate { discovery, rev, mut directory, classes, balancer, down, open, clients, .. } = estate;
+        self.down = down;
         // Zones that only the new settings name have got their numbers by now.
         directory.know_zones(self.directory.zones().clone());
         self.directory = directory;
@@ -208,6 +210,7 @@
             Message::Bar { host, out } => {
                 let member = self.directory.number(&host);
                 self.balancer.bar(self.now, member, out);
+                self.remember_ban(&host, out);
                 self.tell_others(Some(index), &Message::Bar { host, out });
             }
             Message::Estate(_) => warn!(self.log, "upgrade: an estate out of place"),
--- a/src/upgrade/message.rs
+++ b/src/upgrade/message.rs
@@ -1,6 +1,6 @@
 //! What two processes of one gateway tell each other.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,8 @@
     pub classes: BTreeMap<String, ClassId>,
     /// What the decision module knows.
     pub balancer: balancer::Estate,
+    /// Names of the hosts that operators have put down.
+    pub down: BTreeSet<String>,
     /// Names of the open requests, and when each ends at the latest.
     pub open: Vec<(String, Micros)>,
     /// Clients that the old process still holds.
