--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -15,6 +15,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 mod door;
+mod flowing;
 mod guests;
 mod succession;
 mod watching;
@@ -59,8 +60,6 @@
 /// longer, since nobody else can give the rest.
 const STALL: Micros = Micros::millis(250);
 const FLOW_STALL: Micros = Micros::millis(10_000);
-/// A host is not read while the client that its answer flows to has so much unread.
-const UNREAD_FLOW: usize = 64 * 1024;
 /// How far ahead of this clock a position may lie; further ahead it is spoilt.
 const AHEAD: Micros = Micros::millis(1_000);
 /// How long the loop goes on accepting after SIGTERM: the hand-over takes up to 0.4 s.
@@ -553,7 +552,7 @@
         if let (Link::Client(client), true) = (&mut slot.link, before > 0) {
             let left = client.protocol.out.len();
             client.used = if left < before { now } else { client.used };
-            if let Some(ticket) = client.ticket.filter(|_| left < UNREAD_FLOW) {
+            if let Some(ticket) = client.ticket.filter(|_| left < flowing::UNREAD) {
                 self.let_flow(ticket);
             }
         }
@@ -651,52 +650,6 @@
 
     // ---- Answers ----
 
-    /// The answer on a connection to a host begins to flow: the request belongs to its client.
-    fn begin_flow(&mut self, ticket: Ticket) {
-        if self.balancer.started(self.now, ticket) {
-            self.ledger.flow(ticket);
-        }
-    }
-
-    /// Passes on what has come of an answer that flows.
-    fn flow(&mut self, key: Key) {
-        let Some(host) = self.host(key) else { return };
-        let Task::Attempt(ticket) = host.task else { return };
-        let bytes = host.protocol.flow();
-        let Some(owner) = self.ledger.get(ticket).filter(|life| life.flows()).map(|life| life.owner) else {
-            return;
-        };
-        let Some(client) = self.client(owner).filter(|_| !bytes.is_empty()) else { return };
-        client.protocol.out.bytes.extend_from_slice(&bytes);
-        self.write(owner);
-        let unread = self.client(owner).map_or(0, |client| client.protocol.out.len());
-        if let Some(host) = self.host(key).filter(|_| unread >= UNREAD_FLOW) {
-            host.held = true;
-            self.arm(key);
-        }
-    }
-
-    /// The client of an answer that flows has read on: so is its host.
-    fn let_flow(&mut self, ticket: Ticket) {
-        let now = self.now;
-        let Some(key) = self.ledger.get(ticket).and_then(|life| life.attempt()) else { return };
-        if let Some(host) = self.host(key).filter(|host| host.held) {
-            (host.held, host.heard) = (false, now);
-            self.arm(key);
-        }
-    }
-
-    /// An answer that flowed cannot be finished: its client is told by the end of the connection.
-    fn cut_off(&mut self, ticket: Ticket) {
-        let Some(life) = self.ledger.finish(ticket) else { return };
-        self.counts.failed += 1;
-        self.figures.class(&life.work.class).errors += 1;
-        if let Some(client) = self.client(life.owner) {
-            client.ticket = None;
-            self.close(life.owner);
-        }
-    }
-
     /// Gives the final answer, and counts it.
     fn finish(&mut self, ticket: Ticket, answer: Final) {
         self.drop_attempt(ticket);
