--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,37 @@
+//! Reads both files as a start would, and says what is wrong with them.
+
+use std::path::Path;
+
+use crate::cli::Files;
+use crate::config::{self, InForce, Taken};
+use crate::fault::Fault;
+use crate::options::Options;
+use crate::settings::Zones;
+
+/// Reads the project's own settings; without a file everything has its default.
+pub fn options(path: Option<&Path>) -> Result<Options, String> {
+    let Some(path) = path else { return Ok(Options::default()) };
+    Options::read(&read(path)?).map_err(|fault| fault.of(&path.display().to_string()))
+}
+
+/// Reads a file whole.
+pub fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))
+}
+
+/// Reads both files and changes nothing: one line on what they hold, or on the first fault.
+pub fn check(files: &Files) -> Result<String, String> {
+    let path = files.config.as_deref().ok_or("--config or GW_CONFIG must name the configuration")?;
+    let text = read(path)?;
+    let fault = |fault: Fault| fault.of(&path.display().to_string());
+    let taken = InForce::default().take(text.clone(), &mut Zones::default()).map_err(fault)?;
+    let Taken { file, site, .. } = taken;
+    let addresses = [("listen", Some(&file.listen)), ("admin_addr", file.admin_addr.as_ref())];
+    for (name, address) in addresses {
+        let address = address.map(|text| config::address(name, text)).transpose();
+        address.map_err(|what| fault(Fault::at(config::line_of(&text, name), what)))?;
+    }
+    let options = options(files.settings.as_deref())?;
+    let (classes, hosts) = (site.classes.len(), file.known.len());
+    Ok(format!("usable: {classes} classes, {hosts} hosts known, {} cores", options.cores))
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,66 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+
+/// Routes reads and writes over replicated database groups.
+///
+/// Without a command it serves, with the configuration that GW_CONFIG names: this is how the platform
+/// starts it. A configuration that cannot be used is named in one line, and the exit status is not zero.
+#[derive(Debug, Parser)]
+#[command(name = "dunemount", version, args_conflicts_with_subcommands = true, after_help = SIGNALS)]
+pub struct Cli {
+    /// What to do; serves if there is none.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+    /// How it is served without a command.
+    #[command(flatten)]
+    pub serve: Serve,
+}
+
+const SIGNALS: &str = "\
+Signals while it serves:
+  SIGTERM, SIGINT  end in good order: clients are taken for 0.5 s more, what is owed is answered
+  SIGHUP           read the configuration anew: all of its settings and discovery count at once, or none";
+
+/// What may be asked for.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve in the foreground, logging to standard output, until a signal ends it.
+    Serve(Serve),
+    /// Read both files, name the first fault with its file and line, and change nothing.
+    Check(Files),
+}
+
+/// How to serve.
+#[derive(Args, Debug)]
+pub struct Serve {
+    /// The files to serve with.
+    #[command(flatten)]
+    pub files: Files,
+    /// Form of the log's lines.
+    #[arg(long, value_enum, value_name = "FORM", env = "GW_LOG_FORM", default_value_t = Form::Text)]
+    pub log: Form,
+}
+
+/// The files that a gateway reads.
+#[derive(Args, Debug)]
+pub struct Files {
+    /// The platform's configuration, a JSON file. GW_NAME, GW_LISTEN, GW_ADMIN_ADDR and GW_DISCOVERY
+    /// override what it says.
+    #[arg(long, value_name = "FILE", env = "GW_CONFIG")]
+    pub config: Option<PathBuf>,
+    /// The project's own settings, an INI file; without it everything has its default.
+    #[arg(long, value_name = "FILE", env = "GW_SETTINGS")]
+    pub settings: Option<PathBuf>,
+}
+
+/// Forms of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Form {
+    /// A line for people: time, level, message, fields.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::fault::Fault;
 use crate::net::discovery::Listing;
 use crate::settings::{Params, Site, Zones};
 
@@ -63,20 +64,34 @@
     }
 
     /// Takes a file's text, or says why it cannot be used; then nothing has changed.
-    pub fn take(&mut self, text: String, zones: &mut Zones) -> Result<Taken, String> {
-        let shape: Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+    pub fn take(&mut self, text: String, zones: &mut Zones) -> Result<Taken, Fault> {
+        let shape: Value = serde_json::from_str(&text)?;
+        let fault = |what: String| Fault::at(line_of(&text, &what), what);
         if let Some(missing) = lacks(&self.shape, &shape) {
-            return Err(format!("{missing}: missing"));
+            return Err(fault(format!("{missing}: missing")));
         }
-        let mut file: File = serde_json::from_str(&text).map_err(|e| e.to_string())?;
-        let site = std::mem::take(&mut file.settings).site(zones).map_err(|e| format!("settings: {e}"))?;
-        let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed))?;
-        let discovery = address("discovery", &file.discovery)?;
+        let mut file: File = serde_json::from_str(&text)?;
+        let site = std::mem::take(&mut file.settings).site(zones);
+        let site = site.map_err(|e| fault(format!("settings: {e}")))?;
+        let seed =
+            u64::from_str_radix(&file.seed, 16).map_err(|e| fault(format!("seed: {:?}: {e}", file.seed)))?;
+        let discovery = address("discovery", &file.discovery).map_err(fault)?;
         (self.text, self.shape) = (text, shape);
         Ok(Taken { file, seed, discovery, site })
     }
 }
 
+/// The line that a message is about, counted from 1: that of the last key of `a.b: c: what` which the text
+/// holds after the ones before it; zero where it holds none. The reader gives values without their places.
+pub fn line_of(text: &str, message: &str) -> usize {
+    let mut at = None;
+    for key in message.split(": ").flat_map(|part| part.split('.')) {
+        let from = at.unwrap_or(0);
+        at = text[from..].find(&format!("\"{key}\"")).map(|found| from + found).or(at);
+    }
+    at.map_or(0, |at| text[..at].matches('\n').count() + 1)
+}
+
 /// Reads an address with a port.
 pub fn address(name: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,11 +79,16 @@
 mod api;
 mod balance;
 pub mod balancer;
+pub mod check;
 pub mod classes;
+pub mod cli;
 pub mod config;
+pub mod fault;
 pub mod http;
+pub mod logging;
 pub mod net;
 pub mod ops;
+pub mod options;
 pub mod pg;
 pub mod request;
 pub mod settings;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,80 @@
+//! The log: lines on standard output, written by a thread of their own so that a slow reader never
+//! holds up the traffic.
+
+use std::cell::Cell;
+use std::io::stdout;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use slog::{o, Drain, Level, Logger, Never, OwnedKVList, Record, SendSyncRefUnwindSafeDrain};
+use slog_async::{Async, AsyncGuard, OverflowStrategy};
+
+use crate::cli::Form;
+
+/// Most log lines in a second; what is beyond is counted and dropped.
+const LINES_A_SECOND: u32 = 100;
+/// Lines that wait for the writer at most.
+const QUEUE: usize = 512;
+
+/// Opens the log; it is flushed when the guard is dropped.
+pub fn open(name: String, form: Form, level: Level) -> (Logger, AsyncGuard) {
+    match form {
+        Form::Text => {
+            let plain = slog_term::PlainDecorator::new(stdout());
+            queued(name, level, slog_term::FullFormat::new(plain).use_utc_timestamp().build())
+        }
+        Form::Json => queued(name, level, Mutex::new(slog_json::Json::default(stdout()))),
+    }
+}
+
+fn queued<D>(name: String, level: Level, lines: D) -> (Logger, AsyncGuard)
+where
+    D: Drain + Send + 'static,
+    D::Err: std::fmt::Debug,
+{
+    let (lines, guard) = Async::new(lines.fuse())
+        .chan_size(QUEUE)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    (Logger::root(Throttle::over(lines.fuse(), level), o!("gateway" => name)), guard)
+}
+
+/// Admits lines of a level, and so many of them a second.
+struct Throttle<D> {
+    lines: D,
+    level: Level,
+    state: Mutex<Cell<(Instant, u32)>>,
+}
+
+impl<D> Throttle<D> {
+    fn over(lines: D, level: Level) -> Self {
+        Throttle { lines, level, state: Mutex::new(Cell::new((Instant::now(), 0))) }
+    }
+
+    fn admits(&self) -> bool {
+        let Ok(state) = self.state.lock() else { return false };
+        let (since, lines) = state.get();
+        let fresh = since.elapsed() >= Duration::from_secs(1);
+        state.set(if fresh { (Instant::now(), 1) } else { (since, lines.saturating_add(1)) });
+        fresh || lines < LINES_A_SECOND
+    }
+}
+
+impl<D> Drain for Throttle<D>
+where
+    D: SendSyncRefUnwindSafeDrain<Ok = (), Err = Never>,
+{
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        if record.level().is_at_least(self.level) && self.admits() {
+            self.lines.log(record, values)?;
+        }
+        Ok(())
+    }
+
+    fn is_enabled(&self, level: Level) -> bool {
+        level.is_at_least(self.level)
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,26 +1,33 @@
 //! The dunemount gateway: reads its configuration, opens its log and runs the loop.
 
-use std::cell::Cell;
 use std::io::ErrorKind;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use clap::Parser;
+use dunemount::check;
+use dunemount::cli::{Cli, Command, Serve};
 use dunemount::config::{self, File, InForce, Taken};
+use dunemount::fault::Fault;
+use dunemount::logging;
 use dunemount::net::event_loop::{Config, Gateway, Signals};
 use dunemount::settings::Zones;
 use dunemount::upgrade::line;
-use slog::{info, o, warn, Drain, Level, Logger};
+use slog::{info, warn, Level};
 
 /// How long the process before may take to hand over.
 const ESTATE_PATIENCE: Duration = Duration::from_secs(3);
-/// Most log lines in a second; what is beyond is counted and dropped.
-const LINES_A_SECOND: u32 = 100;
 
 fn main() -> ExitCode {
-    match start() {
+    let cli = Cli::parse();
+    let done = match cli.command {
+        None => serve(cli.serve),
+        Some(Command::Serve(how)) => serve(how),
+        Some(Command::Check(files)) => check::check(&files).map(|found| println!("{found}")),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("dunemount: {message}");
@@ -29,9 +36,11 @@
     }
 }
 
-fn start() -> Result<(), String> {
-    let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG does not name a configuration file")?;
-    let read = read_file(&path);
+fn serve(how: Serve) -> Result<(), String> {
+    let path = how.files.config.ok_or("GW_CONFIG does not name a configuration file, nor does --config")?;
+    let options = check::options(how.files.settings.as_deref())?;
+    let named_path = path.display().to_string();
+    let read = check::read(&path);
     let said = |name: &str| std::env::var(name).ok();
     let (mut in_force, mut zones) = (InForce::default(), Zones::default());
     // The process before this one waits in the folder that both share, if it still serves.
@@ -52,7 +61,7 @@
         zones = before.estate.directory.zones().clone();
         taken = in_force.take(before.estate.config.clone(), &mut zones).ok();
     }
-    let new = read.and_then(|text| in_force.take(text, &mut zones).map_err(|e| format!("{path}: {e}")));
+    let new = read.and_then(|text| in_force.take(text, &mut zones).map_err(|fault| fault.of(&named_path)));
     let Taken { file, seed, site, .. } = match (new, taken) {
         (Ok(new), _) => new,
         (Err(_), Some(taken)) => taken,
@@ -80,25 +89,25 @@
         reload: pipe_of(&[SIGHUP]).map_err(|e| format!("cannot watch for signals: {e}"))?,
         // The file is the latest word: what the environment said at the start is over with it.
         reread: Box::new(move |zones| {
-            let taken = in_force.take(read_file(&path)?, zones)?;
+            let text = check::read(&path).map_err(|what| Fault::at(0, what))?;
+            let taken = in_force.take(text, zones)?;
             Ok((in_force.text().to_string(), taken))
         }),
     };
-    let (log, _flushed_at_end) = logger(name.unwrap_or(file.name));
+    // `GW_LOG=debug` adds a line for each attempt that broke.
+    let level = if said("GW_LOG").as_deref() == Some("debug") { Level::Debug } else { Level::Info };
+    let (log, _flushed_at_end) = logging::open(name.unwrap_or(file.name), how.log, level);
     if let Some(e) = missed {
         warn!(log, "the process before did not hand over, starting alone"; "error" => %e);
     }
     let listen = config.listen;
     let mut gateway =
         Gateway::open(config, signals, log.clone()).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-    info!(log, "listening"; "address" => %listen, "version" => env!("CARGO_PKG_VERSION"));
+    info!(log, "listening"; "address" => %listen, "version" => env!("CARGO_PKG_VERSION"),
+        "cores" => options.cores);
     gateway.run().map_err(|e| format!("cannot wait for events: {e}"))
 }
 
-fn read_file(path: &str) -> Result<String, String> {
-    std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"))
-}
-
 /// Where processes of this gateway meet: in `TMPDIR`, where one is named.
 fn line_path(name: &str) -> Option<PathBuf> {
     let plain: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
@@ -114,36 +123,3 @@
     }
     Ok(pipe)
 }
-
-/// The log: lines on standard output, written by a thread of their own so that a slow reader never
-/// holds up the loop. `GW_LOG=debug` adds a line for each attempt that broke.
-fn logger(name: String) -> (Logger, slog_async::AsyncGuard) {
-    let level = match std::env::var("GW_LOG").as_deref() {
-        Ok("debug") => Level::Debug,
-        _ => Level::Info,
-    };
-    let lines = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stdout()))
-        .use_utc_timestamp()
-        .build()
-        .fuse();
-    let (lines, guard) = slog_async::Async::new(lines)
-        .chan_size(512)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build_with_guard();
-    let throttle = Throttle(Mutex::new(Cell::new((Instant::now(), 0))));
-    let limited = lines.fuse().filter(move |_| throttle.admits()).filter_level(level).fuse();
-    (Logger::root(limited, o!("gateway" => name)), guard)
-}
-
-/// Admits so many lines a second.
-struct Throttle(Mutex<Cell<(Instant, u32)>>);
-
-impl Throttle {
-    fn admits(&self) -> bool {
-        let Ok(state) = self.0.lock() else { return false };
-        let (since, lines) = state.get();
-        let fresh = since.elapsed() >= Duration::from_secs(1);
-        state.set(if fresh { (Instant::now(), 1) } else { (since, lines.saturating_add(1)) });
-        fresh || lines < LINES_A_SECOND
-    }
-}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -33,6 +33,18 @@
     targets: Vec<Value>,
 }
 
+impl Listing {
+    /// Number of its lines.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether it names no host.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+}
+
 #[derive(Deserialize)]
 struct Target {
     uid: String,
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -28,6 +28,7 @@
 use crate::balancer::{Balancer, Due, Ended, Said, Ticket, Verdict};
 use crate::classes::Classes;
 use crate::config::Taken;
+use crate::fault::Fault;
 use crate::ops::figures::Figures;
 use crate::pg::client::Client;
 use crate::pg::codec::{self, Outbox};
@@ -106,7 +107,7 @@
 }
 
 /// Reads the configuration anew, with the zones that are known.
-pub type Reread = Box<dyn FnMut(&mut Zones) -> Result<(String, Taken), String> + Send>;
+pub type Reread = Box<dyn FnMut(&mut Zones) -> Result<(String, Taken), Fault> + Send>;
 
 /// What comes from outside while the gateway runs.
 pub struct Signals {
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -81,7 +81,7 @@
                 self.follow_discovery(taken.discovery);
             }
             Err(why) => {
-                warn!(self.log, "new configuration not usable, the old one stays"; "why" => why);
+                warn!(self.log, "new configuration not usable, the old one stays"; "why" => %why);
                 self.figures.config_rejected += 1;
             }
         }
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,143 @@
+//! The command line and the project's own settings, through the program itself.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use dunemount::options::Options;
+
+fn example() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples/config.json")
+}
+
+fn run(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dunemount"));
+    command.env_remove("GW_CONFIG").env_remove("GW_SETTINGS").args(args).output().expect("it starts")
+}
+
+/// Guards the operators' settings: whatever is not known, of the wrong type or out of range is named with
+/// its line, and so is what is no INI at all.
+#[test]
+fn each_fault_of_the_settings_is_named_with_its_line() {
+    for (text, line, word) in [
+        ("[cores]\ncount = 0\n", 2, "out of range (1 to"),
+        ("[cores]\ncount = 65000", 2, "out of range"),
+        ("[cores]\ncount = two", 2, "no whole number"),
+        ("[cores]\ncount = -1", 2, "no whole number"),
+        ("[cores]\ncount =", 2, "no whole number"),
+        ("; first\n\n[cores]\nnumber = 1", 4, "no such key"),
+        ("[cores]\ncount = 1\n[core]\ncount = 1", 3, "no such section"),
+        ("count = 1", 1, "no such key"),
+        ("[cores]\ncount = 1\ncount = 1", 3, "set twice"),
+        ("[cores]\ncount = 1\n[cores]\ncount = 1", 4, "set twice"),
+        ("[cores]\ncount\n[cores]", 2, "neither"),
+        ("[cores\ncount = 1", 1, "neither"),
+    ] {
+        let fault = Options::read(text).expect_err(text);
+        assert_eq!(fault.line, line, "{text:?}: {fault}");
+        assert!(fault.what.contains(word), "{text:?}: {fault}");
+    }
+    for text in ["", "[cores]", "# a word\n[cores]\n  count : 1  \n"] {
+        assert_eq!(Options::read(text), Ok(Options::default()), "{text:?}");
+    }
+}
+
+/// Guards the shipped settings file: it is what a start without one does.
+#[test]
+fn the_shipped_settings_are_the_defaults() {
+    let shipped = include_str!("../deploy/dunemount.ini");
+    assert_eq!(Options::read(shipped), Ok(Options::default()));
+    for key in ["[cores]", "count = "] {
+        assert!(shipped.contains(key), "{key} is shown");
+    }
+}
+
+/// Guards `check`: it reads both files as a start would, names the first fault with file and line, and the
+/// exit status tells.
+#[test]
+fn check_names_the_file_and_the_line() {
+    let example = example();
+    let good = example.to_str().expect("a path");
+    let output = run(&["check", "--config", good]);
+    assert!(output.status.success());
+    assert!(String::from_utf8_lossy(&output.stdout).contains("4 classes"));
+    let folder = std::env::temp_dir().join(format!("dunemount-check-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let text = std::fs::read_to_string(&example).expect("the example");
+    let (bad, ini) = (folder.join("bad.json"), folder.join("bad.ini"));
+    let (bad_name, ini_name) = (bad.to_str().expect("a path"), ini.to_str().expect("a path"));
+    for (old, new, line) in [
+        ("\"AimMs\": 500.0", "\"AimMs\": 0", 16),
+        ("8c1f30d27a5be964", "xyz", 6),
+        ("\"127.0.0.1:6543\"", "\"nowhere\"", 3),
+        ("\"127.0.0.1:9800\"", "\"nowhere\"", 4),
+        ("\"127.0.0.1:8500\"", "\"nowhere\"", 5),
+        ("13000.0", "\"x\"", 27),
+        ("\"recent\", ", "", 22),
+        ("{\"Name\": \"own-read\"", "{\"Name\": \"page-read\"", 15),
+    ] {
+        assert!(text.contains(old), "{old}");
+        std::fs::write(&bad, text.replacen(old, new, 1)).expect("written");
+        let output = run(&["check", "--config", bad_name]);
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.lines().count() == 1, "{said}");
+        assert!(said.contains(&format!("bad.json:{line}: ")), "{new}: {said}");
+    }
+    std::fs::write(&ini, "[cores]\n\ncount = none\n").expect("written");
+    for command in ["check", "serve"] {
+        let output = run(&[command, "--config", good, "--settings", ini_name]);
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains("bad.ini:3: [cores] count"), "{command}: {said}");
+    }
+    let output = run(&["check", "--config", folder.join("none.json").to_str().expect("a path")]);
+    assert!(!output.status.success());
+    std::fs::remove_dir_all(folder).expect("removed");
+}
+
+/// Guards `--help` and words that mean nothing.
+#[test]
+fn help_tells_what_may_be_asked_and_nonsense_is_refused() {
+    let said = String::from_utf8_lossy(&run(&["--help"]).stdout).into_owned();
+    for word in ["serve", "check", "GW_CONFIG", "--settings", "SIGHUP"] {
+        assert!(said.contains(word), "{word}");
+    }
+    assert!(!run(&["frob"]).status.success());
+    assert!(!run(&["serve", "--log", "xml"]).status.success());
+    assert!(!run(&[]).status.success(), "nothing names a configuration");
+}
+
+/// Guards the log's second form: each line is a JSON object with its message and fields, to the last one.
+#[test]
+fn json_lines_are_objects() {
+    use std::io::{BufRead, BufReader, Read};
+    let text = std::fs::read_to_string(example()).expect("the example");
+    let text = ["127.0.0.1:6543", "127.0.0.1:9800"].iter().fold(text, |t, a| t.replace(a, "127.0.0.1:0"));
+    let path = std::env::temp_dir().join(format!("dunemount-json-{}.json", std::process::id()));
+    std::fs::write(&path, text).expect("written");
+    let mut gateway = Command::new(env!("CARGO_BIN_EXE_dunemount"))
+        .args(["serve", "--log", "json", "--config", path.to_str().expect("a path")])
+        .env_remove("TMPDIR")
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut lines = BufReader::new(gateway.stdout.take().expect("its output"));
+    let mut first = String::new();
+    lines.read_line(&mut first).expect("a line");
+    signal(gateway.id());
+    let mut rest = String::new();
+    lines.read_to_string(&mut rest).expect("the rest");
+    assert!(gateway.wait().expect("it ends").success());
+    std::fs::remove_file(path).expect("removed");
+    let mut messages = Vec::new();
+    for line in first.lines().chain(rest.lines()) {
+        let value: serde_json::Value = serde_json::from_str(line).expect(line);
+        assert_eq!(value["gateway"], "toy");
+        messages.push(value["msg"].as_str().expect("a message").to_string());
+    }
+    assert!(messages.contains(&"listening".to_string()) && messages.contains(&"ended".to_string()));
+}
+
+/// Sends SIGTERM to a process that this test started.
+fn signal(id: u32) {
+    let id = rustix::process::Pid::from_raw(id as i32).expect("a process");
+    rustix::process::kill_process(id, rustix::process::Signal::TERM).expect("told");
+}
