--- /dev/null
+++ b/benches/scene/mod.rs
@@ -0,0 +1,184 @@
+//! A site in the module's own time: families of members, sessions, and requests that are answered once
+//! so many have come behind them. Drives the facade and nothing below it.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use dunemount::balancer::{Ask, Balancer, Due, Ended, Said, Ticket, Verdict};
+use dunemount::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// One request each so often, in the module's time.
+const PACE: Micros = Micros(100);
+const START: Micros = Micros::millis(24 * 3_600_000);
+
+/// The size of a site.
+#[derive(Clone, Copy)]
+pub struct Size {
+    pub families: u64,
+    /// Members of each family.
+    pub members: u64,
+    pub sessions: u64,
+    /// Requests that come between one that is sent and its answer.
+    pub open: usize,
+}
+
+/// What so many requests took.
+#[derive(Clone, Copy, Default)]
+pub struct Cost {
+    pub total: Duration,
+    pub longest: Duration,
+    pub requests: u64,
+    pub served: u64,
+}
+
+pub struct Scene {
+    balancer: Balancer,
+    size: Size,
+    now: Micros,
+    rng: Pcg64Mcg,
+    out: VecDeque<(Ticket, MemberId, u64)>,
+    taken: u64,
+    cost: Cost,
+}
+
+fn settings() -> Settings {
+    let class = |need, effect, aim, deadline, late_worth| Class {
+        aim: Micros::millis(aim),
+        deadline: Micros::millis(deadline),
+        worth: 3.0,
+        late_worth,
+        effect,
+        need,
+    };
+    let keyed = Effect::Keyed { scope: RepeatScope::Group, window: Micros::millis(3000) };
+    Settings {
+        classes: vec![
+            class(Need::Bounded(Micros::millis(800)), Effect::Safe, 300, 1000, 0.0),
+            class(Need::Session, Effect::Safe, 500, 1500, 0.0),
+            class(Need::Fresh, Effect::Safe, 750, 2500, 0.2),
+            class(Need::Write, keyed, 750, 3000, 0.3),
+        ],
+        tenants: vec![],
+        over_share_worth: 1.0,
+        zone: ZoneId(0),
+        drivers: 1,
+        tick: Micros::millis(5),
+        must_watch: false,
+        checks: Checks::None,
+        tokens: Tokens::Remembered,
+        probes: true,
+        cancels: true,
+        peers: false,
+        second_copies: false,
+        retry_after: true,
+        max_retry_after: Micros::millis(1000),
+        max_attempts: 8,
+        probe_price: 0.01,
+        cross_zone_price: 0.01,
+        drain_grace: Micros::millis(2000),
+        only_draining_binds: false,
+        connection_idle: Micros::millis(15_000),
+        cold_from: 0.15,
+        cold_time: Micros::millis(13_000),
+        fall_multiple: 2.0,
+        fall_time: Micros::millis(3000),
+    }
+}
+
+impl Scene {
+    /// A site whose sessions have all written; their commits lie ahead of every replica.
+    pub fn new(size: Size) -> Scene {
+        let mut balancer = Balancer::new(settings(), 7);
+        let entry = |family: u64, place: u64| Entry {
+            member: MemberId(family * size.members + place + 1),
+            group: GroupId(family),
+            zone: ZoneId(place as usize % 3),
+            weight: 1.0,
+            primary: place == 0,
+            ..Entry::default()
+        };
+        let all = (0..size.families).flat_map(|f| (0..size.members).map(move |m| entry(f, m)));
+        balancer.members(START, true, all.collect());
+        for session in 0..size.sessions {
+            let commit = START + Micros::millis(1_000_000) + Micros(session);
+            balancer.committed(GroupId(session % size.families), SessionKey(session), commit);
+        }
+        let rng = Pcg64Mcg::seed_from_u64(11);
+        Scene { balancer, size, now: START, rng, out: VecDeque::new(), taken: 0, cost: Cost::default() }
+    }
+
+    fn timed<T>(&mut self, step: impl FnOnce(&mut Balancer) -> T) -> T {
+        let from = Instant::now();
+        let done = step(&mut self.balancer);
+        let took = from.elapsed();
+        self.cost.total += took;
+        self.cost.longest = self.cost.longest.max(took);
+        done
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.rng.next_u64() % below.max(1)
+    }
+
+    /// Plays so many requests and says what the module took for them.
+    pub fn play(&mut self, requests: u64) -> Cost {
+        self.cost = Cost { requests, ..Cost::default() };
+        for _ in 0..requests {
+            self.now = self.now + PACE;
+            self.taken += 1;
+            let now = self.now;
+            while let Some(due) = self.timed(|b| b.tick(now)) {
+                match due {
+                    Due::Verdict(ticket, Verdict::Send { member, .. }) => self.sent(ticket, member),
+                    Due::Probe(member) => {
+                        let (role, position) = self.told(member);
+                        let said = Ended::Answer { said: Said::Served, role, position };
+                        self.timed(|b| b.probed(now, member, said));
+                    }
+                    _ => {}
+                }
+            }
+            let session = self.draw(self.size.sessions);
+            let class = [0, 0, 0, 0, 0, 1, 1, 1, 2, 3][self.draw(10) as usize];
+            let group = match class {
+                1 | 3 => session % self.size.families,
+                _ => self.draw(self.size.families),
+            };
+            let ask = Ask {
+                class: ClassId(class),
+                group: GroupId(group),
+                session: SessionKey(session),
+                since_commit: None,
+                repeat: false,
+                time_left: Micros::millis(1000),
+            };
+            let (ticket, verdict) = self.timed(|b| b.pick(now, ask));
+            if let Verdict::Send { member, .. } = verdict {
+                self.sent(ticket, member);
+            }
+            let old = self.taken.saturating_sub(self.size.open as u64);
+            while self.out.front().is_some_and(|(.., sent)| *sent <= old) {
+                let Some((ticket, member, _)) = self.out.pop_front() else { break };
+                let (role, position) = self.told(member);
+                let ended = Ended::Answer { said: Said::Served, role, position };
+                self.timed(|b| b.report(now, ticket, ended));
+                self.cost.served += 1;
+            }
+        }
+        self.cost
+    }
+
+    fn sent(&mut self, ticket: Ticket, member: MemberId) {
+        self.out.push_back((ticket, member, self.taken));
+    }
+
+    /// What a member says: the primary has everything, its replicas are a little behind.
+    fn told(&self, member: MemberId) -> (Option<Role>, Option<Micros>) {
+        match (member.0 - 1) % self.size.members {
+            0 => (Some(Role::Primary), Some(self.now)),
+            _ => (Some(Role::Replica), Some(self.now - Micros::millis(20))),
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -46,7 +46,7 @@
 macro_rules! id {
     ($(#[$doc:meta] $name:ident($inner:ty);)*) => {$(
         #[$doc]
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     )*};
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,17 +3,23 @@
 //! The ordinary path: a read goes to a replica whose last known log position covers the read's
 //! token or bound, drawn by weight and load with the primary left out; otherwise to the primary.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
+use indexmap::IndexMap;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde::{Deserialize, Serialize};
 
 use crate::api::*;
 
+mod book;
 mod estate;
+mod sessions;
+mod state;
 
+use book::{Book, Spot};
 pub use estate::Estate;
+use sessions::Sessions;
+use state::{Attempt, Drawn, Due, Group, Member, Open, Turn};
 
 // ---- Constants. Figures of a deployment come from its settings or from what is observed. ----
 
@@ -74,6 +80,10 @@
 const COLD_PART: f64 = 0.7;
 /// Part of the fall window's budget that a cold member may get in one go.
 const COLD_BURST: f64 = 0.25;
+/// Members of a family that one draw looks at, from a random place on where there are more.
+const WINDOW: usize = 64;
+/// Most members surveyed, sessions forgotten and families retried in one step; the rest comes in the next.
+const SLICE: usize = 1024;
 /// The one timer: each sweep asks for the next.
 const SWEEP: TimerId = TimerId(0);
 
@@ -81,56 +91,24 @@
 
 type Actions = Vec<Action>;
 
-#[derive(Clone, Default, Serialize, Deserialize)]
-struct Member {
-    entry: Entry,
-    /// Cold since then; zero when long ago.
-    born: Micros,
-    position: Option<Micros>,
-    position_at: Micros,
-    /// How far it is thought to be behind: from its last position, and from reads that it turned away.
-    lag: Micros,
-    role: Role,
-    role_at: Micros,
-    #[serde(skip)]
-    inflight: u32,
-    /// Cost of the attempts in flight, in usual requests.
-    #[serde(skip)]
-    load: f64,
-    /// Cost of what failed at once, held against the member for as long as work would have taken.
-    ghost: f64,
-    /// Most cost in flight. Less than a request's is kept in time: pauses between requests.
-    limit: f64,
-    paused_until: Micros,
-    /// Running mean of latency over its class's mean.
-    stretch: f64,
-    /// Running share of failures.
-    fail: f64,
-    /// Weight in the draw, before zone and load.
-    weight: f64,
-    /// Out by the operators' hand, whatever the list says.
-    barred: bool,
-    /// The list calling it gone binds nobody: it has not drained since its start.
-    unbound: bool,
-    /// Connections refused or cut in a row since a request was last answered.
-    breaks: u32,
-    /// Since when, and whether one was cut, as by a process that died.
-    broken: Option<(Micros, bool)>,
-    /// Out of the draw since then.
-    ejected: Option<Micros>,
-    probed_at: Micros,
-    #[serde(skip)]
-    probing: bool,
-    /// Last send or answer: since then its connections are idle.
-    used_at: Micros,
-    /// What a cold member may still be sent; starts at random below nothing, to spread the drivers.
-    credit: f64,
-}
-
 impl Member {
-    fn new(entry: Entry, role: Role, limit: f64) -> Member {
-        let weight = entry.weight.max(TRICKLE);
-        Member { entry, role, limit, weight, stretch: 1.0, ..Member::default() }
+    /// Share of its capacity that it surely has: growth is never slower than even.
+    fn warmth(&self, now: Micros, settings: &Settings) -> f64 {
+        let cold_time = settings.cold_time.as_f64();
+        let age = (now - self.born).as_f64();
+        if self.born == Micros(0) || age >= cold_time {
+            return 1.0;
+        }
+        settings.cold_from + (1.0 - settings.cold_from) * age / cold_time
+    }
+
+    fn has_room(&self, now: Micros, settings: &Settings, cost: f64, part: f64) -> bool {
+        let warmth = self.warmth(now, settings);
+        if now < self.paused_until || warmth < 1.0 && self.credit <= 0.0 {
+            return false;
+        }
+        let busy = self.load + self.ghost;
+        busy < SPENT || busy + cost.min(self.limit / 2.0) <= self.limit * warmth * part
     }
 
     fn usable(&self) -> bool {
@@ -142,12 +120,6 @@
         listed && !self.barred
     }
 
-    /// Books that an attempt of this cost takes no room any more.
-    fn release(&mut self, cost: f64) {
-        self.inflight = self.inflight.saturating_sub(1);
-        self.load = if self.inflight == 0 { 0.0 } else { (self.load - cost).max(0.0) };
-    }
-
     /// Books a new start: it is cold, its position is still valid.
     fn restart(&mut self, at: Micros, rng: &mut Pcg64Mcg) {
         self.born = at;
@@ -166,82 +138,31 @@
     }
 }
 
-#[derive(Clone, Default, Serialize, Deserialize)]
-struct Group {
-    members: Vec<MemberId>,
-    /// Cost served of late, over `Router::span`.
-    served: f64,
-    /// Members listed as ready.
-    live: f64,
-    /// The latest commit whose session was forgotten: a member that joins later may not have it yet.
-    floor: Micros,
-    #[serde(skip)]
-    waiting: Vec<RequestId>,
-}
-
-#[derive(Default)]
-struct Open {
-    req: Request,
-    arrived: Micros,
-    deadline: Micros,
-    /// Most attempts, as the settings had it when it arrived.
-    most: u32,
-    /// After this an answer is worth nothing.
-    give_up: Micros,
-    attempts: u32,
-    out: Vec<(AttemptNo, MemberId)>,
-    /// Send time of the first attempt that may have run.
-    ran: Option<Micros>,
-    /// An attempt ended without proof that it did not run.
-    unproven: bool,
-    errors: u32,
-    avoid: Vec<MemberId>,
-}
-
-impl Open {
-    /// Whether every attempt so far is proved not to have run.
-    fn unrun(&self) -> bool {
-        self.out.is_empty() && !self.unproven
-    }
-}
-
-struct Attempt {
-    class: ClassId,
-    session: Option<SessionKey>,
-    /// For how long the connection had been idle, as far as that matters.
-    idle: Option<Micros>,
-    /// Position that its answer must show.
-    needed: Micros,
-    cost: f64,
-    load: f64,
-    /// Its answer flows: the member has done the work and has room again.
-    flows: bool,
-}
-
-#[derive(Clone, Serialize, Deserialize)]
-struct Session {
-    group: GroupId,
-    #[serde(skip)]
-    pending: u32,
-    commit: Micros,
-}
-
 /// Makes the decisions of one driver.
 pub struct Router {
     settings: Settings,
     rng: Pcg64Mcg,
-    members: BTreeMap<MemberId, Member>,
-    groups: BTreeMap<GroupId, Group>,
+    members: IndexMap<MemberId, Member>,
+    groups: IndexMap<GroupId, Group>,
     /// Members that operators have put down, in the list or not.
     barred: BTreeSet<MemberId>,
     open: BTreeMap<RequestId, Open>,
     attempts: BTreeMap<(RequestId, AttemptNo), Attempt>,
-    sessions: BTreeMap<SessionKey, Session>,
+    book: Book,
+    sessions: Sessions,
+    /// What the last draw was from.
+    drawn: Drawn,
     /// Part of the usual limits that one of so many drivers has.
     limit_share: f64,
     /// Mean latency of each class.
     means: Vec<f64>,
     surveyed: Micros,
+    /// Time that the survey under way covers, and the place of the family that is next in it.
+    survey: Option<(Micros, usize)>,
+    /// The members to be probed first of those that it has seen.
+    due: Vec<Due>,
+    /// The family that was retried last, where not all had their turn.
+    retried: Option<GroupId>,
     /// When the next sweep is due, zero before the first; a timer that ends before is stale.
     wake: Micros,
     /// Probes that the requests so far have paid for.
@@ -254,11 +175,28 @@
     idle_losses: u32,
 }
 
+/// What is left after so long of what halves like the memory of failures.
+fn halved(elapsed: f64) -> f64 {
+    0.5f64.powf(elapsed / FAIL_HALF_LIFE.as_f64())
+}
+
 /// An even draw between 0 and 1.
 fn unit(rng: &mut Pcg64Mcg) -> f64 {
     (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// Draws one by weight.
+fn draw(rng: &mut Pcg64Mcg, drawn: &[(MemberId, f64)]) -> Option<MemberId> {
+    let mut point = unit(rng) * drawn.iter().map(|(_, weight)| weight).sum::<f64>();
+    for (id, weight) in drawn {
+        if point < *weight {
+            return Some(*id);
+        }
+        point -= weight;
+    }
+    drawn.last().map(|(id, _)| *id)
+}
+
 impl Router {
     /// A router that knows nothing but its settings; `seed` feeds its draws.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -268,13 +206,18 @@
             limit_share: (FULL_LIMITS / f64::from(settings.drivers.max(1))).min(1.0),
             settings,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            members: BTreeMap::new(),
-            groups: BTreeMap::new(),
+            members: IndexMap::new(),
+            groups: IndexMap::new(),
             barred: BTreeSet::new(),
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            sessions: BTreeMap::new(),
+            book: Book::default(),
+            sessions: Sessions::default(),
+            drawn: Vec::new(),
             surveyed: Micros(0),
+            survey: None,
+            due: Vec::new(),
+            retried: None,
             wake: Micros(0),
             probe_credit: PROBE_SAVED,
             span: 0.0,
@@ -290,6 +233,12 @@
             self.means[place] = if same { self.means[place] } else { class.aim.as_f64() / 5.0 };
         }
         self.settings = settings;
+        let period = self.period();
+        for (id, open) in &mut self.open {
+            let end = open.give_up.min(open.deadline - period);
+            self.book.close(*id, std::mem::replace(&mut open.end, end), None);
+            self.book.open(*id, end);
+        }
     }
 
     /// Takes one event at `now` and appends what the driver must do, in order.
@@ -321,20 +270,26 @@
             ListKind::Failed if self.settings.must_watch => actions.push(Action::Watch),
             ListKind::Failed | ListKind::Changes => {}
             ListKind::Full => {
-                let named = |m: &Member| entries.iter().any(|e| e.member == m.entry.member);
-                for member in self.members.values_mut().filter(|m| !named(m)) {
+                let named: HashSet<MemberId> = entries.iter().map(|e| e.member).collect();
+                for member in self.members.values_mut().filter(|m| !named.contains(&m.entry.member)) {
                     member.entry.listed = Listed::Gone;
                 }
             }
         }
         let start = LIMIT_START * self.limit_share.sqrt();
+        let mut changed: BTreeSet<GroupId> = entries.iter().map(|entry| entry.group).collect();
         for entry in entries {
             let role = if entry.primary { Role::Primary } else { Role::Replica };
-            let member = self.members.entry(entry.member).or_insert_with(|| Member::new(entry, role, start));
+            let member =
+                self.members.entry(entry.member).or_insert_with(|| Member::new(entry, role, start, TRICKLE));
+            if member.entry.group != entry.group {
+                let before = self.groups.entry(member.entry.group).or_default();
+                before.members.retain(|id| *id != entry.member);
+                changed.insert(member.entry.group);
+            }
             let group = self.groups.entry(entry.group).or_default();
-            if !group.members.contains(&entry.member) {
-                group.members.push(entry.member);
-                group.members.sort();
+            if let Err(place) = group.members.binary_search(&entry.member) {
+                group.members.insert(place, entry.member);
             }
             member.barred = self.barred.contains(&entry.member);
             if entry.started > member.born {
@@ -351,6 +306,9 @@
             let drains = entry.listed == Listed::Draining;
             member.unbound = only_draining && !drains && (member.unbound || entry.listed == Listed::Ready);
         }
+        for group in changed {
+            self.recount(group);
+        }
     }
 
     /// Leaves a member out by hand, or puts it back. It may have been started anew meanwhile: it comes back
@@ -362,13 +320,15 @@
         member.barred = out;
         if !out {
             let limit = LIMIT_START * self.limit_share.sqrt();
-            let new = Member::new(member.entry, Role::Replica, limit);
+            let new = Member::new(member.entry, Role::Replica, limit, TRICKLE);
             let old = std::mem::replace(member, new);
             (member.position, member.position_at, member.lag) = (old.position, old.position_at, old.lag);
             (member.inflight, member.load, member.probing) = (old.inflight, old.load, old.probing);
             (member.role_at, member.unbound) = (old.role_at, old.unbound);
             member.restart(now, &mut self.rng);
         }
+        let group = member.entry.group;
+        self.recount(group);
         self.wake_by(now, actions);
     }
 
@@ -385,7 +345,11 @@
     /// Takes in what a member said. A position stays valid for ever; the latest word on the role wins.
     fn learn(&mut self, now: Micros, id: MemberId, role: Option<Role>, at: Micros, position: Option<Micros>) {
         let Some(member) = self.members.get_mut(&id) else { return };
+        let group = member.entry.group;
+        let mut contested = false;
         if let Some(role) = role.filter(|_| at >= member.role_at) {
+            let leads = self.groups.get(&group).and_then(|g| g.leader) == Some(id);
+            contested = leads != (role == Role::Primary);
             member.role = role;
             member.role_at = at;
         }
@@ -395,6 +359,9 @@
             member.position_at = now;
             member.lag = now - position.unwrap_or_default();
         }
+        if contested {
+            self.recount(group);
+        }
     }
 
     /// A member has answered a request or a probe.
@@ -407,22 +374,20 @@
         }
     }
 
-    /// The member believed to be the group's primary: the latest claim that nothing newer disproved.
-    fn primary(&self, group: GroupId) -> Option<MemberId> {
-        let members = self.groups.get(&group)?.members.iter();
-        let claims = members.filter(|id| self.members[id].role == Role::Primary);
-        let latest = claims.max_by_key(|id| self.members[id].role_at)?;
-        self.members[latest].usable().then_some(*latest)
+    /// Counts the group's live members and finds its leader anew: after a list, a claim, or one that is void.
+    fn recount(&mut self, group: GroupId) {
+        let Some(group) = self.groups.get_mut(&group) else { return };
+        let members = group.members.iter().filter_map(|id| Some((self.members.get(id)?, *id)));
+        let claims = members.filter(|(m, _)| m.role == Role::Primary);
+        group.leader = claims.max_by_key(|(m, _)| m.role_at).map(|(_, id)| id);
+        let live = group.members.iter().filter(|id| self.members.get(*id).is_some_and(Member::listed));
+        group.live = live.count() as f64;
     }
 
-    /// Share of its capacity that a member surely has: growth is never slower than even.
-    fn warmth(&self, now: Micros, member: &Member) -> f64 {
-        let cold_time = self.settings.cold_time.as_f64();
-        let age = (now - member.born).as_f64();
-        if member.born == Micros(0) || age >= cold_time {
-            return 1.0;
-        }
-        self.settings.cold_from + (1.0 - self.settings.cold_from) * age / cold_time
+    /// The member believed to be the group's primary.
+    fn primary(&self, group: GroupId) -> Option<MemberId> {
+        let leader = self.groups.get(&group)?.leader?;
+        self.members.get(&leader)?.usable().then_some(leader)
     }
 
     // ---- Arrival ----
@@ -433,33 +398,50 @@
         let aim = if class.late_worth > 0.0 { deadline } else { deadline.min(now + class.aim) };
         let give_up = aim - self.settings.tick;
         if let (Need::Write, Some(key)) = (class.need, req.session) {
-            self.session(req.group, key).pending += 1;
+            self.sessions.begin(req.group, key);
         }
         let paid = PROBE_SPEND / self.settings.probe_price.max(f64::MIN_POSITIVE);
         self.probe_credit = (self.probe_credit + paid).min(PROBE_SAVED);
         let most = self.settings.max_attempts;
-        self.open.insert(req.id, Open { req, arrived: now, deadline, most, give_up, ..Open::default() });
+        let end = give_up.min(deadline - self.period());
+        self.open.insert(req.id, Open { req, arrived: now, deadline, most, give_up, end, ..Open::default() });
+        self.book.open(req.id, end);
         // What is left of a late retry may be less than a sweep: it is not sent only to be given up.
         if now + self.period() >= give_up {
             return self.give_up(now, req.id, actions);
         }
-        self.groups.entry(req.group).or_default().waiting.push(req.id);
+        self.enqueue(req.id);
         self.place_waiting(now, req.group, actions);
+        let waits = self.book.waits(req.group);
         if self.open[&req.id].out.is_empty() {
             self.check_request(now, req.id, actions);
         }
-        let waits = !self.groups[&req.group].waiting.is_empty();
         self.wake_by(if waits { now + self.period() } else { give_up.min(now + SURVEY) }, actions);
     }
 
-    fn session(&mut self, group: GroupId, key: SessionKey) -> &mut Session {
-        self.sessions.entry(key).or_insert(Session { group, pending: 0, commit: Micros(0) })
+    /// Puts a request into its family's queue.
+    fn enqueue(&mut self, id: RequestId) {
+        let Some(open) = self.open.get(&id) else { return };
+        let (group, class) = (open.req.group, open.req.class);
+        let (give_up, patience) = (open.give_up, self.patience(open));
+        let spot = self.book.wait(Spot { id, group, class, give_up, patience, place: 0 });
+        self.open.entry(id).and_modify(|open| open.spot = Some(spot));
+    }
+
+    /// How long a request may wait. A read that has waited for this part of its aim would be sent only to be
+    /// given up. One that was never sent is given up while its client has the time to come again.
+    fn patience(&self, open: &Open) -> Micros {
+        let class = &self.settings.classes[open.req.class.0];
+        let aimed =
+            if class.late_worth > 0.0 { open.give_up } else { open.arrived + class.aim.scale(PATIENCE) };
+        let held =
+            if open.unproven { open.give_up } else { open.arrived + open.req.time_left.scale(HELD_PART) };
+        aimed.min(held)
     }
 
     /// A session's write was committed, here or at the process beside this one.
     pub fn committed(&mut self, group: GroupId, key: SessionKey, commit: Micros) {
-        let session = self.session(group, key);
-        session.commit = session.commit.max(commit);
+        self.sessions.committed(group, key, commit);
     }
 
     /// Cost of a request in usual requests: its class's mean latency against the smallest.
@@ -471,59 +453,48 @@
     /// Sends as many of a group's waiting requests as there is room for: writes before reads, since
     /// only the primary takes them, then by worth for work.
     fn place_waiting(&mut self, now: Micros, group: GroupId, actions: &mut Actions) {
-        let Some(queue) = self.groups.get_mut(&group).map(|g| std::mem::take(&mut g.waiting)) else { return };
-        let keyed = |id| {
-            let class = self.open.get(&id)?.req.class.0;
-            let settings = &self.settings.classes[class];
-            Some(((settings.need == Need::Write, settings.worth / self.means[class]), id))
+        let ranked = |class: ClassId| {
+            let settings = &self.settings.classes[class.0];
+            (settings.need == Need::Write, settings.worth / self.means[class.0], class)
         };
-        let mut queue: Vec<_> = queue.into_iter().rev().filter_map(keyed).collect();
-        // The newest first: in an overload it is the one that can still be in time, while the oldest
-        // would be sent only to be given up. Serves any backlog; the oldest are refused early.
-        queue.sort_by(|((a_write, a), _), ((b_write, b), _)| b_write.cmp(a_write).then(b.total_cmp(a)));
-        let mut left = Vec::new();
+        let mut queue: Vec<_> = self.book.classes(group).into_iter().map(ranked).collect();
+        queue.sort_by(|(a_write, a, _), (b_write, b, _)| b_write.cmp(a_write).then(b.total_cmp(a)));
         let mut writes_wait = false;
-        // Once some of a class find no room the rest would not either, and a long queue costs CPU.
-        let mut failed = vec![0; self.means.len()];
-        for ((write, _), id) in queue {
-            let class = self.open[&id].req.class.0;
-            let member = if failed[class] < SCAN { self.choose(now, id, writes_wait) } else { None };
-            if let Some(member) = member {
-                self.send(now, id, member, actions);
-            } else {
-                failed[class] += 1;
-                writes_wait |= write;
-                left.push(id);
+        for (write, _, class) in queue {
+            // The newest first: in an overload it is the one that can still be in time, while the oldest
+            // would be sent only to be given up. Serves any backlog; the oldest are refused early.
+            let (mut failed, mut before) = (0, u64::MAX);
+            // Once some of a class find no room the rest would not either, and a long queue costs CPU.
+            while failed < SCAN {
+                let Some((place, id)) = self.book.newest(group, class, before) else { break };
+                before = place;
+                if let Some(member) = self.choose(now, id, writes_wait) {
+                    self.send(now, id, member, actions);
+                } else {
+                    failed += 1;
+                    writes_wait |= write;
+                }
             }
         }
-        left.reverse();
-        if let Some(group) = self.groups.get_mut(&group) {
-            group.waiting = left;
-        }
     }
 
     // ---- Choice ----
 
-    /// The members of a group that may be sent to. Where all are ejected none is: it is not their fault.
-    fn candidates(&self, group: GroupId) -> Vec<MemberId> {
-        let Some(group) = self.groups.get(&group) else { return Vec::new() };
-        let listed: Vec<_> = group.members.iter().copied().filter(|m| self.members[m].listed()).collect();
-        let usable: Vec<_> = listed.iter().copied().filter(|m| self.members[m].usable()).collect();
-        if usable.is_empty() {
-            listed
-        } else {
-            usable
-        }
+    /// Where in a group one choice begins to look: anywhere, if there are more members than it looks at.
+    fn turn(&mut self, group: GroupId) -> Turn {
+        let ring = self.groups.get(&group).map_or(0, |group| group.members.len());
+        (group, if ring > WINDOW { self.rng.next_u64() as usize % ring } else { 0 })
     }
 
-    fn has_room(&self, now: Micros, id: MemberId, cost: f64, part: f64) -> bool {
-        let member = &self.members[&id];
-        let warmth = self.warmth(now, member);
-        if now < member.paused_until || warmth < 1.0 && member.credit <= 0.0 {
-            return false;
-        }
-        let busy = member.load + member.ghost;
-        busy < SPENT || busy + cost.min(member.limit / 2.0) <= member.limit * warmth * part
+    /// The members of a group that may be sent to, of those that one choice looks at. Where all are ejected
+    /// none is: it is not their fault.
+    fn candidates(&self, (group, from): Turn) -> impl Iterator<Item = (MemberId, &Member)> {
+        let ring = self.groups.get(&group).map_or(&[][..], |group| &group.members);
+        let (before, after) = ring.split_at(from.min(ring.len()));
+        let window = after.iter().chain(before).take(WINDOW);
+        let window = window.filter_map(|id| Some((*id, self.members.get(id)?)));
+        let any = window.clone().any(|(_, m)| m.usable());
+        window.filter(move |(_, m)| if any { m.usable() } else { m.listed() })
     }
 
     /// Whether a further attempt keeps rule two and the limits on attempts.
@@ -550,9 +521,9 @@
                 open.req.since_commit.map_or(Micros(0), |age| open.arrived - age)
             }
             (Need::Session, Tokens::Remembered) => {
-                let session = open.req.session.and_then(|key| self.sessions.get(&key));
+                let commit = open.req.session.and_then(|key| self.sessions.commit(open.req.group, key));
                 let floor = self.groups.get(&open.req.group).map_or(Micros(0), |g| g.floor);
-                session.map_or(floor, |s| s.commit.max(floor))
+                commit.map_or(floor, |commit| commit.max(floor))
             }
         }
     }
@@ -560,40 +531,36 @@
     /// The member for a waiting request, if one can take it now. While writes wait, the primary is
     /// closed to reads.
     fn choose(&mut self, now: Micros, id: RequestId, writes_wait: bool) -> Option<MemberId> {
+        let group = self.open.get(&id).filter(|open| self.may_send(now, open))?.req.group;
+        let turn = self.turn(group);
         let open = self.open.get(&id)?;
-        if !self.may_send(now, open) {
-            return None;
-        }
         let class = &self.settings.classes[open.req.class.0];
-        let (group, cost) = (open.req.group, self.cost(open.req.class));
-        let primary = self.primary(group);
+        let cost = self.cost(open.req.class);
         if class.need == Need::Write {
-            return self.choose_writer(now, open, cost);
+            return self.choose_writer(now, open, cost, turn);
         }
+        let mut drawn = std::mem::take(&mut self.drawn);
+        let primary = self.primary(group);
         let needed = self.needed(now, open);
-        let session = open.req.session.and_then(|key| self.sessions.get(&key));
-        let pinned = session.is_some_and(|s| s.pending > 0);
+        let pinned = open.req.session.is_some_and(|key| self.sessions.is_pending(group, key));
         let pin_holds = class.need == Need::Session && pinned && primary.is_some();
-        let candidate = |m: &MemberId| {
-            let out = open.avoid.contains(m) || open.out.iter().any(|(_, tried)| tried == m);
-            Some(*m) != primary && !pin_holds && !out && self.has_room(now, *m, cost, 1.0)
+        let candidate = |id: MemberId, m: &Member| {
+            let out = open.avoid.contains(&id) || open.out.iter().any(|(_, tried)| *tried == id);
+            Some(id) != primary && !pin_holds && !out && m.has_room(now, &self.settings, cost, 1.0)
         };
-        let replicas: Vec<MemberId> = self.candidates(group).into_iter().filter(candidate).collect();
-        let covers = |m: &MemberId| self.members[m].position.unwrap_or_default() >= needed;
-        let eligible: Vec<MemberId> = replicas.iter().copied().filter(covers).collect();
-        let primary = primary.filter(|m| !writes_wait && !open.avoid.contains(m));
-        if let Some(member) = self.draw(now, &eligible) {
-            return Some(member);
-        }
+        let covers = |id, m: &Member| m.position.unwrap_or_default() >= needed && candidate(id, m);
+        let primary = primary.filter(|id| !writes_wait && !open.avoid.contains(id));
+        self.weigh(now, turn, covers, &mut drawn);
+        let mut found = draw(&mut self.rng, &drawn);
         // Where replicas check, those that should have caught up come before the primary.
-        if self.settings.checks == Checks::Refuse {
-            let caught_up = |m: &MemberId| now - self.members[m].lag > needed;
-            let hopeful: Vec<MemberId> = replicas.into_iter().filter(caught_up).collect();
-            if let Some(member) = self.draw(now, &hopeful) {
-                return Some(member);
-            }
+        if found.is_none() && self.settings.checks == Checks::Refuse {
+            let caught_up = |id, m: &Member| now - m.lag > needed && candidate(id, m);
+            self.weigh(now, turn, caught_up, &mut drawn);
+            found = draw(&mut self.rng, &drawn);
         }
-        primary.filter(|m| self.has_room(now, *m, cost, PRIMARY_READ_PART))
+        self.drawn = drawn;
+        let reads = |id: &MemberId| self.members[id].has_room(now, &self.settings, cost, PRIMARY_READ_PART);
+        found.or(primary.filter(reads))
     }
 
     /// Whether the attempt that is out may still be written now that its connection is up.
@@ -608,42 +575,34 @@
 
     /// Where a write goes: the primary, or while none is known the most advanced of the members that
     /// have not just said that they are replicas. Answers to reads tell of a new primary too.
-    fn choose_writer(&self, now: Micros, open: &Open, cost: f64) -> Option<MemberId> {
-        let fits = |m: &MemberId| self.has_room(now, *m, cost, 1.0);
-        if let Some(member) = self.primary(open.req.group) {
-            return Some(member).filter(fits);
+    fn choose_writer(&self, now: Micros, open: &Open, cost: f64, turn: Turn) -> Option<MemberId> {
+        let fits = |m: &Member| m.has_room(now, &self.settings, cost, 1.0);
+        if let Some(primary) = self.primary(open.req.group) {
+            return Some(primary).filter(|id| fits(&self.members[id]));
         }
         if !open.out.is_empty() || open.attempts + 2 > open.most {
             return None;
         }
-        let mut unsure = self.candidates(open.req.group);
         let asked = |m: &Member| now - m.role_at.max(m.used_at) < SEEK;
-        unsure.retain(|m| fits(m) && !asked(&self.members[m]));
-        unsure.into_iter().max_by_key(|m| self.members[m].position)
+        let unsure = self.candidates(turn).filter(|(_, m)| fits(m) && !asked(m));
+        unsure.max_by_key(|(id, m)| (m.position, *id)).map(|(id, _)| id)
     }
 
-    /// Draws a replica: periodic weight, nearness, and against the load in flight. A driver keeps to
-    /// replicas that it has connections to: new ones take time and work, and are capped.
-    fn draw(&mut self, now: Micros, eligible: &[MemberId]) -> Option<MemberId> {
+    /// The weights of a group's fitting members in a draw: periodic weight, nearness, and against the load
+    /// in flight. A driver keeps to replicas that it has connections to: new ones take time and work, and
+    /// are capped.
+    fn weigh(&self, now: Micros, turn: Turn, fits: impl Fn(MemberId, &Member) -> bool, drawn: &mut Drawn) {
         let far = 1.0 + ZONE_PULL * self.settings.cross_zone_price;
-        let weight = |id: &MemberId| {
-            let member = &self.members[id];
+        let weight = |member: &Member| {
             let distance = if member.entry.zone == self.settings.zone { 1.0 } else { far };
             let linked = now - member.used_at < self.settings.connection_idle;
             let distance = if linked { distance } else { distance * LINK_PULL };
             let busy = 1.0 + (member.load + member.ghost) / member.weight;
             member.weight / distance / (busy * busy)
         };
-        let weights: Vec<f64> = eligible.iter().map(weight).collect();
-        let total: f64 = weights.iter().sum();
-        let mut point = unit(&mut self.rng) * total;
-        for (id, weight) in eligible.iter().zip(weights) {
-            if point < weight {
-                return Some(*id);
-            }
-            point -= weight;
-        }
-        eligible.last().copied()
+        drawn.clear();
+        let fitting = self.candidates(turn).filter(|(id, m)| fits(*id, m));
+        drawn.extend(fitting.map(|(id, m)| (id, weight(m))));
     }
 
     // ---- Send ----
@@ -653,6 +612,9 @@
         let cost = self.cost(class);
         let needed = self.needed(now, &self.open[&id]);
         let (Some(open), Some(member)) = (self.open.get_mut(&id), self.members.get_mut(&to)) else { return };
+        if let Some(spot) = open.spot.take() {
+            self.book.leave(spot);
+        }
         let attempt = AttemptNo(open.attempts);
         open.attempts += 1;
         open.out.push((attempt, to));
@@ -809,7 +771,7 @@
             if !self.may_send(now, open) || now + self.settings.tick >= open.deadline {
                 self.give_up(now, o.request, actions);
             } else {
-                self.groups.entry(open.req.group).or_default().waiting.push(o.request);
+                self.enqueue(o.request);
             }
         }
     }
@@ -844,10 +806,9 @@
     /// Forgets a finished request; its attempts are still booked as they end.
     fn close(&mut self, id: RequestId) {
         let Some(open) = self.open.remove(&id) else { return };
+        self.book.close(id, open.end, open.spot);
         if self.settings.classes[open.req.class.0].need == Need::Write {
-            if let Some(session) = open.req.session.and_then(|key| self.sessions.get_mut(&key)) {
-                session.pending = session.pending.saturating_sub(1);
-            }
+            open.req.session.inspect(|key| self.sessions.end(open.req.group, *key));
         }
     }
 
@@ -868,24 +829,27 @@
     fn sweep(&mut self, now: Micros, actions: &mut Actions) {
         self.wake = Micros(u64::MAX);
         let period = self.period();
-        if now - self.surveyed >= SURVEY {
-            self.reweigh(now);
-            self.check_members(now, actions);
-        }
-        for id in self.open.keys().copied().collect::<Vec<_>>() {
+        self.survey(now, actions);
+        // Only where two copies may be out is a request looked at while its attempt is.
+        let due = if self.settings.second_copies {
+            self.open.keys().copied().collect()
+        } else {
+            self.book.due(now, &self.means)
+        };
+        for id in due {
             self.check_request(now, id, actions);
         }
-        let waits = |g: &Group| !g.waiting.is_empty();
-        let groups: Vec<GroupId> = self.groups.iter().filter(|(_, g)| waits(g)).map(|(id, _)| *id).collect();
-        for group in groups {
+        let waiting = self.book.families(self.retried, SLICE);
+        self.retried = waiting.last().copied().filter(|_| waiting.len() == SLICE);
+        for group in waiting {
             self.place_waiting(now, group, actions);
         }
-        let ends = self.open.values().map(|o| o.give_up.min(o.deadline - period));
-        let next = match ends.min() {
-            _ if self.groups.values().any(waits) => now + period,
+        let next = match self.book.next_end() {
+            _ if self.book.is_waiting() => now + period,
             Some(end) => (now + self.settings.tick).max(end.min(now + SURVEY)),
             None => now + SEEK,
         };
+        let next = if self.survey.is_some() { next.min(now + self.settings.tick) } else { next };
         self.wake_by(next, actions);
     }
 
@@ -895,14 +859,7 @@
         let class = &self.settings.classes[open.req.class.0];
         let mean = Micros(self.means[open.req.class.0] as u64);
         let waiting = open.out.is_empty();
-        // A read that has waited for this part of its aim would be sent only to be given up. One that was
-        // never sent is given up while its client has the time to come again.
-        let aimed =
-            if class.late_worth > 0.0 { open.give_up } else { open.arrived + class.aim.scale(PATIENCE) };
-        let held =
-            if open.unproven { open.give_up } else { open.arrived + open.req.time_left.scale(HELD_PART) };
-        let patience = aimed.min(held);
-        let hopeless = waiting && (now + mean >= open.give_up || now >= patience);
+        let hopeless = waiting && (now + mean >= open.give_up || now >= self.patience(open));
         let settled = class.effect == Effect::Safe || waiting;
         if hopeless || settled && now >= open.give_up || now + period >= open.deadline {
             self.give_up(now, id, actions);
@@ -922,79 +879,112 @@
         }
     }
 
-    /// Renews the weights of the draw, the rates and what cold members may be sent, and forgets what
-    /// is past. A cold member gets of each driver its even part of what the group served there, as far
-    /// as it is warm: the sum stays inside the multiple. A driver may use its share of a single core.
-    fn reweigh(&mut self, now: Micros) {
-        let elapsed = (now - self.surveyed).as_f64().max(1.0);
-        self.surveyed = now;
-        let forget = 0.5f64.powf(elapsed / FAIL_HALF_LIFE.as_f64());
-        let keep = 0.5f64.powf(elapsed / (2.0 * self.settings.cold_time.as_f64()));
-        self.span = self.span * keep + elapsed;
-        self.idle_trust = self.idle_trust.scale(1.0 / forget.powf(0.3)).min(self.settings.connection_idle);
-        for group in self.groups.values_mut() {
-            group.served *= keep;
-            group.live = group.members.iter().filter(|id| self.members[id].listed()).count() as f64;
+    /// Surveys the families, so many members in one step and the others in the next; afterwards it rests
+    /// for its period. Probes members whose connections broke, and where members do not check reads
+    /// themselves those whose position is oldest, as far as the requests served pay for it.
+    fn survey(&mut self, now: Micros, actions: &mut Actions) {
+        let (elapsed, mut place) = match self.survey {
+            Some(under_way) => under_way,
+            None if now - self.surveyed < SURVEY => return,
+            None => {
+                let elapsed = now - self.surveyed;
+                self.surveyed = now;
+                let past = elapsed.as_f64().max(1.0);
+                self.span = self.span * self.kept(past) + past;
+                let trust = self.idle_trust.scale(1.0 / halved(past).powf(0.3));
+                self.idle_trust = trust.min(self.settings.connection_idle);
+                (elapsed, 0)
+            }
+        };
+        let (mut seen, mut due) = (0, std::mem::take(&mut self.due));
+        while seen < SLICE && place < self.groups.len() {
+            seen += 1 + self.reweigh(now, place, elapsed, &mut due);
+            place += 1;
+        }
+        self.survey = Some((elapsed, place)).filter(|_| place < self.groups.len());
+        due.sort_unstable();
+        due.truncate(PROBE_SAVED as usize);
+        self.due = due;
+        if self.survey.is_some() {
+            return;
         }
+        for (_, _, id) in std::mem::take(&mut self.due) {
+            let Some(member) = self.members.get_mut(&id).filter(|_| self.probe_credit >= 1.0) else { return };
+            self.probe_credit -= 1.0;
+            member.probing = true;
+            member.probed_at = now;
+            actions.push(Action::Probe { member: id });
+        }
+    }
+
+    /// Part of a served cost that still counts after so long.
+    fn kept(&self, elapsed: f64) -> f64 {
+        0.5f64.powf(elapsed / (2.0 * self.settings.cold_time.as_f64()))
+    }
+
+    /// Renews a family's weights, its rate and what its cold members may be sent, forgets what is past,
+    /// and says how many members that were and which are to be probed. A cold member gets of each driver
+    /// its even part of what the group served there, as far as it is warm: the sum stays inside the
+    /// multiple. A driver may use its share of a single core.
+    fn reweigh(&mut self, now: Micros, place: usize, elapsed: Micros, due: &mut Vec<Due>) -> usize {
         let usual = self.means.iter().copied().fold(f64::INFINITY, f64::min);
-        let multiple = self.settings.fall_multiple * COLD_PART;
-        let floor = 1.0 / f64::from(self.settings.drivers.max(1)) / usual;
-        let window = self.settings.fall_time.as_f64() * COLD_BURST;
-        let warmth: Vec<f64> = self.members.values().map(|m| self.warmth(now, m)).collect();
-        for (member, warmth) in self.members.values_mut().zip(warmth) {
-            member.ghost *= (-elapsed * (1.0 - member.fail) / usual).exp();
-            let group = &self.groups[&member.entry.group];
-            let rate = (group.served / self.span / group.live.max(1.0)).max(floor) * warmth * multiple;
+        let since = self.groups.get_index(place).map_or(now, |(_, group)| group.surveyed);
+        let elapsed = if since == Micros(0) { elapsed } else { now - since }.as_f64().max(1.0);
+        let (kept, forget) = (self.kept(elapsed), halved(elapsed));
+        let Router { settings, members, span, .. } = self;
+        let Some((id, group)) = self.groups.get_index_mut(place) else { return 0 };
+        group.surveyed = now;
+        group.served *= kept;
+        let multiple = settings.fall_multiple * COLD_PART;
+        let floor = 1.0 / f64::from(settings.drivers.max(1)) / usual;
+        let window = settings.fall_time.as_f64() * COLD_BURST;
+        let served = (group.served / *span / group.live.max(1.0)).max(floor);
+        let (looked, mut gone, mut passed) = (group.members.len(), 0.0, None);
+        group.members.retain(|id| {
+            let Some(member) = members.get_mut(id) else { return false };
+            let warmth = member.warmth(now, settings);
+            if member.ghost > 0.0 {
+                member.ghost *= (-elapsed * (1.0 - member.fail) / usual).exp();
+            }
+            let rate = served * warmth * multiple;
             member.credit = (member.credit + rate * elapsed.min(window)).min(rate * window);
             member.fail *= forget;
             member.lag = member.lag.scale(forget);
             let sound = (1.0 - member.fail).powi(4);
             let size = if member.entry.weight > 0.0 { member.entry.weight } else { 1.0 };
             member.weight = (size * warmth * sound / member.stretch.max(0.2)).max(TRICKLE);
-        }
-        // Members gone for good are forgotten, or years of replacements would add up.
-        let held = |m: &Member| m.inflight > 0 || m.entry.listed == Listed::Ready;
-        self.members.retain(|_, m| held(m) || m.listed() && m.breaks <= EJECT_AFTER + EJECT_DOUBLINGS);
-        for group in self.groups.values_mut() {
-            group.members.retain(|id| self.members.contains_key(id));
-        }
-        // A token that every live member has passed holds nobody back any more.
-        let behind = |m: &&Member| m.listed() && m.role != Role::Primary;
-        let position =
-            |id: &MemberId| Some(&self.members[id]).filter(behind).map(|m| m.position.unwrap_or_default());
-        let passed = |g: &Group| g.members.iter().filter_map(position).min().unwrap_or(now);
-        let passed: BTreeMap<_, _> = self.groups.iter().map(|(id, g)| (*id, passed(g))).collect();
-        self.sessions.retain(|_, s| {
-            let Some(group) = self.groups.get_mut(&s.group) else { return s.pending > 0 };
-            let held = s.pending > 0 || passed[&s.group] < s.commit;
-            group.floor = if held { group.floor } else { group.floor.max(s.commit) };
-            held
-        });
-    }
-
-    /// Probes members whose connections broke, and where members do not check reads themselves those
-    /// whose position is oldest, as far as the requests served pay for it.
-    fn check_members(&mut self, now: Micros, actions: &mut Actions) {
-        let routine = self.settings.checks == Checks::None;
-        let mut due = Vec::new();
-        for (id, member) in self.members.iter_mut().filter(|(_, m)| m.listed()) {
+            let listed = member.listed();
+            // Members gone for good are forgotten, or years of replacements would add up.
+            let held = member.inflight > 0 || member.entry.listed == Listed::Ready;
+            if !(held || listed && member.breaks <= EJECT_AFTER + EJECT_DOUBLINGS) {
+                members.swap_remove(id);
+                gone += f64::from(u8::from(listed));
+                return false;
+            }
+            if !listed {
+                return true;
+            }
+            if member.role != Role::Primary {
+                let position = member.position.unwrap_or_default();
+                passed = Some(passed.map_or(position, |least: Micros| least.min(position)));
+            }
             // A member that is out gets a request now and then, ever more seldom.
-            let pause =
-                AWAY.scale(f64::from(1 << member.breaks.saturating_sub(EJECT_AFTER).min(EJECT_DOUBLINGS)));
+            let doublings = member.breaks.saturating_sub(EJECT_AFTER).min(EJECT_DOUBLINGS);
+            let pause = AWAY.scale(f64::from(1 << doublings));
             member.ejected = member.ejected.filter(|since| now - *since <= pause);
             let urgent = member.breaks > 0;
             let asked = member.probed_at.max(member.position_at);
+            let routine = settings.checks == Checks::None;
             let due_now = !member.probing && (urgent || routine) && now - asked >= SEEK;
-            due.extend((due_now && self.settings.probes).then_some((!urgent, asked, *id)));
-        }
-        due.sort();
-        for (_, _, id) in due {
-            let Some(member) = self.members.get_mut(&id).filter(|_| self.probe_credit >= 1.0) else { return };
-            self.probe_credit -= 1.0;
-            member.probing = true;
-            member.probed_at = now;
-            actions.push(Action::Probe { member: id });
-        }
+            due.extend((due_now && settings.probes).then_some((!urgent, asked, *id)));
+            true
+        });
+        group.live -= gone;
+        group.leader = group.leader.filter(|leader| members.contains_key(leader));
+        // A token that every live member has passed holds nobody back any more.
+        let latest = self.sessions.forget(*id, passed.unwrap_or(now), SLICE);
+        group.floor = latest.map_or(group.floor, |latest| group.floor.max(latest));
+        looked
     }
 
     fn probed(&mut self, now: Micros, id: MemberId, status: Status, report: Report, actions: &mut Actions) {
--- a/src/balance/estate.rs
+++ b/src/balance/estate.rs
@@ -1,6 +1,8 @@
 //! What a router knows, as one value that the process which follows it can take in. Nothing is decided
 //! here: what is out, held or waiting stays behind, all else goes over as it stands.
 
+use serde::{Deserialize, Serialize};
+
 use super::*;
 
 /// All that a router knows of members, groups and sessions.
@@ -8,7 +10,10 @@
 pub struct Estate {
     members: BTreeMap<MemberId, Member>,
     groups: BTreeMap<GroupId, Group>,
-    sessions: BTreeMap<SessionKey, Session>,
+    sessions: BTreeMap<SessionKey, sessions::Session>,
+    /// Those that wrote to more than one family; a process of an earlier version knows none.
+    #[serde(default)]
+    roaming: Vec<(SessionKey, sessions::Session)>,
     barred: BTreeSet<MemberId>,
     span: f64,
     /// Mean latency of each class, by its place in the settings.
@@ -18,10 +23,12 @@
 impl Router {
     /// What this router knows.
     pub fn estate(&self) -> Estate {
+        let (sessions, roaming) = self.sessions.all();
         Estate {
-            members: self.members.clone(),
-            groups: self.groups.clone(),
-            sessions: self.sessions.clone(),
+            members: self.members.iter().map(|(id, member)| (*id, member.clone())).collect(),
+            groups: self.groups.iter().map(|(id, group)| (*id, group.clone())).collect(),
+            sessions,
+            roaming,
             barred: self.barred.clone(),
             span: self.span,
             means: self.means.clone(),
@@ -30,13 +37,15 @@
 
     /// Takes over what another router knew; `means` are those of this router's classes, where known.
     pub fn inherit(&mut self, estate: Estate, means: &[Option<f64>]) {
-        self.members = estate.members;
-        self.groups = estate.groups;
-        self.sessions = estate.sessions;
+        self.members = estate.members.into_iter().collect();
+        self.groups = estate.groups.into_iter().collect();
+        self.sessions.inherit(estate.sessions.into_iter().chain(estate.roaming));
         self.barred = estate.barred;
         self.span = estate.span;
         for (mean, known) in self.means.iter_mut().zip(means) {
             *mean = known.unwrap_or(*mean);
         }
+        let groups: Vec<GroupId> = self.groups.keys().copied().collect();
+        groups.into_iter().for_each(|group| self.recount(group));
     }
 }
--- /dev/null
+++ b/src/balance/sessions.rs
@@ -0,0 +1,106 @@
+//! Sessions by their commits, so that they are forgotten in that order and in bounded steps. Nothing is
+//! decided here: the router says what every live member has passed.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::api::*;
+
+/// What is known of a session in one family. Its commits in another say nothing here.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Session {
+    /// The family that it wrote to.
+    group: GroupId,
+    /// Writes whose answers it awaits.
+    #[serde(skip)]
+    pending: u32,
+    /// Its latest commit.
+    commit: Micros,
+}
+
+/// All sessions that have written and are not forgotten.
+#[derive(Debug, Default)]
+pub struct Sessions {
+    known: HashMap<(GroupId, SessionKey), Session>,
+    /// Of each family the sessions that await nothing, by commit.
+    settled: HashMap<GroupId, BTreeSet<(Micros, SessionKey)>>,
+}
+
+impl Sessions {
+    /// A session's write is on its way.
+    pub fn begin(&mut self, group: GroupId, key: SessionKey) {
+        self.change(group, key, |session| session.pending += 1);
+    }
+
+    /// A session's write has ended; one that has never committed anything is forgotten.
+    pub fn end(&mut self, group: GroupId, key: SessionKey) {
+        self.change(group, key, |session| session.pending = session.pending.saturating_sub(1));
+    }
+
+    /// A session's write was committed.
+    pub fn committed(&mut self, group: GroupId, key: SessionKey, commit: Micros) {
+        self.change(group, key, |session| session.commit = session.commit.max(commit));
+    }
+
+    fn change(&mut self, group: GroupId, key: SessionKey, change: impl FnOnce(&mut Session)) {
+        let session = self.known.entry((group, key));
+        let session = session.or_insert(Session { group, pending: 0, commit: Micros(0) });
+        let settled = self.settled.entry(group).or_default();
+        if session.pending == 0 {
+            settled.remove(&(session.commit, key));
+        }
+        change(session);
+        if session.pending > 0 {
+            return;
+        }
+        if session.commit == Micros(0) {
+            self.known.remove(&(group, key));
+        } else {
+            settled.insert((session.commit, key));
+        }
+    }
+
+    /// The latest commit of a session, if one is known.
+    pub fn commit(&self, group: GroupId, key: SessionKey) -> Option<Micros> {
+        self.known.get(&(group, key)).map(|session| session.commit)
+    }
+
+    /// Whether a session awaits a write's answer.
+    pub fn is_pending(&self, group: GroupId, key: SessionKey) -> bool {
+        self.known.get(&(group, key)).is_some_and(|session| session.pending > 0)
+    }
+
+    /// Forgets a family's sessions whose commits were passed, the earliest first and at most so many; gives
+    /// the latest commit among them.
+    pub fn forget(&mut self, group: GroupId, passed: Micros, most: usize) -> Option<Micros> {
+        let settled = self.settled.get_mut(&group)?;
+        let mut latest = None;
+        for _ in 0..most {
+            let Some(first) = settled.first().copied().filter(|(commit, _)| *commit <= passed) else { break };
+            settled.pop_first();
+            self.known.remove(&(group, first.1));
+            latest = Some(first.0);
+        }
+        latest
+    }
+
+    /// All sessions, for the process that follows: each once, and those that wrote to more families.
+    pub fn all(&self) -> (BTreeMap<SessionKey, Session>, Vec<(SessionKey, Session)>) {
+        let (mut first, mut more) = (BTreeMap::new(), Vec::new());
+        for ((_, key), session) in &self.known {
+            if let Some(other) = first.insert(*key, session.clone()) {
+                more.push((*key, other));
+            }
+        }
+        (first, more)
+    }
+
+    /// Takes over the sessions of the process before; what they awaited there is answered there.
+    pub fn inherit(&mut self, all: impl IntoIterator<Item = (SessionKey, Session)>) {
+        *self = Sessions::default();
+        for (key, session) in all {
+            self.committed(session.group, key, session.commit);
+        }
+    }
+}
--- /dev/null
+++ b/src/balance/state.rs
@@ -0,0 +1,137 @@
+//! What the router keeps of members, families, open requests and attempts. Nothing is decided here.
+
+use serde::{Deserialize, Serialize};
+
+use super::book::Spot;
+use crate::api::*;
+
+/// A member that may be probed: those whose connections broke first, then the one asked longest ago.
+pub type Due = (bool, Micros, MemberId);
+
+/// A family, and the place among its members where one choice begins to look.
+pub type Turn = (GroupId, usize);
+
+/// Members with their weights in a draw.
+pub type Drawn = Vec<(MemberId, f64)>;
+
+/// A member as this router knows it.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub struct Member {
+    pub entry: Entry,
+    /// Cold since then; zero when long ago.
+    pub born: Micros,
+    pub position: Option<Micros>,
+    pub position_at: Micros,
+    /// How far it is thought to be behind: from its last position, and from reads that it turned away.
+    pub lag: Micros,
+    pub role: Role,
+    pub role_at: Micros,
+    #[serde(skip)]
+    pub inflight: u32,
+    /// Cost of the attempts in flight, in usual requests.
+    #[serde(skip)]
+    pub load: f64,
+    /// Cost of what failed at once, held against the member for as long as work would have taken.
+    pub ghost: f64,
+    /// Most cost in flight. Less than a request's is kept in time: pauses between requests.
+    pub limit: f64,
+    pub paused_until: Micros,
+    /// Running mean of latency over its class's mean.
+    pub stretch: f64,
+    /// Running share of failures.
+    pub fail: f64,
+    /// Weight in the draw, before zone and load.
+    pub weight: f64,
+    /// Out by the operators' hand, whatever the list says.
+    pub barred: bool,
+    /// The list calling it gone binds nobody: it has not drained since its start.
+    pub unbound: bool,
+    /// Connections refused or cut in a row since a request was last answered.
+    pub breaks: u32,
+    /// Since when, and whether one was cut, as by a process that died.
+    pub broken: Option<(Micros, bool)>,
+    /// Out of the draw since then.
+    pub ejected: Option<Micros>,
+    pub probed_at: Micros,
+    #[serde(skip)]
+    pub probing: bool,
+    /// Last send or answer: since then its connections are idle.
+    pub used_at: Micros,
+    /// What a cold member may still be sent; starts at random below nothing, to spread the drivers.
+    pub credit: f64,
+}
+
+impl Member {
+    /// A member never heard of, with this limit and at least this weight.
+    pub fn new(entry: Entry, role: Role, limit: f64, least: f64) -> Member {
+        let weight = entry.weight.max(least);
+        Member { entry, role, limit, weight, stretch: 1.0, ..Member::default() }
+    }
+
+    /// Books that an attempt of this cost takes no room any more.
+    pub fn release(&mut self, cost: f64) {
+        self.inflight = self.inflight.saturating_sub(1);
+        self.load = if self.inflight == 0 { 0.0 } else { (self.load - cost).max(0.0) };
+    }
+}
+
+/// A family: its members and what counts for all of them.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub struct Group {
+    pub members: Vec<MemberId>,
+    /// Cost served of late, over `Router::span`.
+    pub served: f64,
+    /// Members listed as ready.
+    pub live: f64,
+    /// The latest commit whose session was forgotten: a member that joins later may not have it yet.
+    pub floor: Micros,
+    /// The latest claim to be the primary that nothing newer disproved.
+    #[serde(skip)]
+    pub leader: Option<MemberId>,
+    #[serde(skip)]
+    pub surveyed: Micros,
+}
+
+/// A request that awaits its final answer.
+#[derive(Default)]
+pub struct Open {
+    pub req: Request,
+    pub arrived: Micros,
+    pub deadline: Micros,
+    /// Most attempts, as the settings had it when it arrived.
+    pub most: u32,
+    /// After this an answer is worth nothing.
+    pub give_up: Micros,
+    /// When it ends, as it was booked, and where it waits.
+    pub end: Micros,
+    pub spot: Option<Spot>,
+    pub attempts: u32,
+    pub out: Vec<(AttemptNo, MemberId)>,
+    /// Send time of the first attempt that may have run.
+    pub ran: Option<Micros>,
+    /// An attempt ended without proof that it did not run.
+    pub unproven: bool,
+    pub errors: u32,
+    pub avoid: Vec<MemberId>,
+}
+
+impl Open {
+    /// Whether every attempt so far is proved not to have run.
+    pub fn unrun(&self) -> bool {
+        self.out.is_empty() && !self.unproven
+    }
+}
+
+/// An attempt that is out.
+pub struct Attempt {
+    pub class: ClassId,
+    pub session: Option<SessionKey>,
+    /// For how long the connection had been idle, as far as that matters.
+    pub idle: Option<Micros>,
+    /// Position that its answer must show.
+    pub needed: Micros,
+    pub cost: f64,
+    pub load: f64,
+    /// Its answer flows: the member has done the work and has room again.
+    pub flows: bool,
+}
