No tries where a family has no room, faster look-ups, surveys of 512 members a step

Need: in an overload each arrival tried up to 16 waiting requests in a family without room, and look-ups of members were hashed against floods that their numbers cannot bring. Change: a class is passed over where no member has room for it; members and families are hashed with rustc-hash; a class's newest are read at once; slices of 512.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,15 +8,18 @@
 use indexmap::IndexMap;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxBuildHasher;
 
 use crate::api::*;
 
 mod book;
+mod chance;
 mod estate;
 mod sessions;
 mod state;
 
 use book::{Book, Spot};
+use chance::{draw, unit};
 pub use estate::Estate;
 use sessions::Sessions;
 use state::{Attempt, Drawn, Due, Group, Member, Open, Turn};
@@ -83,7 +86,7 @@
 /// Members of a family that one draw looks at, from a random place on where there are more.
 const WINDOW: usize = 64;
 /// Most members surveyed, sessions forgotten and families retried in one step; the rest comes in the next.
-const SLICE: usize = 1024;
+const SLICE: usize = 512;
 /// The one timer: each sweep asks for the next.
 const SWEEP: TimerId = TimerId(0);
 
@@ -142,8 +145,8 @@
 pub struct Router {
     settings: Settings,
     rng: Pcg64Mcg,
-    members: IndexMap<MemberId, Member>,
-    groups: IndexMap<GroupId, Group>,
+    members: IndexMap<MemberId, Member, FxBuildHasher>,
+    groups: IndexMap<GroupId, Group, FxBuildHasher>,
     /// Members that operators have put down, in the list or not.
     barred: BTreeSet<MemberId>,
     open: BTreeMap<RequestId, Open>,
@@ -180,23 +183,6 @@
     0.5f64.powf(elapsed / FAIL_HALF_LIFE.as_f64())
 }
 
-/// An even draw between 0 and 1.
-fn unit(rng: &mut Pcg64Mcg) -> f64 {
-    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-}
-
-/// Draws one by weight.
-fn draw(rng: &mut Pcg64Mcg, drawn: &[(MemberId, f64)]) -> Option<MemberId> {
-    let mut point = unit(rng) * drawn.iter().map(|(_, weight)| weight).sum::<f64>();
-    for (id, weight) in drawn {
-        if point < *weight {
-            return Some(*id);
-        }
-        point -= weight;
-    }
-    drawn.last().map(|(id, _)| *id)
-}
-
 impl Router {
     /// A router that knows nothing but its settings; `seed` feeds its draws.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -206,8 +192,8 @@
             limit_share: (FULL_LIMITS / f64::from(settings.drivers.max(1))).min(1.0),
             settings,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            members: IndexMap::new(),
-            groups: IndexMap::new(),
+            members: IndexMap::default(),
+            groups: IndexMap::default(),
             barred: BTreeSet::new(),
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -461,18 +447,25 @@
         queue.sort_by(|(a_write, a, _), (b_write, b, _)| b_write.cmp(a_write).then(b.total_cmp(a)));
         let mut writes_wait = false;
         for (write, _, class) in queue {
+            if !self.any_room(now, group, class) {
+                writes_wait |= write;
+                continue;
+            }
             // The newest first: in an overload it is the one that can still be in time, while the oldest
             // would be sent only to be given up. Serves any backlog; the oldest are refused early.
             let (mut failed, mut before) = (0, u64::MAX);
             // Once some of a class find no room the rest would not either, and a long queue costs CPU.
             while failed < SCAN {
-                let Some((place, id)) = self.book.newest(group, class, before) else { break };
-                before = place;
-                if let Some(member) = self.choose(now, id, writes_wait) {
-                    self.send(now, id, member, actions);
-                } else {
-                    failed += 1;
-                    writes_wait |= write;
+                let newest = self.book.newest(group, class, before, (SCAN - failed) as usize);
+                let Some((last, _)) = newest.last() else { break };
+                before = *last;
+                for (_, id) in newest {
+                    if let Some(member) = self.choose(now, id, writes_wait) {
+                        self.send(now, id, member, actions);
+                    } else {
+                        failed += 1;
+                        writes_wait |= write;
+                    }
                 }
             }
         }
@@ -480,6 +473,13 @@
 
     // ---- Choice ----
 
+    /// Whether any member has room for a request of this class; a family too large to ask has.
+    fn any_room(&self, now: Micros, group: GroupId, class: ClassId) -> bool {
+        let (cost, Some(group)) = (self.cost(class), self.groups.get(&group)) else { return false };
+        let mut members = group.members.iter().filter_map(|id| self.members.get(id));
+        group.members.len() > WINDOW || members.any(|m| m.has_room(now, &self.settings, cost, 1.0))
+    }
+
     /// Where in a group one choice begins to look: anywhere, if there are more members than it looks at.
     fn turn(&mut self, group: GroupId) -> Turn {
         let ring = self.groups.get(&group).map_or(0, |group| group.members.len());
--- a/src/balance/book.rs
+++ b/src/balance/book.rs
@@ -102,11 +102,11 @@
         classes
     }
 
-    /// Of a family's waiting requests of a class the latest that joined before this place.
-    pub fn newest(&self, group: GroupId, class: ClassId, before: u64) -> Option<(u64, RequestId)> {
-        let queue = self.queues.get(&group)?;
-        let mut older = queue.range((class, 0, RequestId(0))..(class, before, RequestId(0)));
-        older.next_back().map(|(_, place, id)| (*place, *id))
+    /// Of a family's waiting requests of a class the latest that joined before this place, at most so many.
+    pub fn newest(&self, group: GroupId, class: ClassId, before: u64, most: usize) -> Vec<(u64, RequestId)> {
+        let Some(queue) = self.queues.get(&group) else { return Vec::new() };
+        let older = queue.range((class, 0, RequestId(0))..(class, before, RequestId(0)));
+        older.rev().take(most).map(|(_, place, id)| (*place, *id)).collect()
     }
 
     /// The requests that something falls due for, in order: those that end, have waited for their time, or
@@ -161,9 +161,12 @@
             due
         }
 
-        fn newest(&self, group: GroupId, class: ClassId, before: u64) -> Option<(u64, RequestId)> {
+        fn newest(&self, group: GroupId, class: ClassId, before: u64, most: usize) -> Vec<(u64, RequestId)> {
             let older = |s: &&Spot| s.group == group && s.class == class && s.place < before;
-            self.waiting().filter(older).map(|s| (s.place, s.id)).max()
+            let mut older: Vec<_> = self.waiting().filter(older).map(|s| (s.place, s.id)).collect();
+            older.sort_by(|a, b| b.cmp(a));
+            older.truncate(most);
+            older
         }
     }
 
@@ -209,10 +212,11 @@
                     prop_assert_eq!(book.classes(group), classes.clone());
                     prop_assert_eq!(book.waits(group), !classes.is_empty());
                     for class in classes {
-                        let newest = model.newest(group, class, u64::MAX);
-                        prop_assert_eq!(book.newest(group, class, u64::MAX), newest);
-                        let before = newest.map_or(0, |(place, _)| place);
-                        prop_assert_eq!(book.newest(group, class, before), model.newest(group, class, before));
+                        let newest = model.newest(group, class, u64::MAX, 2);
+                        prop_assert_eq!(&book.newest(group, class, u64::MAX, 2), &newest);
+                        let before = newest.last().map_or(0, |(place, _)| *place);
+                        let rest = model.newest(group, class, before, usize::MAX);
+                        prop_assert_eq!(book.newest(group, class, before, usize::MAX), rest);
                     }
                 }
             }
--- /dev/null
+++ b/src/balance/chance.rs
@@ -0,0 +1,23 @@
+//! Draws from the router's seeded generator. What is drawn from, and with which weights, is decided elsewhere.
+
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+
+use crate::api::MemberId;
+
+/// An even draw between 0 and 1.
+pub fn unit(rng: &mut Pcg64Mcg) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// Draws one by weight.
+pub fn draw(rng: &mut Pcg64Mcg, drawn: &[(MemberId, f64)]) -> Option<MemberId> {
+    let mut point = unit(rng) * drawn.iter().map(|(_, weight)| weight).sum::<f64>();
+    for (id, weight) in drawn {
+        if point < *weight {
+            return Some(*id);
+        }
+        point -= weight;
+    }
+    drawn.last().map(|(id, _)| *id)
+}
--- a/src/balance/sessions.rs
+++ b/src/balance/sessions.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
@@ -24,7 +25,7 @@
 pub struct Sessions {
     known: HashMap<(GroupId, SessionKey), Session>,
     /// Of each family the sessions that await nothing, by commit.
-    settled: HashMap<GroupId, BTreeSet<(Micros, SessionKey)>>,
+    settled: FxHashMap<GroupId, BTreeSet<(Micros, SessionKey)>>,
 }
 
 impl Sessions {
