--- a/src/net/event_loop/door.rs
+++ b/src/net/event_loop/door.rs
@@ -7,7 +7,8 @@
 
 use slog::{info, warn};
 
-use super::{Gateway, Key, Link, Phase};
+use super::slots::{Key, Link};
+use super::{Gateway, Phase};
 use crate::ops::call::{Call, Order, Status};
 use crate::ops::figures::Figures;
 use crate::Micros;
--- a/src/net/event_loop/flowing.rs
+++ b/src/net/event_loop/flowing.rs
@@ -1,7 +1,9 @@
 //! The loop's part for long values: they pass from host to client as they come, and the host waits for
 //! a client that reads slowly.
 
-use super::{Gateway, Key, Task};
+use super::hosts::Task;
+use super::slots::Key;
+use super::Gateway;
 use crate::balancer::Ticket;
 
 /// A host is not read while the client that its answer flows to has so much unread.
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -7,12 +7,18 @@
 use polling::{Event, PollMode};
 use slog::warn;
 
-use super::{ClientLink, Gateway, Key, Link, Phase, Slot, Timer, ACCEPTS, ACCEPT_PAUSE, LISTENER};
-use crate::balancer::Ask;
+use super::slots::{Key, Link, Slot};
+use super::timers::Timer;
+use super::{Gateway, Phase, LISTENER};
+use crate::balancer::{Ask, Ticket};
 use crate::pg::client::{Client, Demand};
 use crate::pg::statement::Statement;
 use crate::{GroupId, Micros};
 
+/// Most connections accepted in one turn.
+const ACCEPTS: usize = 16;
+/// Pause in accepting after the system had no descriptor left.
+const ACCEPT_PAUSE: Micros = Micros::millis(20);
 /// Time taken off what a client waits: for the way there and back, and for the turn of the loop.
 const MARGIN: Micros = Micros::millis(3);
 /// How long a client may take for its first query, and for the rest of a command that it has begun.
@@ -27,6 +33,21 @@
 /// A client that has asked nothing for so long goes before those that have.
 const SILENT: Micros = Micros::millis(50);
 
+/// A client's connection.
+pub(super) struct ClientLink {
+    pub(super) protocol: Client,
+    pub(super) ticket: Option<Ticket>,
+    /// When it connected.
+    pub(super) since: Micros,
+    /// When bytes last came or went.
+    pub(super) used: Micros,
+    /// Since when a message of it has been half there.
+    pub(super) half: Option<Micros>,
+    /// It has asked something that could be routed.
+    pub(super) asked: bool,
+    pub(super) closing: bool,
+}
+
 /// Why a client has to leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Overstay {
--- /dev/null
+++ b/src/net/event_loop/hosts.rs
@@ -0,0 +1,211 @@
+//! The loop's part for hosts: connections to them, what they say, and probes.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+
+use slog::{debug, warn};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use super::slots::{Key, Link, Slot};
+use super::timers::Timer;
+use super::Gateway;
+use crate::balancer::{Ended, Said, Ticket};
+use crate::pg::host::{self, Answer, Host, Turn};
+use crate::request::{Broken, Cause, Reach};
+use crate::{MemberId, Micros, Role};
+
+/// How long a probe may take.
+const PROBE_TIMEOUT: Micros = Micros::millis(250);
+/// How far ahead of this clock a position may lie; further ahead it is spoilt.
+const AHEAD: Micros = Micros::millis(1_000);
+
+pub(super) struct HostLink {
+    pub(super) protocol: Host,
+    pub(super) member: MemberId,
+    pub(super) welcome: bool,
+    /// The attempt on it is counted among those written whole.
+    pub(super) counted: bool,
+    /// Not read, since the client that its answer flows to has enough unread.
+    pub(super) held: bool,
+    /// When bytes last came.
+    pub(super) heard: Micros,
+    pub(super) task: Task,
+}
+
+/// What a connection to a host is for at present.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum Task {
+    None,
+    Attempt(Ticket),
+    Probe,
+}
+
+impl Gateway {
+    pub(super) fn connect(&mut self, member: MemberId) -> Result<Key, Cause> {
+        let address = self.directory.address(member).ok_or(Cause::NotTried)?;
+        if !self.pool.has_room() {
+            match self.pool.oldest() {
+                Some(idle) => self.close(idle),
+                None => {
+                    warn!(self.log, "no descriptors left for hosts"; "open" => self.pool.len());
+                    return Err(Cause::NotTried);
+                }
+            }
+        }
+        self.counts.connects += 1;
+        let shortage = |e: &io::Error| matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE));
+        let socket = dial(address).map_err(|e| if shortage(&e) { Cause::NotTried } else { Cause::Lost })?;
+        let link = HostLink {
+            protocol: Host::default(),
+            member,
+            welcome: false,
+            counted: false,
+            held: false,
+            heard: self.now,
+            task: Task::None,
+        };
+        let key = self.insert(socket, Link::Host(link), true).map_err(|_| Cause::NotTried)?;
+        self.set_timer(self.connect_timeout, Timer::Connect(key));
+        Ok(key)
+    }
+
+    /// An idle connection to the member on which nothing has come. What lies unread there is no answer
+    /// to the next request, and must not be taken for it.
+    pub(super) fn take_idle(&mut self, member: MemberId) -> Option<Key> {
+        while let Some(key) = self.pool.take(self.now, member) {
+            let quiet = |slot: &mut Slot| slot.socket.peek(&mut [0]).err().map(|e| e.kind());
+            if self.slot(key).and_then(quiet) == Some(io::ErrorKind::WouldBlock) {
+                return Some(key);
+            }
+            self.close(key);
+        }
+        None
+    }
+
+    pub(super) fn host_turn(&mut self, key: Key, turn: Turn) {
+        let Some(host) = self.host(key) else { return };
+        let (member, task) = (host.member, host.task);
+        match turn {
+            Turn::Welcome => {
+                host.welcome = true;
+                self.start_task(key);
+            }
+            Turn::Unwelcome(code) => {
+                host.task = Task::None;
+                self.close(key);
+                debug!(self.log, "host turned a connection away"; "host" => self.directory.name(member),
+                    "code" => &code);
+                let turned_away = matches!(code.as_str(), "53300" | "57P03");
+                let said = Answer {
+                    said: if turned_away { Said::TurnedAway } else { Said::Error },
+                    rows: Vec::new(),
+                    value: None,
+                    role: None,
+                    position: None,
+                };
+                match task {
+                    Task::Attempt(ticket) if turned_away => self.answered(ticket, said),
+                    Task::Attempt(ticket) => {
+                        self.ledger.end(ticket);
+                        self.broke(ticket, member, Broken { reach: Reach::NotConnected, cause: Cause::Lost });
+                    }
+                    Task::Probe => self.probed(member, said),
+                    Task::None => {}
+                }
+            }
+            Turn::Flows => match task {
+                Task::Attempt(ticket) => self.begin_flow(ticket),
+                // No report is that long.
+                _ => self.host_lost(key, Cause::Spoilt),
+            },
+            Turn::Answered(answer) => {
+                self.free(key);
+                match task {
+                    Task::Attempt(ticket) => self.answered(ticket, answer),
+                    Task::Probe => self.probed(member, answer),
+                    Task::None => {}
+                }
+            }
+            Turn::Nonsense => {
+                self.counts.spoilt += 1;
+                // Once between two lines on the traffic: those of a bad day would crowd out all others.
+                if self.counts.spoilt == 1 {
+                    warn!(self.log, "host breaks the protocol"; "host" => self.directory.name(member));
+                }
+                self.host_lost(key, Cause::Spoilt);
+            }
+        }
+    }
+
+    /// A connection to a host has ended, or is given up for this cause.
+    pub(super) fn host_lost(&mut self, key: Key, cause: Cause) {
+        let Some(host) = self.host(key) else { return };
+        let (member, task) = (host.member, std::mem::replace(&mut host.task, Task::None));
+        let reach = host.protocol.reach();
+        let answer = host.protocol.ended();
+        self.close(key);
+        match (task, answer) {
+            (Task::None, _) => {}
+            (Task::Attempt(ticket), Some(answer)) => self.answered(ticket, answer),
+            (Task::Attempt(ticket), None) => {
+                self.ledger.end(ticket);
+                self.broke(ticket, member, Broken { reach, cause });
+            }
+            (Task::Probe, Some(answer)) => self.probed(member, answer),
+            (Task::Probe, None) => {
+                self.balancer.probed(self.now, member, Ended::Broken(Broken { reach, cause }));
+            }
+        }
+    }
+
+    pub(super) fn probe(&mut self, member: MemberId) {
+        self.counts.probes += 1;
+        let key = match self.take_idle(member) {
+            Some(key) => Ok(key),
+            None => self.connect(member),
+        };
+        match key {
+            Ok(key) => {
+                if let Some(host) = self.host(key) {
+                    host.task = Task::Probe;
+                }
+                self.set_timer(PROBE_TIMEOUT, Timer::Probe(key));
+                self.start_task(key);
+            }
+            Err(cause) => {
+                let broken = Broken { reach: Reach::NotConnected, cause };
+                self.balancer.probed(self.now, member, Ended::Broken(broken));
+            }
+        }
+    }
+
+    pub(super) fn probed(&mut self, member: MemberId, answer: Answer) {
+        let (role, position) = host::report(&answer.value.unwrap_or_default());
+        let (role, position) = self.believed(role, position);
+        self.balancer.probed(self.now, member, Ended::Answer { said: answer.said, role, position });
+    }
+
+    /// What a host says of itself, on this clock; nothing of it where its position cannot be.
+    pub(super) fn believed(
+        &self,
+        role: Option<Role>,
+        position: Option<f64>,
+    ) -> (Option<Role>, Option<Micros>) {
+        let position = position.map(|ms| self.clock.at_unix_ms(ms));
+        if position.is_some_and(|at| at > self.now + AHEAD) {
+            return (None, None);
+        }
+        (role, position)
+    }
+}
+
+/// Starts a connection without waiting for it.
+pub(super) fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
--- /dev/null
+++ b/src/net/event_loop/requests.rs
@@ -0,0 +1,194 @@
+//! The loop's part for requests that are owed an answer: carries verdicts out, sends attempts, and gives the
+//! final answer.
+
+use slog::debug;
+
+use super::hosts::Task;
+use super::slots::Key;
+use super::timers::Timer;
+use super::Gateway;
+use crate::balancer::{Ended, Said, Ticket, Verdict};
+use crate::pg::host::Answer;
+use crate::request::{Broken, Cause, Reach};
+use crate::{GroupId, MemberId, Micros};
+
+/// A final answer.
+pub(super) enum Final<'a> {
+    Served(&'a [u8]),
+    Refused(Option<Micros>),
+    Failed,
+}
+
+impl Gateway {
+    /// Gives the final answer, and counts it.
+    pub(super) fn finish(&mut self, ticket: Ticket, answer: Final) {
+        self.drop_attempt(ticket);
+        let Some(life) = self.ledger.finish(ticket) else { return };
+        let now = self.now;
+        let tally = self.figures.class(&life.work.class);
+        match answer {
+            Final::Served(_) => tally.ok += 1,
+            Final::Refused(_) => tally.shed += 1,
+            Final::Failed => tally.errors += 1,
+        }
+        if let Some(client) = self.client(life.owner) {
+            client.ticket = None;
+            client.used = now;
+            match answer {
+                Final::Served(rows) => client.protocol.serve(rows),
+                Final::Refused(come_back) => client.protocol.refuse(come_back),
+                Final::Failed => client.protocol.fail("58000", "no answer in time, it may have run"),
+            }
+            self.write(life.owner);
+            self.ready.push_back(life.owner);
+            self.spare_clients();
+            if !self.accepting {
+                self.set_accepting(true);
+            }
+        }
+    }
+
+    pub(super) fn apply(&mut self, ticket: Ticket, verdict: Verdict) {
+        match verdict {
+            Verdict::Held => {}
+            Verdict::Send { member, timeout } => self.send(ticket, member, timeout),
+            Verdict::Refuse { come_back } => {
+                self.counts.refused += 1;
+                self.finish(ticket, Final::Refused(come_back));
+            }
+            Verdict::Fail => {
+                self.counts.failed += 1;
+                self.finish(ticket, Final::Failed);
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, ticket: Ticket, member: MemberId, timeout: Micros) {
+        if self.ledger.get(ticket).is_none_or(|life| life.attempt().is_some()) {
+            return;
+        }
+        let key = match self.take_idle(member) {
+            Some(key) => key,
+            None => match self.connect(member) {
+                Ok(key) => key,
+                Err(cause) => {
+                    self.broke(ticket, member, Broken { reach: Reach::NotConnected, cause });
+                    return;
+                }
+            },
+        };
+        if !self.ledger.begin(ticket, key) {
+            return;
+        }
+        self.set_timer(timeout, Timer::Attempt(ticket, key));
+        if let Some(host) = self.host(key) {
+            host.task = Task::Attempt(ticket);
+        }
+        self.start_task(key);
+    }
+
+    /// Writes the task's request, if the connection is up and the choice still holds.
+    pub(super) fn start_task(&mut self, key: Key) {
+        let now = self.now;
+        let Some(host) = self.host(key).filter(|host| host.welcome) else { return };
+        let (member, task) = (host.member, host.task);
+        let text = match task {
+            Task::None => {
+                self.pool.put(now, member, key);
+                return;
+            }
+            Task::Probe if !self.balancer.admits(member) => {
+                self.free(key);
+                let broken = Broken { reach: Reach::NotConnected, cause: Cause::NotTried };
+                return self.balancer.probed(now, member, Ended::Broken(broken));
+            }
+            Task::Probe => "SHOW gauges".to_string(),
+            Task::Attempt(ticket) => {
+                let holds = self.balancer.still_holds(now, ticket);
+                let Some(life) = self.ledger.get(ticket) else { return };
+                let text = life.work.with_wait(life.until - now);
+                if !holds {
+                    self.free(key);
+                    self.ledger.end(ticket);
+                    let broken = Broken { reach: Reach::NotConnected, cause: Cause::NotTried };
+                    self.broke(ticket, member, broken);
+                    return;
+                }
+                self.counts.attempts += 1;
+                text
+            }
+        };
+        if self.host(key).is_some_and(|host| host.protocol.ask(&text)) {
+            self.write(key);
+        } else {
+            self.lose(key);
+        }
+    }
+
+    /// Counts the attempt on a connection once its last byte is written.
+    pub(super) fn count_try(&mut self, key: Key) {
+        let Some(host) = self.host(key) else { return };
+        let Task::Attempt(ticket) = host.task else { return };
+        if host.protocol.reach() == Reach::WhollyWritten && !std::mem::replace(&mut host.counted, true) {
+            if let Some(life) = self.ledger.get(ticket) {
+                self.figures.class(&life.work.class).tries += 1;
+            }
+        }
+    }
+
+    /// Puts a welcomed connection that carries nothing back into the pool.
+    pub(super) fn free(&mut self, key: Key) {
+        let now = self.now;
+        let Some(host) = self.host(key) else { return };
+        host.task = Task::None;
+        host.counted = false;
+        let (member, idle, welcome) = (host.member, host.protocol.is_idle(), host.welcome);
+        if idle {
+            self.pool.put(now, member, key);
+        } else if welcome {
+            self.close(key);
+        }
+    }
+
+    /// Takes a request's attempt off the wire. What has been written ends with its connection; one
+    /// that is still coming up has carried nothing and may serve another request.
+    pub(super) fn drop_attempt(&mut self, ticket: Ticket) {
+        let Some(key) = self.ledger.end(ticket) else { return };
+        self.free(key);
+    }
+
+    /// An attempt has ended without an answer.
+    pub(super) fn broke(&mut self, ticket: Ticket, member: MemberId, broken: Broken) {
+        self.counts.broken += 1;
+        debug!(self.log, "attempt broke"; "host" => self.directory.name(member),
+            "reach" => ?broken.reach, "cause" => ?broken.cause);
+        let verdict = self.balancer.report(self.now, ticket, Ended::Broken(broken));
+        while self.do_due() {}
+        if self.ledger.get(ticket).is_some_and(|life| life.flows()) {
+            return self.cut_off(ticket);
+        }
+        self.apply(ticket, verdict);
+    }
+
+    pub(super) fn answered(&mut self, ticket: Ticket, answer: Answer) {
+        self.ledger.end(ticket);
+        let (role, position) = self.believed(answer.role, answer.position);
+        let ended = Ended::Answer { said: answer.said, role, position };
+        let verdict = self.balancer.report(self.now, ticket, ended);
+        if answer.said == Said::Served {
+            self.counts.served += 1;
+            let work = self.ledger.get(ticket).map(|life| &life.work).filter(|work| work.writes);
+            let told = work.map(|work| (GroupId(work.cluster), work.session));
+            if let (Some((group, session)), Some(commit), false) = (told, position, self.peers.is_empty()) {
+                self.share_commit(group, session, commit);
+            }
+            self.finish(ticket, Final::Served(&answer.rows));
+        } else {
+            while self.do_due() {}
+            match self.ledger.get(ticket).is_some_and(|life| life.flows()) {
+                true => self.cut_off(ticket),
+                false => self.apply(ticket, verdict),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/event_loop/slots.rs
@@ -0,0 +1,226 @@
+//! The loop's table of connections: their places, what the poller is asked for, and bytes in and out.
+
+use std::io::{self, Read};
+use std::net::TcpStream;
+
+use polling::{Event, PollMode};
+
+use super::door::CallerLink;
+use super::guests::ClientLink;
+use super::hosts::HostLink;
+use super::{flowing, Gateway};
+use crate::pg::codec::Outbox;
+use crate::request::Cause;
+
+/// Most reads of one connection in one turn.
+const READS: usize = 4;
+
+/// A connection's place and a number that tells it from others that had the place before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Key {
+    pub(super) place: usize,
+    pub(super) serial: u64,
+}
+
+pub(super) struct Slot {
+    pub(super) serial: u64,
+    pub(super) socket: TcpStream,
+    pub(super) interest: (bool, bool),
+    pub(super) link: Link,
+}
+
+pub(super) enum Link {
+    Client(ClientLink),
+    Host(HostLink),
+    Discovery(Outbox),
+    Caller(CallerLink),
+}
+
+impl Gateway {
+    pub(super) fn key_at(&self, place: usize) -> Option<Key> {
+        self.slots.get(place).map(|slot| Key { place, serial: slot.serial })
+    }
+
+    pub(super) fn slot(&mut self, key: Key) -> Option<&mut Slot> {
+        self.slots.get_mut(key.place).filter(|slot| slot.serial == key.serial)
+    }
+
+    pub(super) fn client(&mut self, key: Key) -> Option<&mut ClientLink> {
+        match &mut self.slot(key)?.link {
+            Link::Client(client) => Some(client),
+            _ => None,
+        }
+    }
+
+    pub(super) fn host(&mut self, key: Key) -> Option<&mut HostLink> {
+        match &mut self.slot(key)?.link {
+            Link::Host(host) => Some(host),
+            _ => None,
+        }
+    }
+
+    pub(super) fn insert(&mut self, socket: TcpStream, link: Link, writable: bool) -> io::Result<Key> {
+        self.serial += 1;
+        let key = Key { place: self.slots.vacant_key(), serial: self.serial };
+        let interest = Event { key: key.place, readable: true, writable };
+        self.poller.add_with_mode(&socket, interest, PollMode::Level)?;
+        match link {
+            Link::Client(_) => self.clients += 1,
+            Link::Host(_) => self.pool.opened(),
+            Link::Discovery(_) | Link::Caller(_) => {}
+        }
+        self.slots.insert(Slot { serial: key.serial, socket, interest: (true, writable), link });
+        Ok(key)
+    }
+
+    pub(super) fn close(&mut self, key: Key) {
+        drop(self.remove(key));
+    }
+
+    /// Takes a connection out of the loop.
+    pub(super) fn remove(&mut self, key: Key) -> Option<Slot> {
+        self.slot(key)?;
+        let slot = self.slots.remove(key.place);
+        let _ = self.poller.delete(&slot.socket);
+        match &slot.link {
+            Link::Client(_) => self.clients -= 1,
+            Link::Host(host) => self.pool.closed(host.member, key),
+            Link::Discovery(_) | Link::Caller(_) => {}
+        }
+        if !self.accepting {
+            self.set_accepting(true);
+        }
+        Some(slot)
+    }
+
+    /// Asks the poller for what the connection needs now.
+    pub(super) fn arm(&mut self, key: Key) {
+        let Some(slot) = self.slot(key) else { return };
+        let wants = match &slot.link {
+            Link::Client(client) => (client.protocol.wants_more(), !client.protocol.out.is_empty()),
+            Link::Host(host) => (!host.held, !host.protocol.out.is_empty()),
+            Link::Discovery(out) => (true, !out.is_empty()),
+            Link::Caller(caller) => (true, !caller.call.out.is_empty()),
+        };
+        if wants == slot.interest {
+            return;
+        }
+        slot.interest = wants;
+        let interest = Event { key: key.place, readable: wants.0, writable: wants.1 };
+        let slot = &self.slots[key.place];
+        if self.poller.modify_with_mode(&slot.socket, interest, PollMode::Level).is_err() {
+            self.lose(key);
+        }
+    }
+
+    /// Writes what waits to be written.
+    pub(super) fn write(&mut self, key: Key) {
+        let now = self.now;
+        let Some(slot) = self.slot(key) else { return };
+        let out = match &mut slot.link {
+            Link::Client(client) => &mut client.protocol.out,
+            Link::Host(host) => &mut host.protocol.out,
+            Link::Discovery(out) => out,
+            Link::Caller(caller) => &mut caller.call.out,
+        };
+        let before = out.len();
+        let flushed = out.flush(&mut slot.socket);
+        if let (Link::Client(client), true) = (&mut slot.link, before > 0) {
+            let left = client.protocol.out.len();
+            client.used = if left < before { now } else { client.used };
+            if let Some(ticket) = client.ticket.filter(|_| left < flowing::UNREAD) {
+                self.let_flow(ticket);
+            }
+        }
+        let Some(slot) = self.slot(key) else { return };
+        match flushed {
+            Ok(true) => {
+                match &slot.link {
+                    Link::Client(ClientLink { closing: true, .. }) => return self.close(key),
+                    Link::Caller(caller) if caller.call.is_answered() => self.caller_served(key),
+                    Link::Host(_) => self.count_try(key),
+                    _ => {}
+                }
+                self.arm(key);
+            }
+            Ok(false) => self.arm(key),
+            // A connection that is still coming up is not writable yet.
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => self.arm(key),
+            Err(_) => self.lose(key),
+        }
+    }
+
+    pub(super) fn read(&mut self, key: Key) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        for _ in 0..READS {
+            let Some(slot) = self.slot(key) else { break };
+            if matches!(&slot.link, Link::Host(host) if host.held) {
+                break;
+            }
+            match slot.socket.read(&mut scratch) {
+                Ok(0) => {
+                    self.take_in(key, &[], true);
+                    break;
+                }
+                Ok(count) => {
+                    self.take_in(key, &scratch[..count], false);
+                    if count < scratch.len() {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.take_in(key, &[], true);
+                    break;
+                }
+            }
+        }
+        self.scratch = scratch;
+        self.arm(key);
+    }
+
+    /// Takes in bytes or the end of a connection.
+    pub(super) fn take_in(&mut self, key: Key, bytes: &[u8], ended: bool) {
+        let now = self.now;
+        let Some(slot) = self.slot(key) else { return };
+        match &mut slot.link {
+            Link::Client(client) if !ended => {
+                client.used = now;
+                client.protocol.receive(bytes);
+                self.ready.push_back(key);
+            }
+            Link::Host(host) if !ended => {
+                host.heard = now;
+                host.protocol.receive(bytes);
+                while let Some(turn) = self.host(key).and_then(|host| host.protocol.turn()) {
+                    self.host_turn(key, turn);
+                }
+                self.flow(key);
+            }
+            Link::Discovery(_) => self.discovery_says(key, bytes, ended),
+            Link::Caller(_) => self.caller_says(key, bytes, ended),
+            _ => self.lose(key),
+        }
+    }
+
+    /// A connection has ended or is of no use any more.
+    pub(super) fn lose(&mut self, key: Key) {
+        let Some(slot) = self.slot(key) else { return };
+        match &mut slot.link {
+            Link::Client(client) => {
+                let ticket = client.ticket.take();
+                if let Some(ticket) = ticket {
+                    self.counts.left += 1;
+                    self.drop_attempt(ticket);
+                    self.ledger.finish(ticket);
+                    self.balancer.gone(self.now, ticket);
+                }
+                self.close(key);
+            }
+            Link::Host(_) => self.host_lost(key, Cause::Lost),
+            Link::Discovery(_) => self.discovery_failed(key, "connection broke"),
+            Link::Caller(_) => self.close(key),
+        }
+    }
+}
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -7,7 +7,9 @@
 use polling::{Event, PollMode};
 use slog::{info, warn};
 
-use super::{ClientLink, Gateway, Key, Link, Phase, HEIRS, PEERS};
+use super::guests::ClientLink;
+use super::slots::{Key, Link};
+use super::{Gateway, Phase, HEIRS, PEERS};
 use crate::net::discovery::Watch;
 use crate::pg::client::Client;
 use crate::upgrade::line::{self, Line};
--- /dev/null
+++ b/src/net/event_loop/timers.rs
@@ -0,0 +1,166 @@
+//! The loop's timers, the round that comes with one of them, and the counts that it writes.
+
+use std::collections::BTreeMap;
+
+use slog::{info, warn};
+
+use super::hosts::Task;
+use super::slots::{Key, Link, Slot};
+use super::Gateway;
+use crate::balancer::{Ticket, Verdict};
+use crate::request::Cause;
+use crate::Micros;
+
+/// An answer that has begun and brings nothing for so long does not end; one that flows is waited for
+/// longer, since nobody else can give the rest.
+const STALL: Micros = Micros::millis(250);
+const FLOW_STALL: Micros = Micros::millis(10_000);
+/// Time between rounds over idle and late connections.
+pub(super) const ROUND: Micros = Micros::millis(250);
+/// Rounds between two lines on the traffic.
+const ROUNDS_A_LINE: u64 = 40;
+
+#[derive(Clone, Copy)]
+pub(super) enum Timer {
+    /// The connection to a host must be up.
+    Connect(Key),
+    /// The attempt's time is over.
+    Attempt(Ticket, Key),
+    /// The client gives up: if it is still owed its answer, it gets it now.
+    GiveUp(Ticket),
+    /// The probe's time is over.
+    Probe(Key),
+    /// Discovery should have answered.
+    Call(Key),
+    /// Discovery is called anew.
+    Discovery,
+    /// Accepting goes on.
+    Accept,
+    /// The round over idle connections.
+    Round,
+    /// After SIGTERM: the hand-over is done.
+    HandedOver,
+}
+
+/// What is to happen when.
+#[derive(Default)]
+pub(super) struct Timers {
+    queue: BTreeMap<(Micros, u64), Timer>,
+    serial: u64,
+}
+
+impl Timers {
+    /// Sets a timer; those of one moment fire in the order in which they were set.
+    pub(super) fn set(&mut self, at: Micros, timer: Timer) {
+        self.serial += 1;
+        self.queue.insert((at, self.serial), timer);
+    }
+
+    /// Takes out the next timer that is due.
+    fn due(&mut self, now: Micros) -> Option<Timer> {
+        let first = self.queue.first_entry().filter(|first| first.key().0 <= now)?;
+        Some(first.remove())
+    }
+
+    /// When the next one is due.
+    pub(super) fn next(&self) -> Option<Micros> {
+        self.queue.keys().next().map(|(at, _)| *at)
+    }
+}
+
+/// What happened since the last line on the traffic.
+#[derive(Default)]
+pub(super) struct Counts {
+    pub(super) taken: u64,
+    pub(super) served: u64,
+    pub(super) refused: u64,
+    pub(super) failed: u64,
+    pub(super) left: u64,
+    pub(super) attempts: u64,
+    pub(super) broken: u64,
+    pub(super) connects: u64,
+    pub(super) probes: u64,
+    pub(super) spoilt: u64,
+}
+
+impl Gateway {
+    pub(super) fn set_timer(&mut self, after: Micros, timer: Timer) {
+        self.timers.set(self.now + after, timer);
+    }
+
+    pub(super) fn fire_timers(&mut self) {
+        while let Some(timer) = self.timers.due(self.now) {
+            self.fire(timer);
+        }
+    }
+
+    pub(super) fn fire(&mut self, timer: Timer) {
+        match timer {
+            Timer::Connect(key) => {
+                if self.host(key).is_some_and(|host| !host.welcome) {
+                    self.host_lost(key, Cause::Lost);
+                }
+            }
+            Timer::Attempt(ticket, key) => {
+                let life = self.ledger.get(ticket).filter(|life| !life.flows());
+                if life.and_then(|life| life.attempt()) == Some(key) {
+                    self.host_lost(key, Cause::TimedOut);
+                }
+            }
+            Timer::GiveUp(ticket) => {
+                if self.ledger.get(ticket).is_some_and(|life| !life.flows()) {
+                    warn!(self.log, "request overdue");
+                    self.balancer.gone(self.now, ticket);
+                    self.apply(ticket, Verdict::Fail);
+                }
+            }
+            Timer::Probe(key) => {
+                if self.host(key).is_some_and(|host| host.task == Task::Probe) {
+                    self.host_lost(key, Cause::TimedOut);
+                }
+            }
+            Timer::Call(key) => {
+                if self.slot(key).is_some() {
+                    self.discovery_failed(key, "no answer");
+                }
+            }
+            Timer::Discovery => self.call_discovery(),
+            Timer::Accept => self.set_accepting(true),
+            Timer::Round => self.round(),
+            Timer::HandedOver => self.close_doors(),
+        }
+    }
+
+    pub(super) fn round(&mut self) {
+        for key in self.pool.stale(self.now) {
+            self.close(key);
+        }
+        let half = |(place, slot): (usize, &Slot)| match &slot.link {
+            Link::Host(h) if h.protocol.is_half() && !h.held => {
+                let stall = if h.protocol.flows() { FLOW_STALL } else { STALL };
+                (self.now - h.heard >= stall).then_some(Key { place, serial: slot.serial })
+            }
+            _ => None,
+        };
+        let half: Vec<Key> = self.slots.iter().filter_map(half).collect();
+        for key in half {
+            self.host_lost(key, Cause::Spoilt);
+        }
+        self.see_out_guests();
+        self.see_out_callers();
+        self.ledger.forget_others(self.now);
+        if self.heir.is_some() {
+            self.pass_clients();
+        }
+        self.rounds += 1;
+        if self.rounds % ROUNDS_A_LINE == 0 {
+            let counts = std::mem::take(&mut self.counts);
+            info!(self.log, "traffic"; "taken" => counts.taken, "served" => counts.served,
+                "refused" => counts.refused, "failed" => counts.failed, "left" => counts.left,
+                "attempts" => counts.attempts, "broken" => counts.broken, "connects" => counts.connects,
+                "probes" => counts.probes, "spoilt" => counts.spoilt, "open" => self.ledger.len(), "clients" => self.clients,
+                "hosts" => self.pool.len());
+        }
+        self.set_timer(ROUND, Timer::Round);
+    }
+}
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -5,7 +5,10 @@
 
 use slog::{info, warn};
 
-use super::{dial, Gateway, Key, Link, Timer};
+use super::hosts::dial;
+use super::slots::{Key, Link};
+use super::timers::Timer;
+use super::Gateway;
 use crate::net::discovery::{self, Listing};
 use crate::pg::codec::Outbox;
 use crate::settings::Site;
