--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::PathBuf;
@@ -24,11 +23,14 @@
 mod timers;
 mod watching;
 
+use self::door::Door;
+use self::guests::Guests;
 use self::slots::{Key, Link, Slot};
-use self::succession::Peer;
+use self::succession::Succession;
 use self::timers::{Counts, Timer, Timers, ROUND};
+use self::watching::Watching;
 use super::clock::Clock;
-use super::discovery::{Directory, Listing, Watch};
+use super::discovery::{Directory, Listing};
 use super::pool::Pool;
 use crate::balancer::{Balancer, Due};
 use crate::classes::Classes;
@@ -112,51 +114,34 @@
     Closing,
 }
 
-/// The gateway: its sockets and what it owes.
+/// The gateway: its sockets and what it owes. Each part that only its neighbours use is a value of its own.
 pub struct Gateway {
     log: Logger,
     clock: Clock,
+    /// The time of this turn.
     now: Micros,
     poller: Poller,
-    listener: Option<TcpListener>,
-    /// The operators' listener.
-    door: Option<TcpListener>,
-    figures: Figures,
-    config: String,
-    line_path: Option<PathBuf>,
-    /// Names of the hosts that operators have put down.
-    down: BTreeSet<String>,
-    /// Where the process that follows calls.
-    heirs: Option<OwnedFd>,
-    /// Other processes of this gateway, and the one among them that takes the clients.
-    peers: Slab<Peer>,
-    heir: Option<usize>,
-    accepting: bool,
-    signals: Signals,
     slots: Slab<Slot>,
     serial: u64,
-    longest_message: usize,
-    clients: usize,
-    most_clients: usize,
-    /// Most clients that are kept open though they have asked before.
-    most_known: usize,
+    timers: Timers,
+    /// Clients whose next query may be looked at.
+    ready: VecDeque<Key>,
+    scratch: Vec<u8>,
     pool: Pool<Key>,
     ledger: Ledger<Key, Statement>,
     balancer: Balancer,
     classes: Classes,
     connect_timeout: Micros,
     directory: Directory,
-    discovery: SocketAddr,
-    watch: Watch,
-    /// The call to discovery that is out.
-    calling: Option<Key>,
-    discovery_fails: u64,
-    timers: Timers,
-    /// Clients whose next query may be looked at.
-    ready: VecDeque<Key>,
-    scratch: Vec<u8>,
+    figures: Figures,
     counts: Counts,
-    rounds: u64,
+    signals: Signals,
+    /// The text of the configuration in force.
+    config: String,
+    guests: Guests,
+    door: Door,
+    line: Succession,
+    watching: Watching,
     phase: Phase,
 }
 
@@ -193,38 +178,32 @@
             now: clock.read(),
             clock,
             poller,
-            listener: Some(listener),
-            door,
-            figures,
-            config: config.text,
-            line_path: config.line,
-            down: BTreeSet::new(),
-            heirs: None,
-            peers: Slab::new(),
-            heir: None,
-            accepting: true,
-            signals,
             slots: Slab::new(),
             serial: 0,
-            longest_message: (memory / MESSAGE_PART).clamp(codec::MAX_MESSAGE, MOST_MESSAGE),
-            clients: 0,
-            most_clients: budget - hosts,
-            most_known: (config.sockets / KNOWN_PART).clamp(2, budget - hosts),
+            timers: Timers::default(),
+            ready: VecDeque::new(),
+            scratch: vec![0; 16 * 1024],
             pool: Pool::new(hosts, idle_limit),
             ledger: Ledger::default(),
             balancer: Balancer::new(config.site.settings, config.seed),
             classes,
             connect_timeout: config.site.connect_timeout.max(Micros::millis(10)),
             directory: Directory::new(config.zones),
-            discovery: config.discovery,
-            watch: Watch::from(Some(config.known.rev)),
-            calling: None,
-            discovery_fails: 0,
-            timers: Timers::default(),
-            ready: VecDeque::new(),
-            scratch: vec![0; 16 * 1024],
+            figures,
             counts: Counts::default(),
-            rounds: 0,
+            signals,
+            config: config.text,
+            guests: Guests {
+                listener: Some(listener),
+                accepting: true,
+                open: 0,
+                most: budget - hosts,
+                most_known: (config.sockets / KNOWN_PART).clamp(2, budget - hosts),
+                longest_message: (memory / MESSAGE_PART).clamp(codec::MAX_MESSAGE, MOST_MESSAGE),
+            },
+            door: Door { listener: door, down: BTreeSet::new() },
+            line: Succession { path: config.line, ..Succession::default() },
+            watching: Watching::of(config.discovery, config.known.rev),
             phase: Phase::Serving,
             log,
         };
@@ -243,19 +222,19 @@
 
     /// Where clients connect.
     pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref()?.local_addr().ok()
+        self.guests.listener.as_ref()?.local_addr().ok()
     }
 
     /// Where operators call.
     pub fn admin_address(&self) -> Option<SocketAddr> {
-        self.door.as_ref()?.local_addr().ok()
+        self.door.listener.as_ref()?.local_addr().ok()
     }
 
     /// Serves until a signal ends it and all that was taken is answered.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
-        info!(self.log, "ready"; "clients" => self.most_clients, "hosts" => self.pool.most());
-        while self.phase != Phase::Closing || self.clients > 0 || self.is_telling() {
+        info!(self.log, "ready"; "clients" => self.guests.most, "hosts" => self.pool.most());
+        while self.phase != Phase::Closing || self.guests.open > 0 || self.is_telling() {
             let next = self.timers.next().into_iter().chain(self.balancer.next_due()).min();
             let wait = next.map(|at| Duration::from_micros((at - self.clock.read()).0));
             events.clear();
@@ -351,17 +330,17 @@
             info!(self.log, "signal to end, handing over"; "owed" => self.ledger.len());
             self.phase = Phase::HandingOver;
             // A process that follows has the listener: nobody has to be waited for.
-            let wait = if self.heir.is_some() { Micros(0) } else { HAND_OVER };
+            let wait = if self.line.heir.is_some() { Micros(0) } else { HAND_OVER };
             self.set_timer(wait, Timer::HandedOver);
         }
     }
 
     /// The hand-over is done: takes what has arrived, then closes the listener and idle clients.
     fn close_doors(&mut self) {
-        if self.heir.is_none() {
+        if self.line.heir.is_none() {
             self.accept();
         }
-        if let Some(listener) = self.listener.take() {
+        if let Some(listener) = self.guests.listener.take() {
             let _ = self.poller.delete(&listener);
         }
         self.phase = Phase::Closing;
@@ -372,7 +351,7 @@
                 self.ready.push_back(key);
             }
         }
-        info!(self.log, "listener closed"; "owed" => self.ledger.len(), "clients" => self.clients);
+        info!(self.log, "listener closed"; "owed" => self.ledger.len(), "clients" => self.guests.open);
     }
 }
 
--- a/src/net/event_loop/door.rs
+++ b/src/net/event_loop/door.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::io;
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpListener};
 
 use slog::{info, warn};
 
@@ -19,6 +19,12 @@
 const PATIENCE: Micros = Micros::millis(5_000);
 const LINGER: Micros = Micros::millis(1_000);
 
+/// What operators have: their listener, and the names of the hosts that they have put down.
+pub(super) struct Door {
+    pub(super) listener: Option<TcpListener>,
+    pub(super) down: BTreeSet<String>,
+}
+
 /// An operator's connection.
 pub(super) struct CallerLink {
     pub(super) call: Call,
@@ -29,7 +35,7 @@
 impl Gateway {
     /// Accepts callers. A call that has come along is answered at once.
     pub(super) fn answer_door(&mut self) {
-        while let Some(Ok((socket, _))) = self.door.as_ref().map(|door| door.accept()) {
+        while let Some(Ok((socket, _))) = self.door.listener.as_ref().map(|door| door.accept()) {
             self.clear_doorstep();
             let link = CallerLink { call: Call::default(), since: self.now };
             let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
@@ -128,10 +134,10 @@
     /// Keeps the names of the hosts that are down in a file beside the line, for a start without a
     /// process to take over from: a ban holds until the call back.
     pub(super) fn remember_ban(&mut self, name: &str, out: bool) {
-        let changed = if out { self.down.insert(name.to_string()) } else { self.down.remove(name) };
-        let Some(path) = self.line_path.as_ref().filter(|_| changed) else { return };
+        let changed = if out { self.door.down.insert(name.to_string()) } else { self.door.down.remove(name) };
+        let Some(path) = self.line.path.as_ref().filter(|_| changed) else { return };
         let (path, new) = (path.with_extension("down"), path.with_extension("new"));
-        let written = serde_json::to_vec(&self.down).map_err(io::Error::from);
+        let written = serde_json::to_vec(&self.door.down).map_err(io::Error::from);
         let kept =
             written.and_then(|text| std::fs::write(&new, text)).and_then(|()| std::fs::rename(new, path));
         if let Err(e) = kept {
@@ -141,7 +147,7 @@
 
     /// Puts down the hosts that were when the process before ended.
     pub(super) fn recall_bans(&mut self) {
-        let Some(path) = self.line_path.as_ref().map(|path| path.with_extension("down")) else { return };
+        let Some(path) = self.line.path.as_ref().map(|path| path.with_extension("down")) else { return };
         let Ok(text) = std::fs::read(path) else { return };
         match serde_json::from_slice::<BTreeSet<String>>(&text) {
             Ok(down) => {
@@ -152,7 +158,7 @@
                 if !down.is_empty() {
                     info!(self.log, "hosts still down by hand"; "hosts" => down.len());
                 }
-                self.down = down;
+                self.door.down = down;
             }
             Err(e) => warn!(self.log, "hosts put down by hand cannot be read"; "error" => %e),
         }
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -3,6 +3,7 @@
 //! idle makes room, so that clients that come and never come back leave nothing behind.
 
 use std::io;
+use std::net::TcpListener;
 
 use polling::{Event, PollMode};
 use slog::warn;
@@ -48,6 +49,19 @@
     pub(super) closing: bool,
 }
 
+/// Who may come in, and how many are.
+pub(super) struct Guests {
+    pub(super) listener: Option<TcpListener>,
+    /// Not while there is no room for clients.
+    pub(super) accepting: bool,
+    /// Clients that are connected, and the most that may be.
+    pub(super) open: usize,
+    pub(super) most: usize,
+    /// Most clients that are kept open though they have asked before.
+    pub(super) most_known: usize,
+    pub(super) longest_message: usize,
+}
+
 /// Why a client has to leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Overstay {
@@ -89,15 +103,15 @@
     /// Accepts connections, as far as there is room for clients.
     pub(super) fn accept(&mut self) {
         for _ in 0..ACCEPTS {
-            if self.clients + self.lent() >= self.most_clients && !self.make_room() {
-                warn!(self.log, "no descriptors left for clients"; "open" => self.clients);
+            if self.guests.open + self.lent() >= self.guests.most && !self.make_room() {
+                warn!(self.log, "no descriptors left for clients"; "open" => self.guests.open);
                 self.set_accepting(false);
                 return;
             }
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.guests.listener else { return };
             match listener.accept() {
                 Ok((socket, _)) => {
-                    let client = ClientLink::new(Client::taking(self.longest_message), self.now);
+                    let client = ClientLink::new(Client::taking(self.guests.longest_message), self.now);
                     let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
                     let added = set.and_then(|()| self.insert(socket, Link::Client(client), false));
                     if let Ok(key) = added {
@@ -120,10 +134,12 @@
 
     /// Goes on accepting, or pauses.
     pub(super) fn set_accepting(&mut self, on: bool) {
-        let Some(listener) = self.listener.as_ref().filter(|_| self.heir.is_none() || !on) else { return };
+        let Some(listener) = self.guests.listener.as_ref().filter(|_| self.line.heir.is_none() || !on) else {
+            return;
+        };
         let interest = Event { key: LISTENER, readable: on, writable: false };
         if self.poller.modify_with_mode(listener, interest, PollMode::Level).is_ok() {
-            self.accepting = on;
+            self.guests.accepting = on;
         }
     }
 
@@ -144,7 +160,7 @@
     /// Closes the client that has been idle longest where too many that have asked are open: clients
     /// that never use a connection again would keep all they may have, and those that wait get none.
     pub(super) fn spare_clients(&mut self) {
-        if self.clients <= self.most_known {
+        if self.guests.open <= self.guests.most_known {
             return;
         }
         let known = |(place, slot): (usize, &Slot)| match &slot.link {
@@ -154,7 +170,7 @@
             _ => None,
         };
         let known: Vec<(bool, Micros, Key)> = self.slots.iter().filter_map(known).collect();
-        if known.len() > self.most_known {
+        if known.len() > self.guests.most_known {
             let idle = known.into_iter().filter(|(idle, ..)| *idle).min_by_key(|(_, used, _)| *used);
             if let Some((_, _, key)) = idle {
                 self.close(key);
@@ -165,7 +181,7 @@
     /// The round over clients: those that owe something for too long are told so and closed, those
     /// that have been idle for long make room.
     pub(super) fn see_out_guests(&mut self) {
-        let crowded = self.clients > self.most_clients / CROWDED;
+        let crowded = self.guests.open > self.guests.most / CROWDED;
         let now = self.now;
         let judge = |(place, slot): (usize, &Slot)| match &slot.link {
             Link::Client(c) => c.overstays(now, crowded).map(|why| (Key { place, serial: slot.serial }, why)),
@@ -182,7 +198,7 @@
                 _ => self.lose(key),
             }
         }
-        if !self.accepting {
+        if !self.guests.accepting {
             self.set_accepting(true);
         }
     }
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -42,7 +42,7 @@
             self.write(life.owner);
             self.ready.push_back(life.owner);
             self.spare_clients();
-            if !self.accepting {
+            if !self.guests.accepting {
                 self.set_accepting(true);
             }
         }
@@ -179,7 +179,9 @@
             self.counts.served += 1;
             let work = self.ledger.get(ticket).map(|life| &life.work).filter(|work| work.writes);
             let told = work.map(|work| (GroupId(work.cluster), work.session));
-            if let (Some((group, session)), Some(commit), false) = (told, position, self.peers.is_empty()) {
+            if let (Some((group, session)), Some(commit), false) =
+                (told, position, self.line.peers.is_empty())
+            {
                 self.share_commit(group, session, commit);
             }
             self.finish(ticket, Final::Served(&answer.rows));
--- a/src/net/event_loop/slots.rs
+++ b/src/net/event_loop/slots.rs
@@ -65,7 +65,7 @@
         let interest = Event { key: key.place, readable: true, writable };
         self.poller.add_with_mode(&socket, interest, PollMode::Level)?;
         match link {
-            Link::Client(_) => self.clients += 1,
+            Link::Client(_) => self.guests.open += 1,
             Link::Host(_) => self.pool.opened(),
             Link::Discovery(_) | Link::Caller(_) => {}
         }
@@ -83,11 +83,11 @@
         let slot = self.slots.remove(key.place);
         let _ = self.poller.delete(&slot.socket);
         match &slot.link {
-            Link::Client(_) => self.clients -= 1,
+            Link::Client(_) => self.guests.open -= 1,
             Link::Host(host) => self.pool.closed(host.member, key),
             Link::Discovery(_) | Link::Caller(_) => {}
         }
-        if !self.accepting {
+        if !self.guests.accepting {
             self.set_accepting(true);
         }
         Some(slot)
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -3,8 +3,10 @@
 use std::io;
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
+use std::path::PathBuf;
 
 use polling::{Event, PollMode};
+use slab::Slab;
 use slog::{info, warn};
 
 use super::guests::ClientLink;
@@ -29,38 +31,49 @@
     interest: bool,
 }
 
+/// The processes of this gateway before and after this one.
+#[derive(Default)]
+pub(super) struct Succession {
+    /// Where this process waits for the one that follows, and the socket on which it does.
+    pub(super) path: Option<PathBuf>,
+    pub(super) heirs: Option<OwnedFd>,
+    /// Other processes of this gateway, and the one among them that takes the clients.
+    pub(super) peers: Slab<Peer>,
+    pub(super) heir: Option<usize>,
+}
+
 impl Gateway {
     /// Waits for the process that follows, where there is a path for it.
     pub(super) fn await_heirs(&mut self) {
-        let Some(path) = &self.line_path else { return };
+        let Some(path) = &self.line.path else { return };
         let waits = line::listen(path).and_then(|at| {
             self.poller.add_with_mode(&at, Event::readable(HEIRS), PollMode::Level)?;
             Ok(at)
         });
         match waits {
-            Ok(at) => self.heirs = Some(at),
+            Ok(at) => self.line.heirs = Some(at),
             Err(e) => warn!(self.log, "no upgrade without a stop: cannot wait for it"; "error" => %e),
         }
     }
 
     /// A process that follows has come: it gets the estate and a copy of the listener.
     pub(super) fn on_heir(&mut self) {
-        let Some(accepted) = self.heirs.as_ref().map(Line::accept) else { return };
-        let listener = self.listener.as_ref().and_then(|listener| listener.try_clone().ok());
+        let Some(accepted) = self.line.heirs.as_ref().map(Line::accept) else { return };
+        let listener = self.guests.listener.as_ref().and_then(|listener| listener.try_clone().ok());
         let (Ok(line), Some(listener)) = (accepted, listener) else { return };
         let estate = Estate {
             clock: self.clock.offset(),
             config: self.config.clone(),
-            discovery: self.discovery,
-            rev: self.watch.known(),
+            discovery: self.watching.address,
+            rev: self.watching.watch.known(),
             directory: self.directory.clone(),
             classes: self.classes.names().map(|(name, id)| (name.clone(), id)).collect(),
             balancer: self.balancer.estate(),
-            down: self.down.clone(),
+            down: self.door.down.clone(),
             open: self.ledger.names().map(|(name, until)| (name.to_string(), until)).collect(),
-            clients: self.clients,
+            clients: self.guests.open,
         };
-        info!(self.log, "upgrade: estate handed over"; "clients" => self.clients, "owed" => self.ledger.len());
+        info!(self.log, "upgrade: estate handed over"; "clients" => self.guests.open, "owed" => self.ledger.len());
         if let Some(peer) = self.meet(line, true, 0) {
             self.tell(peer, &Message::Estate(Box::new(estate)), Some(listener.into()));
         }
@@ -68,9 +81,9 @@
 
     /// Takes up a line.
     pub(super) fn meet(&mut self, line: Line, follows: bool, holding: usize) -> Option<usize> {
-        let index = self.peers.vacant_key();
+        let index = self.line.peers.vacant_key();
         let added = self.poller.add_with_mode(&line, Event::readable(PEERS + index), PollMode::Level);
-        added.ok().map(|()| self.peers.insert(Peer { line, follows, holding, interest: false }))
+        added.ok().map(|()| self.line.peers.insert(Peer { line, follows, holding, interest: false }))
     }
 
     /// The process before has handed over: this one takes clients, and says so.
@@ -84,12 +97,12 @@
     /// Takes over what the process before knew, and the lead.
     pub(super) fn take_estate(&mut self, line: Line, estate: Estate) {
         let Estate { discovery, rev, mut directory, classes, balancer, down, open, clients, .. } = estate;
-        self.down = down;
+        self.door.down = down;
         // Zones that only the new settings name have got their numbers by now.
         directory.know_zones(self.directory.zones().clone());
         self.directory = directory;
-        self.discovery = discovery;
-        self.watch = Watch::from(rev);
+        self.watching.address = discovery;
+        self.watching.watch = Watch::from(rev);
         let place = |class| {
             let (name, _) = self.classes.names().find(|(_, id)| *id == class)?;
             classes.get(name).copied()
@@ -102,7 +115,7 @@
 
     /// While there are two processes each has its part of what both may hold.
     fn share_budget(&mut self) {
-        let parts = if self.peers.is_empty() { 1 } else { 2 };
+        let parts = if self.line.peers.is_empty() { 1 } else { 2 };
         self.pool.share(parts);
         while !self.pool.has_room() {
             let Some(idle) = self.pool.oldest() else { break };
@@ -112,18 +125,18 @@
 
     /// Clients that this process has no room for because of another.
     pub(super) fn lent(&self) -> usize {
-        let held: usize = self.peers.iter().map(|(_, peer)| peer.holding + OTHERS).sum();
-        held.min(self.most_clients / 2)
+        let held: usize = self.line.peers.iter().map(|(_, peer)| peer.holding + OTHERS).sum();
+        held.min(self.guests.most / 2)
     }
 
     fn tell(&mut self, index: usize, message: &Message, with: Option<OwnedFd>) {
-        let Some(peer) = self.peers.get_mut(index) else { return };
+        let Some(peer) = self.line.peers.get_mut(index) else { return };
         let sent = peer.line.send(message, with);
         self.tend(index, sent);
     }
 
     fn tell_others(&mut self, but: Option<usize>, message: &Message) {
-        let others: Vec<usize> = self.peers.iter().map(|(index, _)| index).collect();
+        let others: Vec<usize> = self.line.peers.iter().map(|(index, _)| index).collect();
         for index in others.into_iter().filter(|index| Some(*index) != but) {
             self.tell(index, message, None);
         }
@@ -131,7 +144,7 @@
 
     /// After something was sent on a line: asks the poller for what it needs, or gives it up.
     fn tend(&mut self, index: usize, sent: io::Result<()>) {
-        let Some(peer) = self.peers.get_mut(index) else { return };
+        let Some(peer) = self.line.peers.get_mut(index) else { return };
         let behind = peer.line.is_behind();
         let interest = Event { key: PEERS + index, readable: true, writable: behind };
         let armed = sent.and_then(|()| match std::mem::replace(&mut peer.interest, behind) == behind {
@@ -145,7 +158,7 @@
 
     /// Sends what waited for room on a line.
     pub(super) fn push_on(&mut self, index: usize) {
-        if let Some(peer) = self.peers.get_mut(index) {
+        if let Some(peer) = self.line.peers.get_mut(index) {
             let sent = peer.line.flush();
             self.tend(index, sent);
         }
@@ -153,11 +166,11 @@
 
     /// The other process has ended, or makes no sense. If it was to take the clients, this one goes on.
     fn part_from(&mut self, index: usize, why: &io::Error) {
-        let Some(peer) = self.peers.try_remove(index) else { return };
+        let Some(peer) = self.line.peers.try_remove(index) else { return };
         let _ = self.poller.delete(&peer.line);
         info!(self.log, "upgrade: the other process is gone"; "followed" => peer.follows, "why" => %why);
-        if self.heir == Some(index) {
-            self.heir = None;
+        if self.line.heir == Some(index) {
+            self.line.heir = None;
             if self.phase == Phase::Serving {
                 self.await_heirs();
                 self.set_accepting(true);
@@ -168,9 +181,9 @@
 
     /// Reads all lines, so that nothing is decided before what the other process has told.
     pub(super) fn hear_peers(&mut self) {
-        let peers: Vec<usize> = self.peers.iter().map(|(index, _)| index).collect();
+        let peers: Vec<usize> = self.line.peers.iter().map(|(index, _)| index).collect();
         for index in peers {
-            while let Some(peer) = self.peers.get_mut(index) {
+            while let Some(peer) = self.line.peers.get_mut(index) {
                 match peer.line.receive() {
                     Ok(None) => break,
                     Ok(Some((message, with))) => self.heed(index, message, with),
@@ -183,25 +196,29 @@
     fn heed(&mut self, index: usize, message: Message, with: Option<OwnedFd>) {
         match message {
             Message::Ready => {
-                info!(self.log, "upgrade: the next process takes clients"; "clients" => self.clients);
-                self.heir = Some(index);
+                info!(self.log, "upgrade: the next process takes clients"; "clients" => self.guests.open);
+                self.line.heir = Some(index);
                 self.set_accepting(false);
-                if let Some(at) = self.heirs.take() {
+                if let Some(at) = self.line.heirs.take() {
                     let _ = self.poller.delete(&at);
                 }
                 self.share_budget();
                 self.pass_clients();
             }
             Message::Client { greeted, asked, bytes } => {
-                if let Some(peer) = self.peers.get_mut(index) {
+                if let Some(peer) = self.line.peers.get_mut(index) {
                     peer.holding = peer.holding.saturating_sub(1);
                 }
                 if let Some(socket) = with {
-                    self.adopt(socket.into(), Client::resume(self.longest_message, greeted, &bytes), asked);
+                    self.adopt(
+                        socket.into(),
+                        Client::resume(self.guests.longest_message, greeted, &bytes),
+                        asked,
+                    );
                 }
             }
             Message::Holding { clients } => {
-                if let Some(peer) = self.peers.get_mut(index) {
+                if let Some(peer) = self.line.peers.get_mut(index) {
                     peer.holding = clients;
                 }
             }
@@ -229,7 +246,7 @@
 
     /// Passes a client on to the process that follows, if it is owed nothing. False if it stays.
     pub(super) fn pass_on(&mut self, key: Key) -> bool {
-        let Some(heir) = self.heir else { return false };
+        let Some(heir) = self.line.heir else { return false };
         let Some(client) = self.client(key).filter(|client| client.ticket.is_none() && !client.closing)
         else {
             return false;
@@ -248,8 +265,8 @@
         for key in keys {
             self.pass_on(key);
         }
-        if let Some(heir) = self.heir {
-            self.tell(heir, &Message::Holding { clients: self.clients }, None);
+        if let Some(heir) = self.line.heir {
+            self.tell(heir, &Message::Holding { clients: self.guests.open }, None);
         }
     }
 
@@ -265,6 +282,6 @@
 
     /// Whether something is still on its way to another process.
     pub(super) fn is_telling(&self) -> bool {
-        self.peers.iter().any(|(_, peer)| peer.line.is_behind())
+        self.line.peers.iter().any(|(_, peer)| peer.line.is_behind())
     }
 }
--- a/src/net/event_loop/timers.rs
+++ b/src/net/event_loop/timers.rs
@@ -47,6 +47,8 @@
 pub(super) struct Timers {
     queue: BTreeMap<(Micros, u64), Timer>,
     serial: u64,
+    /// Rounds so far.
+    rounds: u64,
 }
 
 impl Timers {
@@ -149,16 +151,16 @@
         self.see_out_guests();
         self.see_out_callers();
         self.ledger.forget_others(self.now);
-        if self.heir.is_some() {
+        if self.line.heir.is_some() {
             self.pass_clients();
         }
-        self.rounds += 1;
-        if self.rounds % ROUNDS_A_LINE == 0 {
+        self.timers.rounds += 1;
+        if self.timers.rounds % ROUNDS_A_LINE == 0 {
             let counts = std::mem::take(&mut self.counts);
             info!(self.log, "traffic"; "taken" => counts.taken, "served" => counts.served,
                 "refused" => counts.refused, "failed" => counts.failed, "left" => counts.left,
                 "attempts" => counts.attempts, "broken" => counts.broken, "connects" => counts.connects,
-                "probes" => counts.probes, "spoilt" => counts.spoilt, "open" => self.ledger.len(), "clients" => self.clients,
+                "probes" => counts.probes, "spoilt" => counts.spoilt, "open" => self.ledger.len(), "clients" => self.guests.open,
                 "hosts" => self.pool.len());
         }
         self.set_timer(ROUND, Timer::Round);
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -9,24 +9,41 @@
 use super::slots::{Key, Link};
 use super::timers::Timer;
 use super::Gateway;
-use crate::net::discovery::{self, Listing};
+use crate::net::discovery::{self, Listing, Watch};
 use crate::pg::codec::Outbox;
 use crate::settings::Site;
 use crate::Micros;
 
+/// The watch on discovery: where it is, what is known, and the call that is out.
+pub(super) struct Watching {
+    pub(super) address: SocketAddr,
+    pub(super) watch: Watch,
+    calling: Option<Key>,
+    /// Failures in a row.
+    fails: u64,
+}
+
+impl Watching {
+    /// A watch at this address that goes on from a version.
+    pub(super) fn of(address: SocketAddr, rev: u64) -> Self {
+        Watching { address, watch: Watch::from(Some(rev)), calling: None, fails: 0 }
+    }
+}
+
 impl Gateway {
     /// Calls discovery, unless a call is out: there is one watch at a time.
     pub(super) fn call_discovery(&mut self) {
-        if self.calling.is_some() {
+        if self.watching.calling.is_some() {
             return;
         }
-        let patience = self.watch.patience();
-        let call = self.watch.call(&self.discovery.to_string()).into_bytes();
+        let patience = self.watching.watch.patience();
+        let call = self.watching.watch.call(&self.watching.address.to_string()).into_bytes();
         let out = Outbox::with(call);
-        let added = dial(self.discovery).and_then(|socket| self.insert(socket, Link::Discovery(out), true));
+        let added =
+            dial(self.watching.address).and_then(|socket| self.insert(socket, Link::Discovery(out), true));
         match added {
             Ok(key) => {
-                self.calling = Some(key);
+                self.watching.calling = Some(key);
                 self.set_timer(patience, Timer::Call(key));
             }
             Err(_) => self.set_timer(discovery::RETRY, Timer::Discovery),
@@ -35,11 +52,11 @@
 
     /// Takes in what discovery says.
     pub(super) fn discovery_says(&mut self, key: Key, bytes: &[u8], ended: bool) {
-        match self.watch.receive(bytes, ended) {
+        match self.watching.watch.receive(bytes, ended) {
             Ok(None) if ended => self.discovery_failed(key, "connection ended"),
             Ok(None) => {}
             Ok(Some(listing)) => {
-                self.discovery_fails = 0;
+                self.watching.fails = 0;
                 self.listed(listing, false);
                 self.end_call(key);
                 self.call_discovery();
@@ -51,19 +68,19 @@
     /// The call has failed: another follows after a pause.
     pub(super) fn discovery_failed(&mut self, key: Key, why: &str) {
         self.end_call(key);
-        self.discovery_fails += 1;
+        self.watching.fails += 1;
         // The first failure and every hundredth after it: one line in ten seconds.
-        if self.discovery_fails % 100 == 1 {
-            warn!(self.log, "discovery failed"; "why" => why, "in a row" => self.discovery_fails);
+        if self.watching.fails % 100 == 1 {
+            warn!(self.log, "discovery failed"; "why" => why, "in a row" => self.watching.fails);
         }
-        if self.discovery_fails > 1 {
-            self.watch.restart();
+        if self.watching.fails > 1 {
+            self.watching.watch.restart();
         }
         self.set_timer(discovery::RETRY, Timer::Discovery);
     }
 
     fn end_call(&mut self, key: Key) {
-        self.calling = self.calling.filter(|calling| *calling != key);
+        self.watching.calling = self.watching.calling.filter(|calling| *calling != key);
         self.close(key);
     }
 
@@ -107,10 +124,10 @@
     /// Discovery may have moved: the watch goes on there at once, with the whole list, since versions of
     /// the one need mean nothing to the other.
     fn follow_discovery(&mut self, discovery: SocketAddr) {
-        self.discovery = discovery;
-        self.discovery_fails = 0;
-        self.watch.restart();
-        if let Some(key) = self.calling {
+        self.watching.address = discovery;
+        self.watching.fails = 0;
+        self.watching.watch.restart();
+        if let Some(key) = self.watching.calling {
             self.end_call(key);
         }
         self.call_discovery();
