--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -220,6 +220,11 @@
         self.drive(now, Event::Bar { member, out });
     }
 
+    /// Whether the list names a member.
+    pub fn lists(&self, member: MemberId) -> bool {
+        self.pool.contains(&member)
+    }
+
     /// Number of members in the list, and of those among them that are avoided.
     pub fn pool(&self) -> (usize, usize) {
         (self.pool.len(), self.pool.iter().filter(|member| self.router.avoids(**member)).count())
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -23,7 +23,7 @@
 const MAX_BODY: usize = 4 * 1024 * 1024;
 
 /// A list, or a change to one, in discovery's form.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 pub struct Listing {
     /// Its version.
     pub rev: u64,
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -1,18 +1,20 @@
 //! One loop over all sockets. It carries out what the balancer decides and decides nothing itself.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use polling::{Event, PollMode, Poller};
 use slab::Slab;
-use slog::{error, info, Logger};
+use slog::{error, info, o, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 
+mod crew;
 mod door;
 mod flowing;
 mod guests;
@@ -23,6 +25,7 @@
 mod timers;
 mod watching;
 
+use self::crew::{Crew, Letter, Owner};
 use self::door::Door;
 use self::guests::Guests;
 use self::slots::{Key, Link, Slot};
@@ -32,7 +35,7 @@
 use super::clock::Clock;
 use super::discovery::{Directory, Listing};
 use super::pool::Pool;
-use crate::balancer::{Balancer, Due};
+use crate::balancer::{Balancer, Due, Ticket};
 use crate::classes::Classes;
 use crate::config::Taken;
 use crate::fault::Fault;
@@ -54,6 +57,8 @@
 /// Descriptors kept back: standard streams, poller, signals, listeners, discovery, callers, and some to
 /// spare.
 const RESERVE: usize = 40;
+/// And for each worker after the first: its poller.
+const WORKER_RESERVE: usize = 4;
 /// Part of the others that connections to hosts may take.
 const HOST_PART: usize = 3;
 /// Part of the memory that one message of a client may take: any number of clients may send all they
@@ -117,10 +122,16 @@
 /// The gateway: its sockets and what it owes. Each part that only its neighbours use is a value of its own.
 pub struct Gateway {
     log: Logger,
+    /// Which worker this is, and all of them. The first has the listener, discovery, the door and the line.
+    me: usize,
+    crew: Arc<Crew>,
+    letters: VecDeque<Letter>,
+    /// Requests that other workers' clients await from this one.
+    errands: BTreeMap<Owner, Ticket>,
     clock: Clock,
     /// The time of this turn.
     now: Micros,
-    poller: Poller,
+    poller: Arc<Poller>,
     slots: Slab<Slot>,
     serial: u64,
     timers: Timers,
@@ -128,14 +139,14 @@
     ready: VecDeque<Key>,
     scratch: Vec<u8>,
     pool: Pool<Key>,
-    ledger: Ledger<Key, Statement>,
+    ledger: Ledger<Key, Statement, Owner>,
     balancer: Balancer,
     classes: Classes,
     connect_timeout: Micros,
     directory: Directory,
     figures: Figures,
     counts: Counts,
-    signals: Signals,
+    signals: Option<Signals>,
     /// The text of the configuration in force.
     config: String,
     guests: Guests,
@@ -146,78 +157,103 @@
 }
 
 impl Gateway {
-    /// Opens the listener.
+    /// Opens the listener, with one worker.
     pub fn open(config: Config, signals: Signals, log: Logger) -> io::Result<Gateway> {
-        let poller = Poller::new()?;
+        let workers = Gateway::open_all(config, signals, log, 1)?;
+        workers.into_iter().next().ok_or_else(|| io::ErrorKind::InvalidInput.into())
+    }
+
+    /// Opens the listener, with so many workers. Each is to run on a thread of its own.
+    pub fn open_all(config: Config, signals: Signals, log: Logger, count: usize) -> io::Result<Vec<Gateway>> {
+        let pollers: io::Result<Vec<_>> = (0..count).map(|_| Poller::new().map(Arc::new)).collect();
+        let pollers = pollers?;
+        let crew = Arc::new(Crew::of(&pollers));
         let (line, estate, listener) = match config.inherited {
             Some(left) => (Some(left.line), Some(left.estate), left.listener.into()),
             None => (None, None, listen(config.listen, true)?),
         };
-        poller.add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)?;
+        let clock = estate.as_ref().map_or_else(Clock::start, |estate| Clock::resume(estate.clock));
+        let door = config.admin.map(|address| listen(address, false)).transpose()?;
+        let budget = config.sockets.saturating_sub(RESERVE + WORKER_RESERVE * (count - 1)).max(8 * count);
+        let (hosts, memory) = (budget / HOST_PART, config.memory_mb.saturating_mul(1024 * 1024));
+        let mut workers: Vec<Gateway> = (0..count)
+            .map(|me| {
+                let site = config.site.clone();
+                let mut figures = Figures::default();
+                for class in &site.classes {
+                    figures.class(class);
+                }
+                let named = site.classes.into_iter().zip(site.settings.classes.clone());
+                let mut classes = Classes::default();
+                classes.adopt(Micros(0), named.collect(), |_| false);
+                Gateway {
+                    me,
+                    crew: crew.clone(),
+                    letters: VecDeque::new(),
+                    errands: BTreeMap::new(),
+                    now: clock.read(),
+                    clock,
+                    poller: pollers[me].clone(),
+                    slots: Slab::new(),
+                    serial: 0,
+                    timers: Timers::default(),
+                    ready: VecDeque::new(),
+                    scratch: vec![0; 16 * 1024],
+                    pool: Pool::new(hosts / count, site.settings.connection_idle),
+                    ledger: Ledger::default(),
+                    balancer: Balancer::new(site.settings, config.seed.wrapping_add(me as u64)),
+                    classes,
+                    connect_timeout: site.connect_timeout.max(Micros::millis(10)),
+                    directory: Directory::new(config.zones.clone()),
+                    figures,
+                    counts: Counts::default(),
+                    signals: None,
+                    config: String::new(),
+                    guests: Guests {
+                        listener: None,
+                        accepting: true,
+                        open: 0,
+                        most: budget - hosts,
+                        most_known: (config.sockets / KNOWN_PART).clamp(2, budget - hosts),
+                        longest_message: (memory / MESSAGE_PART).clamp(codec::MAX_MESSAGE, MOST_MESSAGE),
+                    },
+                    door: Door { listener: None, down: BTreeSet::new() },
+                    line: Succession::default(),
+                    watching: Watching::of(config.discovery, config.known.rev),
+                    phase: Phase::Serving,
+                    log: log.new(o!("worker" => me)),
+                }
+            })
+            .collect();
+        let Some(first) = workers.first_mut() else { return Err(io::ErrorKind::InvalidInput.into()) };
+        if count == 1 {
+            first.log = log;
+        }
+        first.poller.add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)?;
         for (pipe, key) in [(&signals.end, SIGNALS), (&signals.reload, RELOAD)] {
             pipe.set_nonblocking(true)?;
-            poller.add_with_mode(pipe, Event::readable(key), PollMode::Level)?;
+            first.poller.add_with_mode(pipe, Event::readable(key), PollMode::Level)?;
         }
-        let door = config.admin.map(|address| listen(address, false)).transpose()?;
         if let Some(door) = &door {
-            poller.add_with_mode(door, Event::readable(DOOR), PollMode::Level)?;
-        }
-        let mut figures = Figures::default();
-        for class in &config.site.classes {
-            figures.class(class);
+            first.poller.add_with_mode(door, Event::readable(DOOR), PollMode::Level)?;
         }
-        let named = config.site.classes.into_iter().zip(config.site.settings.classes.clone());
-        let mut classes = Classes::default();
-        classes.adopt(Micros(0), named.collect(), |_| false);
-        let clock = estate.as_ref().map_or_else(Clock::start, |estate| Clock::resume(estate.clock));
-        let budget = config.sockets.saturating_sub(RESERVE).max(8);
-        let hosts = budget / HOST_PART;
-        let memory = config.memory_mb.saturating_mul(1024 * 1024);
-        let idle_limit = config.site.settings.connection_idle;
-        let mut gateway = Gateway {
-            now: clock.read(),
-            clock,
-            poller,
-            slots: Slab::new(),
-            serial: 0,
-            timers: Timers::default(),
-            ready: VecDeque::new(),
-            scratch: vec![0; 16 * 1024],
-            pool: Pool::new(hosts, idle_limit),
-            ledger: Ledger::default(),
-            balancer: Balancer::new(config.site.settings, config.seed),
-            classes,
-            connect_timeout: config.site.connect_timeout.max(Micros::millis(10)),
-            directory: Directory::new(config.zones),
-            figures,
-            counts: Counts::default(),
-            signals,
-            config: config.text,
-            guests: Guests {
-                listener: Some(listener),
-                accepting: true,
-                open: 0,
-                most: budget - hosts,
-                most_known: (config.sockets / KNOWN_PART).clamp(2, budget - hosts),
-                longest_message: (memory / MESSAGE_PART).clamp(codec::MAX_MESSAGE, MOST_MESSAGE),
-            },
-            door: Door { listener: door, down: BTreeSet::new() },
-            line: Succession { path: config.line, ..Succession::default() },
-            watching: Watching::of(config.discovery, config.known.rev),
-            phase: Phase::Serving,
-            log,
-        };
+        (first.guests.listener, first.door.listener) = (Some(listener), door);
+        (first.signals, first.config, first.line.path) = (Some(signals), config.text, config.line);
         match (line, estate) {
-            (Some(line), Some(estate)) => gateway.take_estate(line, estate),
+            (Some(line), Some(estate)) => first.take_estate(line, estate),
             _ => {
-                gateway.listed(config.known, true);
-                gateway.recall_bans();
+                first.listed(config.known, true);
+                first.recall_bans();
             }
         }
-        gateway.await_heirs();
-        gateway.call_discovery();
-        gateway.set_timer(ROUND, Timer::Round);
-        Ok(gateway)
+        if count == 1 {
+            first.await_heirs();
+        }
+        first.call_discovery();
+        for worker in &mut workers {
+            worker.set_timer(ROUND, Timer::Round);
+        }
+        Ok(workers)
     }
 
     /// Where clients connect.
@@ -234,9 +270,13 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
         info!(self.log, "ready"; "clients" => self.guests.most, "hosts" => self.pool.most());
-        while self.phase != Phase::Closing || self.guests.open > 0 || self.is_telling() {
+        while self.phase != Phase::Closing || self.crew.clients() > 0 || self.is_telling() {
+            if self.crew.is_lost() {
+                return Err(io::Error::other("another worker has died"));
+            }
             let next = self.timers.next().into_iter().chain(self.balancer.next_due()).min();
             let wait = next.map(|at| Duration::from_micros((at - self.clock.read()).0));
+            let wait = if self.may_sleep() { wait } else { Some(Duration::ZERO) };
             events.clear();
             if let Err(e) = self.poller.wait(&mut events, wait) {
                 if e.kind() != io::ErrorKind::Interrupted {
@@ -255,6 +295,7 @@
             }
             // What the other process has told counts before any of the bytes just read is acted upon.
             self.guard(SIGNALS, Gateway::hear_peers);
+            self.read_post();
             // The module's own timers come first: a request that ends now gets its verdict, and only
             // what the module leaves over falls to the backstop.
             self.guard(SIGNALS, Gateway::settle);
@@ -265,15 +306,44 @@
         Ok(())
     }
 
-    /// Runs a step; a panic ends the connection that it was for and nothing else.
-    fn guard(&mut self, place: usize, step: impl FnOnce(&mut Self)) {
+    /// Serves with all workers, each on a thread of its own and the first on this one. One that ends before
+    /// its time ends all: half of the families without anybody to decide for them is worse than a restart.
+    pub fn run_all(workers: Vec<Gateway>) -> io::Result<()> {
+        std::thread::scope(|scope| {
+            let mut workers = workers.into_iter();
+            let first = workers.next();
+            let others: Vec<_> = workers.map(|worker| scope.spawn(|| worker.work())).collect();
+            let mut ended = first.map_or(Ok(()), Gateway::work);
+            for other in others {
+                let other = other.join().unwrap_or_else(|_| Err(io::Error::other("a worker panicked")));
+                ended = ended.and(other);
+            }
+            ended
+        })
+    }
+
+    /// Runs to its end; the others are told of one that comes too soon.
+    fn work(mut self) -> io::Result<()> {
+        let crew = self.crew.clone();
+        let ended = catch_unwind(AssertUnwindSafe(|| self.run()))
+            .unwrap_or_else(|_| Err(io::Error::other("a worker panicked")));
+        if let Err(e) = &ended {
+            error!(self.log, "worker ends"; "error" => %e);
+            crew.lose();
+        }
+        ended
+    }
+
+    /// Runs a step; a panic ends the connection that it was for and nothing else. False if there was one.
+    fn guard(&mut self, place: usize, step: impl FnOnce(&mut Self)) -> bool {
         if catch_unwind(AssertUnwindSafe(|| step(self))).is_ok() {
-            return;
+            return true;
         }
         error!(self.log, "panic caught"; "connection" => place);
         if let Some(key) = self.key_at(place) {
             let _ = catch_unwind(AssertUnwindSafe(|| self.lose(key)));
         }
+        false
     }
 
     fn on_event(&mut self, event: Event) {
@@ -325,7 +395,8 @@
 
     fn on_signal(&mut self) {
         let mut bytes = [0; 16];
-        let _ = self.signals.end.read(&mut bytes);
+        let Some(signals) = &mut self.signals else { return };
+        let _ = signals.end.read(&mut bytes);
         if self.phase == Phase::Serving {
             info!(self.log, "signal to end, handing over"; "owed" => self.ledger.len());
             self.phase = Phase::HandingOver;
@@ -344,6 +415,9 @@
             let _ = self.poller.delete(&listener);
         }
         self.phase = Phase::Closing;
+        if self.me == 0 {
+            self.crew.deliver_others(0, || Letter::Close);
+        }
         let keys: Vec<Key> = self.slots.iter().map(|(place, s)| Key { place, serial: s.serial }).collect();
         for key in keys {
             if self.client(key).is_some() {
--- /dev/null
+++ b/src/net/event_loop/crew.rs
@@ -0,0 +1,244 @@
+//! Several workers as one gateway. Each family has one home worker, which alone decides for it and holds its
+//! connections to hosts; each client has one front worker. What passes between them are letters in bounded
+//! posts: a request is offered and refused where the post is full, all that is owed always goes in.
+
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use dunemount_post::{Post, Wake};
+use polling::Poller;
+
+use super::requests::Final;
+use super::slots::Key;
+use super::{Gateway, Phase};
+use crate::balancer::Ticket;
+use crate::net::discovery::Listing;
+use crate::ops::figures::Figures;
+use crate::pg::statement::Statement;
+use crate::settings::{Site, Zones};
+use crate::{GroupId, Micros};
+
+/// Most requests that lie in one worker's post: some milliseconds of its work, so that one that finds it full
+/// would have waited too long.
+const ASKS: usize = 1024;
+
+/// A client's connection and the worker that has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Owner {
+    pub(super) worker: usize,
+    pub(super) key: Key,
+}
+
+/// Where the request of a client is decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Errand {
+    /// Here, under this ticket.
+    Here(Ticket),
+    /// At this worker.
+    At(usize),
+}
+
+/// What workers tell each other.
+pub(super) enum Letter {
+    /// To a front: a client to serve.
+    Guest(TcpStream),
+    /// To a home: a request, and when its client gives up.
+    Ask { owner: Owner, statement: Box<Statement>, until: Micros },
+    /// To a home: the client of an open request has left.
+    Left(Owner),
+    /// To a home: the client of a long value has read on.
+    Drained(Owner),
+    /// To a front: the final answer.
+    Answer(Key, Final),
+    /// To a front: a piece of a long value; the next one follows once it is written.
+    Piece { home: usize, key: Key, bytes: Vec<u8> },
+    /// To a front: the answer cannot be finished; its client is told by the end of the connection.
+    Cut(Key),
+    /// To all: a list, or the one known at the start.
+    List(Box<Listing>, bool),
+    /// To all: new settings.
+    Settings(Box<Site>, Zones),
+    /// To all: operators put a host down, or back up; the call that waits for it, if one does.
+    Bar { host: String, out: bool, call: Option<Key> },
+    /// To the door: it holds here.
+    Barred(Key),
+    /// To all: the figures are asked for by this call.
+    Stats(Key),
+    /// To the door: the figures of one worker.
+    Figures(Key, Box<Figures>),
+    /// To a front: a client is to make room for a new one.
+    MakeRoom,
+    /// To all: the listener is closed.
+    Close,
+}
+
+impl Letter {
+    /// Who waits for what the letter brings.
+    fn owner(&self, me: usize) -> Option<Owner> {
+        match self {
+            Letter::Ask { owner, .. } | Letter::Left(owner) | Letter::Drained(owner) => Some(*owner),
+            Letter::Answer(key, _) | Letter::Piece { key, .. } => Some(Owner { worker: me, key: *key }),
+            _ => None,
+        }
+    }
+}
+
+/// Ends a worker's sleep.
+pub(super) struct Bell(Arc<Poller>);
+
+impl Wake for Bell {
+    fn wake(&self) {
+        // It fails only where the poller is broken, which its own worker is told as well.
+        let _ = self.0.notify();
+    }
+}
+
+/// The workers of one gateway and what they share.
+pub(super) struct Crew {
+    posts: Vec<Post<Letter, Bell>>,
+    /// Clients of each worker, those on their way to it included.
+    clients: Vec<AtomicUsize>,
+    /// A worker has died: none goes on with a part of the families.
+    lost: AtomicBool,
+}
+
+impl Crew {
+    /// A crew whose workers sleep in these pollers.
+    pub(super) fn of(pollers: &[Arc<Poller>]) -> Crew {
+        Crew {
+            posts: pollers.iter().map(|poller| Post::new(ASKS, Bell(poller.clone()))).collect(),
+            clients: pollers.iter().map(|_| AtomicUsize::new(0)).collect(),
+            lost: AtomicBool::new(false),
+        }
+    }
+
+    /// Number of workers.
+    pub(super) fn size(&self) -> usize {
+        self.posts.len()
+    }
+
+    /// The worker that decides for a family.
+    pub(super) fn home(&self, group: GroupId) -> usize {
+        (group.0 % self.posts.len() as u64) as usize
+    }
+
+    /// One worker's count of clients.
+    pub(super) fn count(&self, worker: usize) -> &AtomicUsize {
+        &self.clients[worker]
+    }
+
+    /// Clients of all workers.
+    pub(super) fn clients(&self) -> usize {
+        self.clients.iter().map(|count| count.load(Ordering::Relaxed)).sum()
+    }
+
+    /// The worker with the fewest clients, and the one with the most.
+    pub(super) fn extremes(&self) -> (usize, usize) {
+        let count = |worker: &usize| self.clients[*worker].load(Ordering::Relaxed);
+        let fewest = (0..self.size()).min_by_key(count).unwrap_or(0);
+        (fewest, (0..self.size()).max_by_key(count).unwrap_or(0))
+    }
+
+    /// Tells a worker what it is owed.
+    pub(super) fn deliver(&self, to: usize, letter: Letter) {
+        self.posts[to].deliver(letter);
+    }
+
+    /// Tells all but one.
+    pub(super) fn deliver_others(&self, me: usize, letter: impl Fn() -> Letter) {
+        for worker in (0..self.size()).filter(|worker| *worker != me) {
+            self.deliver(worker, letter());
+        }
+    }
+
+    /// Whether a worker has died.
+    pub(super) fn is_lost(&self) -> bool {
+        self.lost.load(Ordering::SeqCst)
+    }
+
+    /// A worker has died: the others end as well.
+    pub(super) fn lose(&self) {
+        self.lost.store(true, Ordering::SeqCst);
+        self.posts.iter().for_each(|post| post.deliver(Letter::Close));
+    }
+}
+
+impl Gateway {
+    /// Whether this worker may sleep: nothing lies in its post.
+    pub(super) fn may_sleep(&self) -> bool {
+        self.crew.size() == 1 || self.crew.posts[self.me].may_sleep()
+    }
+
+    /// Reads what other workers have told. A panic ends the connection that the letter was about.
+    pub(super) fn read_post(&mut self) {
+        if self.crew.size() == 1 {
+            return;
+        }
+        let mut letters = std::mem::take(&mut self.letters);
+        self.crew.posts[self.me].take(&mut letters);
+        while let Some(letter) = letters.pop_front() {
+            let owner = letter.owner(self.me);
+            if self.guard(usize::MAX, |gateway| gateway.heed_letter(letter)) {
+                continue;
+            }
+            if let Some(Owner { worker, key }) = owner {
+                match worker == self.me {
+                    true => self.lose(key),
+                    false => self.crew.deliver(worker, Letter::Cut(key)),
+                }
+            }
+        }
+        self.letters = letters;
+    }
+
+    fn heed_letter(&mut self, letter: Letter) {
+        match letter {
+            Letter::Guest(socket) => self.welcome(socket),
+            Letter::Ask { owner, statement, until } => self.take_on(owner, *statement, until),
+            Letter::Left(owner) => {
+                if let Some(ticket) = self.errands.get(&owner).copied() {
+                    self.abandon(ticket);
+                }
+            }
+            Letter::Drained(owner) => {
+                if let Some(ticket) = self.errands.get(&owner).copied() {
+                    self.let_flow(ticket);
+                }
+            }
+            Letter::Answer(key, answer) => self.give(key, answer),
+            Letter::Piece { home, key, bytes } => self.piece(home, key, &bytes),
+            Letter::Cut(key) => self.cut(key),
+            Letter::List(listing, known) => self.take_list(*listing, known),
+            Letter::Settings(site, zones) => {
+                self.directory.know_zones(zones);
+                self.settle_in(*site);
+            }
+            Letter::Bar { host, out, call } => {
+                self.bar(&host, out);
+                if let Some(call) = call {
+                    self.crew.deliver(0, Letter::Barred(call));
+                }
+            }
+            Letter::Barred(call) => self.is_barred(call),
+            Letter::Stats(call) => {
+                let figures = Box::new(self.figures().clone());
+                self.crew.deliver(0, Letter::Figures(call, figures));
+            }
+            Letter::Figures(call, figures) => self.add_figures(call, &figures),
+            Letter::MakeRoom => drop(self.make_room()),
+            Letter::Close => {
+                if self.phase != Phase::Closing {
+                    self.close_doors();
+                }
+            }
+        }
+    }
+
+    /// Offers a request to its home. False if too many lie there already.
+    pub(super) fn forward(&mut self, home: usize, key: Key, statement: Statement, until: Micros) -> bool {
+        let owner = Owner { worker: self.me, key };
+        let letter = Letter::Ask { owner, statement: Box::new(statement), until };
+        self.crew.posts[home].offer(letter).is_ok()
+    }
+}
--- a/src/net/event_loop/door.rs
+++ b/src/net/event_loop/door.rs
@@ -7,6 +7,7 @@
 
 use slog::{info, warn};
 
+use super::crew::Letter;
 use super::slots::{Key, Link};
 use super::{Gateway, Phase};
 use crate::ops::call::{Call, Order, Status};
@@ -30,6 +31,11 @@
     pub(super) call: Call,
     /// When it connected, or when it got its answer.
     since: Micros,
+    /// Workers whose word the answer waits for, and what they have told so far.
+    waits: usize,
+    /// What an order is answered with.
+    yes: &'static str,
+    gathered: Figures,
 }
 
 impl Gateway {
@@ -37,7 +43,8 @@
     pub(super) fn answer_door(&mut self) {
         while let Some(Ok((socket, _))) = self.door.listener.as_ref().map(|door| door.accept()) {
             self.clear_doorstep();
-            let link = CallerLink { call: Call::default(), since: self.now };
+            let gathered = Figures::default();
+            let link = CallerLink { call: Call::default(), since: self.now, waits: 0, yes: "", gathered };
             let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
             if let Ok(key) = set.and_then(|()| self.insert(socket, Link::Caller(link), false)) {
                 self.read(key);
@@ -101,34 +108,74 @@
         match order {
             Order::Readiness if self.phase == Phase::Serving => self.reply(key, Status::Ok, "ready\n"),
             Order::Readiness => self.reply(key, Status::Unavailable, "ending\n"),
-            Order::Stats => {
-                let text = self.figures().to_string();
-                self.reply(key, Status::Ok, &text);
-            }
-            Order::Down(name) => self.bar(key, &name, true),
-            Order::Up(name) => self.bar(key, &name, false),
+            Order::Stats => self.gather(key),
+            Order::Down(name) => self.order(key, &name, true),
+            Order::Up(name) => self.order(key, &name, false),
+        }
+    }
+
+    /// The figures of all workers, once each has told its own.
+    fn gather(&mut self, key: Key) {
+        let (own, others) = (self.figures().clone(), self.crew.size() - 1);
+        if let Some(link) = self.caller(key) {
+            (link.waits, link.gathered) = (others + 1, Figures::default());
+        }
+        self.crew.deliver_others(self.me, || Letter::Stats(key));
+        self.add_figures(key, &own);
+    }
+
+    /// One worker's figures for a call.
+    pub(super) fn add_figures(&mut self, key: Key, figures: &Figures) {
+        let Some(link) = self.caller(key) else { return };
+        link.gathered.add(figures);
+        link.waits = link.waits.saturating_sub(1);
+        if link.waits == 0 {
+            let text = link.gathered.to_string();
+            self.reply(key, Status::Ok, &text);
         }
     }
 
     /// The figures as they stand.
-    fn figures(&mut self) -> &Figures {
+    pub(super) fn figures(&mut self) -> &Figures {
         self.figures.active = self.ledger.len();
         (self.figures.pool_size, self.figures.pool_ejected) = self.balancer.pool();
         &self.figures
     }
 
-    fn bar(&mut self, key: Key, name: &str, out: bool) {
-        let Some(member) = self.directory.member(name) else {
+    /// Operators put a host down, or back up. They hear yes once it holds on every worker.
+    fn order(&mut self, key: Key, name: &str, out: bool) {
+        if self.directory.member(name).is_none() {
             warn!(self.log, "operators name a host that nobody has"; "host" => name);
             return self.reply(key, Status::NotFound, "no such database host\n");
-        };
+        }
         info!(self.log, "{}", if out { "host put down by hand" } else { "host put back up" }; "host" => name);
-        self.balancer.bar(self.now, member, out);
+        let workers = self.crew.size();
+        if let Some(link) = self.caller(key) {
+            (link.waits, link.yes) = (workers, if out { "down\n" } else { "up\n" });
+        }
+        let letter = || Letter::Bar { host: name.to_string(), out, call: Some(key) };
+        self.crew.deliver_others(self.me, letter);
+        self.bar(name, out);
         self.remember_ban(name, out);
         self.share_bar(name, out);
-        // Its idle connections close before the yes.
+        self.is_barred(key);
+    }
+
+    /// A host is left out on this worker, or back. Its idle connections are closed.
+    pub(super) fn bar(&mut self, name: &str, out: bool) {
+        let member = self.directory.number(name);
+        self.balancer.bar(self.now, member, out);
         while self.do_due() {}
-        self.reply(key, Status::Ok, if out { "down\n" } else { "up\n" });
+    }
+
+    /// An order holds on one more worker.
+    pub(super) fn is_barred(&mut self, key: Key) {
+        let Some(link) = self.caller(key) else { return };
+        link.waits = link.waits.saturating_sub(1);
+        if link.waits == 0 {
+            let yes = link.yes;
+            self.reply(key, Status::Ok, yes);
+        }
     }
 
     /// Keeps the names of the hosts that are down in a file beside the line, for a start without a
@@ -152,8 +199,9 @@
         match serde_json::from_slice::<BTreeSet<String>>(&text) {
             Ok(down) => {
                 for name in &down {
-                    let member = self.directory.number(name);
-                    self.balancer.bar(self.now, member, true);
+                    self.bar(name, true);
+                    let letter = || Letter::Bar { host: name.clone(), out: true, call: None };
+                    self.crew.deliver_others(self.me, letter);
                 }
                 if !down.is_empty() {
                     info!(self.log, "hosts still down by hand"; "hosts" => down.len());
--- a/src/net/event_loop/flowing.rs
+++ b/src/net/event_loop/flowing.rs
@@ -1,6 +1,7 @@
 //! The loop's part for long values: they pass from host to client as they come, and the host waits for
 //! a client that reads slowly.
 
+use super::crew::{Letter, Owner};
 use super::hosts::Task;
 use super::slots::Key;
 use super::Gateway;
@@ -25,16 +26,43 @@
         let Some(owner) = self.ledger.get(ticket).filter(|life| life.flows()).map(|life| life.owner) else {
             return;
         };
-        let Some(client) = self.client(owner).filter(|_| !bytes.is_empty()) else { return };
-        client.protocol.out.bytes.extend_from_slice(&bytes);
-        self.write(owner);
-        let unread = self.client(owner).map_or(0, |client| client.protocol.out.len());
-        if let Some(host) = self.host(key).filter(|_| unread >= UNREAD) {
+        if bytes.is_empty() {
+            return;
+        }
+        let full = match owner.worker == self.me {
+            true => self.pass_on_bytes(owner.key, &bytes),
+            false => {
+                let (home, key) = (self.me, owner.key);
+                self.crew.deliver(owner.worker, Letter::Piece { home, key, bytes });
+                // One piece at a time: the post holds no more of a value than that.
+                true
+            }
+        };
+        if let Some(host) = self.host(key).filter(|_| full) {
             host.held = true;
             self.arm(key);
         }
     }
 
+    /// Writes a piece of a long value to its client. True if it has enough unread now.
+    fn pass_on_bytes(&mut self, key: Key, bytes: &[u8]) -> bool {
+        let Some(client) = self.client(key) else { return false };
+        client.protocol.out.bytes.extend_from_slice(bytes);
+        self.write(key);
+        self.client(key).is_some_and(|client| client.protocol.out.len() >= UNREAD)
+    }
+
+    /// A piece of a long value has come from its home, which waits for a word before it sends the next.
+    pub(super) fn piece(&mut self, home: usize, key: Key, bytes: &[u8]) {
+        if self.pass_on_bytes(key, bytes) {
+            if let Some(client) = self.client(key) {
+                client.choked = true;
+            }
+        } else if self.client(key).is_some() {
+            self.crew.deliver(home, Letter::Drained(Owner { worker: self.me, key }));
+        }
+    }
+
     /// The client of an answer that flows has read on: so is its host.
     pub(super) fn let_flow(&mut self, ticket: Ticket) {
         let now = self.now;
@@ -47,12 +75,20 @@
 
     /// An answer that flowed cannot be finished: its client is told by the end of the connection.
     pub(super) fn cut_off(&mut self, ticket: Ticket) {
-        let Some(life) = self.ledger.finish(ticket) else { return };
+        let Some(life) = self.conclude(ticket) else { return };
         self.counts.failed += 1;
         self.figures.class(&life.work.class).errors += 1;
-        if let Some(client) = self.client(life.owner) {
-            client.ticket = None;
-            self.close(life.owner);
+        match life.owner.worker == self.me {
+            true => self.cut(life.owner.key),
+            false => self.crew.deliver(life.owner.worker, Letter::Cut(life.owner.key)),
+        }
+    }
+
+    /// Ends the connection of a client whose answer cannot be finished.
+    pub(super) fn cut(&mut self, key: Key) {
+        if let Some(client) = self.client(key) {
+            client.errand = None;
+            self.close(key);
         }
     }
 }
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -3,18 +3,21 @@
 //! idle makes room, so that clients that come and never come back leave nothing behind.
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
 
 use polling::{Event, PollMode};
 use slog::warn;
 
+use super::crew::{Errand, Letter, Owner};
+use super::requests::Final;
 use super::slots::{Key, Link, Slot};
 use super::timers::Timer;
 use super::{Gateway, Phase, LISTENER};
-use crate::balancer::{Ask, Ticket};
+use crate::balancer::Ask;
 use crate::pg::client::{Client, Demand};
 use crate::pg::statement::Statement;
-use crate::{GroupId, Micros};
+use crate::{ClassId, GroupId, Micros};
 
 /// Most connections accepted in one turn.
 const ACCEPTS: usize = 16;
@@ -37,7 +40,10 @@
 /// A client's connection.
 pub(super) struct ClientLink {
     pub(super) protocol: Client,
-    pub(super) ticket: Option<Ticket>,
+    /// Where its request is decided, while one is open.
+    pub(super) errand: Option<Errand>,
+    /// The home of its long value waits for word that it has read on.
+    pub(super) choked: bool,
     /// When it connected.
     pub(super) since: Micros,
     /// When bytes last came or went.
@@ -74,7 +80,16 @@
 impl ClientLink {
     /// A client that has just come.
     pub(super) fn new(protocol: Client, now: Micros) -> Self {
-        ClientLink { protocol, ticket: None, since: now, used: now, half: None, asked: false, closing: false }
+        ClientLink {
+            protocol,
+            errand: None,
+            choked: false,
+            since: now,
+            used: now,
+            half: None,
+            asked: false,
+            closing: false,
+        }
     }
 
     /// Whether the client has to leave now.
@@ -82,7 +97,7 @@
         if !self.protocol.out.is_empty() && now - self.used >= UNREAD {
             return Some(Overstay::Idle);
         }
-        if self.ticket.is_some() || self.protocol.is_busy() {
+        if self.errand.is_some() || self.protocol.is_busy() {
             return None;
         }
         let late = self.half.is_some_and(|since| now - since >= PATIENCE)
@@ -103,20 +118,25 @@
     /// Accepts connections, as far as there is room for clients.
     pub(super) fn accept(&mut self) {
         for _ in 0..ACCEPTS {
-            if self.guests.open + self.lent() >= self.guests.most && !self.make_room() {
-                warn!(self.log, "no descriptors left for clients"; "open" => self.guests.open);
+            let (fewest, most) = self.crew.extremes();
+            if self.crew.clients() + self.lent() >= self.guests.most && !self.make_room() {
+                if self.crew.size() > 1 {
+                    // Perhaps another worker has a client that would not be missed.
+                    self.crew.deliver(most, Letter::MakeRoom);
+                    self.set_timer(ACCEPT_PAUSE, Timer::Accept);
+                } else {
+                    warn!(self.log, "no descriptors left for clients"; "open" => self.guests.open);
+                }
                 self.set_accepting(false);
                 return;
             }
             let Some(listener) = &self.guests.listener else { return };
             match listener.accept() {
                 Ok((socket, _)) => {
-                    let client = ClientLink::new(Client::taking(self.guests.longest_message), self.now);
-                    let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
-                    let added = set.and_then(|()| self.insert(socket, Link::Client(client), false));
-                    if let Ok(key) = added {
-                        // Its first bytes have often come along.
-                        self.read(key);
+                    self.crew.count(fewest).fetch_add(1, Ordering::Relaxed);
+                    match fewest == self.me {
+                        true => self.welcome(socket),
+                        false => self.crew.deliver(fewest, Letter::Guest(socket)),
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -132,6 +152,17 @@
         }
     }
 
+    /// Serves a client that is counted as this worker's.
+    pub(super) fn welcome(&mut self, socket: TcpStream) {
+        let client = ClientLink::new(Client::taking(self.guests.longest_message), self.now);
+        let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
+        match set.and_then(|()| self.insert(socket, Link::Client(client), false)) {
+            // Its first bytes have often come along.
+            Ok(key) => self.read(key),
+            Err(_) => drop(self.crew.count(self.me).fetch_sub(1, Ordering::Relaxed)),
+        }
+    }
+
     /// Goes on accepting, or pauses.
     pub(super) fn set_accepting(&mut self, on: bool) {
         let Some(listener) = self.guests.listener.as_ref().filter(|_| self.line.heir.is_none() || !on) else {
@@ -144,7 +175,7 @@
     }
 
     /// Closes the client that is missed least among those with nothing open.
-    fn make_room(&mut self) -> bool {
+    pub(super) fn make_room(&mut self) -> bool {
         let now = self.now;
         let idle = |(place, slot): (usize, &Slot)| match &slot.link {
             Link::Client(c) => c.missed(now).map(|rank| (rank, Key { place, serial: slot.serial })),
@@ -160,7 +191,8 @@
     /// Closes the client that has been idle longest where too many that have asked are open: clients
     /// that never use a connection again would keep all they may have, and those that wait get none.
     pub(super) fn spare_clients(&mut self) {
-        if self.guests.open <= self.guests.most_known {
+        let most = self.guests.most_known.div_ceil(self.crew.size());
+        if self.crew.clients() <= self.guests.most_known || self.guests.open <= most {
             return;
         }
         let known = |(place, slot): (usize, &Slot)| match &slot.link {
@@ -170,7 +202,7 @@
             _ => None,
         };
         let known: Vec<(bool, Micros, Key)> = self.slots.iter().filter_map(known).collect();
-        if known.len() > self.guests.most_known {
+        if known.len() > most {
             let idle = known.into_iter().filter(|(idle, ..)| *idle).min_by_key(|(_, used, _)| *used);
             if let Some((_, _, key)) = idle {
                 self.close(key);
@@ -181,7 +213,7 @@
     /// The round over clients: those that owe something for too long are told so and closed, those
     /// that have been idle for long make room.
     pub(super) fn see_out_guests(&mut self) {
-        let crowded = self.guests.open > self.guests.most / CROWDED;
+        let crowded = self.crew.clients() > self.guests.most / CROWDED;
         let now = self.now;
         let judge = |(place, slot): (usize, &Slot)| match &slot.link {
             Link::Client(c) => c.overstays(now, crowded).map(|why| (Key { place, serial: slot.serial }, why)),
@@ -228,36 +260,47 @@
 
     fn query(&mut self, key: Key, text: String) {
         self.counts.taken += 1;
-        let ask = Statement::parse(text).map_err(|e| e.to_string()).and_then(|statement| {
-            let class = self.classes.id(self.now, &statement.class).ok_or("unknown class")?;
-            if !self.balancer.knows(GroupId(statement.cluster)) {
-                return Err("unknown group".into());
-            }
-            let (writes, keyed) = self.balancer.wants(class);
-            if writes != statement.writes || keyed && !statement.keyed {
-                return Err("the statement does not fit its class".into());
+        let statement = match Statement::parse(text) {
+            Ok(statement) => statement,
+            Err(e) => {
+                self.counts.failed += 1;
+                return self.give(key, Final::Unroutable(e.to_string()));
             }
-            if self.ledger.bears(&statement.id) {
-                return Err("a request of this id is open".into());
+        };
+        let until = self.now + (statement.wait - MARGIN);
+        let home = self.crew.home(GroupId(statement.cluster));
+        if home == self.me {
+            return self.take_on(Owner { worker: self.me, key }, statement, until);
+        }
+        let class = statement.class.clone();
+        if let Some(client) = self.client(key) {
+            (client.errand, client.asked) = (Some(Errand::At(home)), true);
+        }
+        if !self.forward(home, key, statement, until) {
+            // Its home has more waiting than it can look at in time.
+            self.counts.refused += 1;
+            if self.classes.id(self.now, &class).is_some() {
+                self.figures.class(&class).shed += 1;
             }
-            Ok((class, statement))
-        });
-        let (now, clock) = (self.now, self.clock);
-        let Some(client) = self.client(key) else { return };
-        let (class, statement) = match ask {
+            self.give(key, Final::Refused(None));
+        }
+    }
+
+    /// Takes a request on for whoever asked, or says what is wrong with it.
+    pub(super) fn take_on(&mut self, owner: Owner, statement: Statement, until: Micros) {
+        let (class, statement) = match self.route(statement) {
             Ok(found) => found,
-            Err(message) => {
-                client.protocol.fail("08P01", &message);
+            Err(why) => {
                 self.counts.failed += 1;
-                return;
+                return self.answer(owner, Final::Unroutable(why));
             }
         };
-        let time_left = statement.wait - MARGIN;
+        let (now, clock) = (self.now, self.clock);
+        let time_left = until - now;
         if time_left == Micros(0) {
-            client.protocol.refuse(None);
             self.counts.refused += 1;
             self.figures.class(&statement.class).shed += 1;
-            return;
+            return self.answer(owner, Final::Refused(None));
         }
         let ask = Ask {
             class,
@@ -268,15 +311,33 @@
             time_left,
         };
         let (ticket, verdict) = self.balancer.pick(now, ask);
-        if let Some(client) = self.client(key) {
+        if owner.worker != self.me {
+            self.errands.insert(owner, ticket);
+        } else if let Some(client) = self.client(owner.key) {
             client.asked = true;
-            client.ticket = Some(ticket);
+            client.errand = Some(Errand::Here(ticket));
         }
         let id = statement.id.clone();
-        self.ledger.open(ticket, &id, key, statement, now + time_left);
+        self.ledger.open(ticket, &id, owner, statement, until);
         self.set_timer(time_left, Timer::GiveUp(ticket));
         // What fell due before the verdict comes first: connections to be closed before it is sent.
         while self.do_due() {}
         self.apply(ticket, verdict);
     }
+
+    /// The class of a statement that can be routed here.
+    fn route(&self, statement: Statement) -> Result<(ClassId, Statement), String> {
+        let class = self.classes.id(self.now, &statement.class).ok_or("unknown class")?;
+        if !self.balancer.knows(GroupId(statement.cluster)) {
+            return Err("unknown group".into());
+        }
+        let (writes, keyed) = self.balancer.wants(class);
+        if writes != statement.writes || keyed && !statement.keyed {
+            return Err("the statement does not fit its class".into());
+        }
+        if self.ledger.bears(&statement.id) {
+            return Err("a request of this id is open".into());
+        }
+        Ok((class, statement))
+    }
 }
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -3,48 +3,82 @@
 
 use slog::debug;
 
+use super::crew::{Letter, Owner};
 use super::hosts::Task;
 use super::slots::Key;
 use super::timers::Timer;
 use super::Gateway;
 use crate::balancer::{Ended, Said, Ticket, Verdict};
 use crate::pg::host::Answer;
-use crate::request::{Broken, Cause, Reach};
+use crate::pg::statement::Statement;
+use crate::request::{Broken, Cause, Life, Reach};
 use crate::{GroupId, MemberId, Micros};
 
 /// A final answer.
-pub(super) enum Final<'a> {
-    Served(&'a [u8]),
+pub(super) enum Final {
+    Served(Vec<u8>),
     Refused(Option<Micros>),
     Failed,
+    /// It was never taken on: what is wrong with it.
+    Unroutable(String),
 }
 
 impl Gateway {
     /// Gives the final answer, and counts it.
     pub(super) fn finish(&mut self, ticket: Ticket, answer: Final) {
         self.drop_attempt(ticket);
-        let Some(life) = self.ledger.finish(ticket) else { return };
-        let now = self.now;
+        let Some(life) = self.conclude(ticket) else { return };
         let tally = self.figures.class(&life.work.class);
         match answer {
             Final::Served(_) => tally.ok += 1,
             Final::Refused(_) => tally.shed += 1,
-            Final::Failed => tally.errors += 1,
+            Final::Failed | Final::Unroutable(_) => tally.errors += 1,
         }
-        if let Some(client) = self.client(life.owner) {
-            client.ticket = None;
-            client.used = now;
-            match answer {
-                Final::Served(rows) => client.protocol.serve(rows),
-                Final::Refused(come_back) => client.protocol.refuse(come_back),
-                Final::Failed => client.protocol.fail("58000", "no answer in time, it may have run"),
-            }
-            self.write(life.owner);
-            self.ready.push_back(life.owner);
-            self.spare_clients();
-            if !self.guests.accepting {
-                self.set_accepting(true);
-            }
+        self.answer(life.owner, answer);
+    }
+
+    /// Takes a request out of the ledger: whoever gets it must answer.
+    pub(super) fn conclude(&mut self, ticket: Ticket) -> Option<Life<Key, Statement, Owner>> {
+        let life = self.ledger.finish(ticket)?;
+        if life.owner.worker != self.me {
+            self.errands.remove(&life.owner);
+        }
+        Some(life)
+    }
+
+    /// The client of an open request has left.
+    pub(super) fn abandon(&mut self, ticket: Ticket) {
+        self.counts.left += 1;
+        self.drop_attempt(ticket);
+        self.conclude(ticket);
+        self.balancer.gone(self.now, ticket);
+    }
+
+    /// Sends an answer to whoever asked.
+    pub(super) fn answer(&mut self, owner: Owner, answer: Final) {
+        match owner.worker == self.me {
+            true => self.give(owner.key, answer),
+            false => self.crew.deliver(owner.worker, Letter::Answer(owner.key, answer)),
+        }
+    }
+
+    /// Gives a client of this worker its answer.
+    pub(super) fn give(&mut self, key: Key, answer: Final) {
+        let now = self.now;
+        let Some(client) = self.client(key) else { return };
+        client.errand = None;
+        client.used = now;
+        match answer {
+            Final::Served(rows) => client.protocol.serve(&rows),
+            Final::Refused(come_back) => client.protocol.refuse(come_back),
+            Final::Failed => client.protocol.fail("58000", "no answer in time, it may have run"),
+            Final::Unroutable(why) => client.protocol.fail("08P01", &why),
+        }
+        self.write(key);
+        self.ready.push_back(key);
+        self.spare_clients();
+        if !self.guests.accepting {
+            self.set_accepting(true);
         }
     }
 
@@ -184,7 +218,7 @@
             {
                 self.share_commit(group, session, commit);
             }
-            self.finish(ticket, Final::Served(&answer.rows));
+            self.finish(ticket, Final::Served(answer.rows));
         } else {
             while self.do_due() {}
             match self.ledger.get(ticket).is_some_and(|life| life.flows()) {
--- a/src/net/event_loop/slots.rs
+++ b/src/net/event_loop/slots.rs
@@ -2,9 +2,11 @@
 
 use std::io::{self, Read};
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 
 use polling::{Event, PollMode};
 
+use super::crew::{Errand, Letter, Owner};
 use super::door::CallerLink;
 use super::guests::ClientLink;
 use super::hosts::HostLink;
@@ -16,7 +18,7 @@
 const READS: usize = 4;
 
 /// A connection's place and a number that tells it from others that had the place before.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Key {
     pub(super) place: usize,
     pub(super) serial: u64,
@@ -83,7 +85,10 @@
         let slot = self.slots.remove(key.place);
         let _ = self.poller.delete(&slot.socket);
         match &slot.link {
-            Link::Client(_) => self.guests.open -= 1,
+            Link::Client(_) => {
+                self.guests.open -= 1;
+                self.crew.count(self.me).fetch_sub(1, Ordering::Relaxed);
+            }
             Link::Host(host) => self.pool.closed(host.member, key),
             Link::Discovery(_) | Link::Caller(_) => {}
         }
@@ -128,8 +133,14 @@
         if let (Link::Client(client), true) = (&mut slot.link, before > 0) {
             let left = client.protocol.out.len();
             client.used = if left < before { now } else { client.used };
-            if let Some(ticket) = client.ticket.filter(|_| left < flowing::UNREAD) {
-                self.let_flow(ticket);
+            let waits = client.errand.filter(|_| left < flowing::UNREAD);
+            let choked = waits.is_some() && std::mem::take(&mut client.choked);
+            match waits {
+                Some(Errand::Here(ticket)) => self.let_flow(ticket),
+                Some(Errand::At(home)) if choked => {
+                    self.crew.deliver(home, Letter::Drained(Owner { worker: self.me, key }));
+                }
+                _ => {}
             }
         }
         let Some(slot) = self.slot(key) else { return };
@@ -209,12 +220,12 @@
         let Some(slot) = self.slot(key) else { return };
         match &mut slot.link {
             Link::Client(client) => {
-                let ticket = client.ticket.take();
-                if let Some(ticket) = ticket {
-                    self.counts.left += 1;
-                    self.drop_attempt(ticket);
-                    self.ledger.finish(ticket);
-                    self.balancer.gone(self.now, ticket);
+                match client.errand.take() {
+                    Some(Errand::Here(ticket)) => self.abandon(ticket),
+                    Some(Errand::At(home)) => {
+                        self.crew.deliver(home, Letter::Left(Owner { worker: self.me, key }));
+                    }
+                    None => {}
                 }
                 self.close(key);
             }
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
+use std::sync::atomic::Ordering;
 
 use polling::{Event, PollMode};
 use slab::Slab;
@@ -227,8 +228,7 @@
                 self.tell_others(Some(index), &Message::Commit { group, session, commit });
             }
             Message::Bar { host, out } => {
-                let member = self.directory.number(&host);
-                self.balancer.bar(self.now, member, out);
+                self.bar(&host, out);
                 self.remember_ban(&host, out);
                 self.tell_others(Some(index), &Message::Bar { host, out });
             }
@@ -240,6 +240,7 @@
     fn adopt(&mut self, socket: TcpStream, protocol: Client, asked: bool) {
         let client = ClientLink { asked, ..ClientLink::new(protocol, self.now) };
         if let Ok(key) = self.insert(socket, Link::Client(client), false) {
+            self.crew.count(self.me).fetch_add(1, Ordering::Relaxed);
             self.ready.push_back(key);
         }
     }
@@ -247,7 +248,7 @@
     /// Passes a client on to the process that follows, if it is owed nothing. False if it stays.
     pub(super) fn pass_on(&mut self, key: Key) -> bool {
         let Some(heir) = self.line.heir else { return false };
-        let Some(client) = self.client(key).filter(|client| client.ticket.is_none() && !client.closing)
+        let Some(client) = self.client(key).filter(|client| client.errand.is_none() && !client.closing)
         else {
             return false;
         };
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -5,6 +5,7 @@
 
 use slog::{info, warn};
 
+use super::crew::Letter;
 use super::hosts::dial;
 use super::slots::{Key, Link};
 use super::timers::Timer;
@@ -12,7 +13,7 @@
 use crate::net::discovery::{self, Listing, Watch};
 use crate::pg::codec::Outbox;
 use crate::settings::Site;
-use crate::Micros;
+use crate::{Listed, Micros};
 
 /// The watch on discovery: where it is, what is known, and the call that is out.
 pub(super) struct Watching {
@@ -88,12 +89,15 @@
     /// and all that is known of the hosts stay.
     pub(super) fn on_reload(&mut self) {
         let mut bytes = [0; 16];
-        let _ = self.signals.reload.read(&mut bytes);
+        let Some(signals) = &mut self.signals else { return };
+        let _ = signals.reload.read(&mut bytes);
         let mut zones = self.directory.zones().clone();
-        match (self.signals.reread)(&mut zones) {
+        match (signals.reread)(&mut zones) {
             Ok((text, taken)) => {
                 info!(self.log, "configuration read anew"; "discovery" => %taken.discovery,
                     "classes" => taken.site.classes.len());
+                let letter = || Letter::Settings(Box::new(taken.site.clone()), zones.clone());
+                self.crew.deliver_others(self.me, letter);
                 self.directory.know_zones(zones);
                 self.config = text;
                 self.figures.config_applied += 1;
@@ -108,7 +112,7 @@
     }
 
     /// Goes on under new settings.
-    fn settle_in(&mut self, site: Site) {
+    pub(super) fn settle_in(&mut self, site: Site) {
         let mut settings = site.settings;
         let names = site.classes.iter().cloned();
         let new = names.zip(std::mem::take(&mut settings.classes)).collect();
@@ -133,16 +137,31 @@
         self.call_discovery();
     }
 
-    /// Takes a listing in.
+    /// Takes a listing in, on all workers.
     pub(super) fn listed(&mut self, listing: Listing, known: bool) {
+        self.crew.deliver_others(self.me, || Letter::List(Box::new(listing.clone()), known));
+        self.take_list(listing, known);
+    }
+
+    /// Takes a listing in. Names and addresses are the same on all workers; of the members each takes those
+    /// of its own families, and whoever moved from them to another's is gone here.
+    pub(super) fn take_list(&mut self, listing: Listing, known: bool) {
         let (rev, all) = (listing.rev, listing.all);
-        let (entries, unread) = self.directory.take(listing, &self.clock);
+        let (mut entries, unread) = self.directory.take(listing, &self.clock);
         if unread > 0 {
             warn!(self.log, "lines of the list cannot be read"; "rev" => rev, "lines" => unread);
         }
         if !entries.is_empty() || known {
             info!(self.log, "list"; "rev" => rev, "whole" => all, "hosts" => entries.len());
         }
+        let (crew, me, balancer) = (&self.crew, self.me, &self.balancer);
+        entries.retain_mut(|entry| {
+            let own = crew.home(entry.group) == me;
+            if !own {
+                entry.listed = Listed::Gone;
+            }
+            own || balancer.lists(entry.member)
+        });
         // Who is missing from a whole list is gone, but not for a line that cannot be read.
         self.balancer.members(self.now, (all || known) && unread == 0, entries);
     }
--- a/src/ops/figures.rs
+++ b/src/ops/figures.rs
@@ -37,6 +37,22 @@
     pub fn class(&mut self, name: &str) -> &mut Tally {
         self.classes.entry(name.to_string()).or_default()
     }
+
+    /// Adds another worker's figures. Configurations are counted by one worker alone.
+    pub fn add(&mut self, other: &Figures) {
+        for (name, tally) in &other.classes {
+            let sum = self.class(name);
+            sum.ok += tally.ok;
+            sum.shed += tally.shed;
+            sum.errors += tally.errors;
+            sum.tries += tally.tries;
+        }
+        self.active += other.active;
+        self.pool_size += other.pool_size;
+        self.pool_ejected += other.pool_ejected;
+        self.config_applied += other.config_applied;
+        self.config_rejected += other.config_rejected;
+    }
 }
 
 impl fmt::Display for Figures {
--- a/src/options.rs
+++ b/src/options.rs
@@ -5,8 +5,8 @@
 
 use crate::fault::Fault;
 
-/// Most worker threads that may be asked for: one until the loop can be started more than once.
-pub const MOST_CORES: u64 = 1;
+/// Most worker threads that may be asked for.
+pub const MOST_CORES: u64 = 64;
 
 /// Everything that the file may set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/request.rs
+++ b/src/request.rs
@@ -48,9 +48,9 @@
 
 /// A request that is owed an answer.
 #[derive(Debug)]
-pub struct Life<K, W> {
+pub struct Life<K, W, O = K> {
     /// The client connection that asked.
-    pub owner: K,
+    pub owner: O,
     /// What it asked for, as the protocol's front needs it to send it on.
     pub work: W,
     /// When the client stops waiting.
@@ -61,7 +61,7 @@
     flows: bool,
 }
 
-impl<K: Copy, W> Life<K, W> {
+impl<K: Copy, W, O> Life<K, W, O> {
     /// The connection that carries the attempt now out.
     pub fn attempt(&self) -> Option<K> {
         self.attempt
@@ -75,22 +75,22 @@
 
 /// All requests that are owed an answer. Each leaves it exactly once, through [`Ledger::finish`].
 #[derive(Debug)]
-pub struct Ledger<K, W> {
-    lives: BTreeMap<Ticket, Life<K, W>>,
+pub struct Ledger<K, W, O = K> {
+    lives: BTreeMap<Ticket, Life<K, W, O>>,
     names: BTreeSet<String>,
     /// Names of requests that another process answers, and when each ends at the latest.
     others: BTreeMap<String, Micros>,
 }
 
-impl<K, W> Default for Ledger<K, W> {
+impl<K, W, O> Default for Ledger<K, W, O> {
     fn default() -> Self {
         Ledger { lives: BTreeMap::new(), names: BTreeSet::new(), others: BTreeMap::new() }
     }
 }
 
-impl<K: Copy, W> Ledger<K, W> {
+impl<K: Copy, W, O> Ledger<K, W, O> {
     /// Takes a request on.
-    pub fn open(&mut self, ticket: Ticket, name: &str, owner: K, work: W, until: Micros) {
+    pub fn open(&mut self, ticket: Ticket, name: &str, owner: O, work: W, until: Micros) {
         let name = name.to_string();
         self.names.insert(name.clone());
         self.lives.insert(ticket, Life { owner, work, until, name, attempt: None, flows: false });
@@ -117,7 +117,7 @@
     }
 
     /// The request, while it is owed an answer.
-    pub fn get(&self, ticket: Ticket) -> Option<&Life<K, W>> {
+    pub fn get(&self, ticket: Ticket) -> Option<&Life<K, W, O>> {
         self.lives.get(&ticket)
     }
 
@@ -141,7 +141,7 @@
     }
 
     /// Ends a request: whoever gets it back must answer, nobody else may.
-    pub fn finish(&mut self, ticket: Ticket) -> Option<Life<K, W>> {
+    pub fn finish(&mut self, ticket: Ticket) -> Option<Life<K, W, O>> {
         let life = self.lives.remove(&ticket)?;
         self.names.remove(&life.name);
         Some(life)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -186,6 +186,7 @@
 }
 
 /// What the settings object says, in the module's terms, and the names that it gives.
+#[derive(Clone)]
 pub struct Site {
     /// For the module.
     pub settings: Settings,
--- /dev/null
+++ b/tests/cores.rs
@@ -0,0 +1,203 @@
+//! One gateway of several workers: every rule across them. Clients are dealt out in turn, so that of two in a
+//! row at most one is at home where its family is decided.
+
+mod rig;
+
+use std::sync::atomic::Ordering;
+
+use rig::{figure, get, name, order, read, write, Rig, Talk};
+
+/// The value of an answer's row.
+fn value(talk: &mut Talk) -> Vec<u8> {
+    let answer = talk.answer();
+    let row = answer.iter().find(|frame| frame.tag == b'D').expect("served");
+    row.body[6..].to_vec()
+}
+
+fn own(key: &str) -> String {
+    read(key).replace("c=look", "c=own")
+}
+
+/// Guards against stale reads across workers: a session writes on a connection of one worker and reads on one
+/// of another as soon as it has its answer, while both replicas are far behind. Sessions that have not written
+/// do read there, so that the test can tell.
+#[test]
+fn a_session_reads_its_write_at_another_worker() {
+    for cores in [2, 4] {
+        let rig = Rig::crew(300, cores);
+        let mut clients: Vec<Talk> = (0..cores).map(|_| rig.client()).collect();
+        // Roles and positions are learned from answers.
+        let mut away = 0;
+        for round in 0..60 {
+            let talk = &mut clients[round % cores];
+            talk.ask(&own(&format!("who-fresh-{round}")));
+            away += u32::from(value(talk) != [0]);
+        }
+        assert!(away > 0, "sessions without a write read from replicas");
+        for round in 0..600 {
+            let key = format!("who-{round}");
+            let (writer, reader) = (round % cores, (round + 1 + round / cores) % cores);
+            clients[writer].ask(&write(&key));
+            assert_eq!(value(&mut clients[writer]), [0]);
+            clients[reader].ask(&own(&key));
+            assert_eq!(value(&mut clients[reader]), [0], "round {round} with {cores} workers");
+        }
+        rig.end();
+    }
+}
+
+/// Guards operators: the yes to a host put down comes once it holds on all workers, wherever its family is
+/// decided, and the figures of a quiet gateway are exact sums.
+#[test]
+fn orders_hold_and_figures_add_up_on_all_workers() {
+    for cores in [2, 3, 4] {
+        let rig = Rig::crew(300, cores);
+        let mut clients: Vec<Talk> = (0..2 * cores).map(|_| rig.client()).collect();
+        for talk in clients.iter_mut() {
+            for _ in 0..5 {
+                talk.ask(&read("k"));
+                assert_eq!(talk.answer().len(), 4);
+            }
+        }
+        let asked = 10 * cores as u64;
+        assert_eq!(figure(rig.admin, "responses.look.ok"), asked);
+        assert_eq!(figure(rig.admin, "responses.look.tries"), asked);
+        assert_eq!((figure(rig.admin, "active"), figure(rig.admin, "pool_size")), (0, 3));
+        for (down, host) in ["s-0", "s-1", "s-2"].into_iter().enumerate() {
+            assert!(order(rig.admin, "down", host));
+            assert_eq!(figure(rig.admin, "pool_ejected"), down as u64 + 1);
+        }
+        for talk in clients.iter_mut() {
+            talk.ask(&read("k").replace("d=30000", "d=40"));
+            assert_eq!(talk.code(), "53300", "all hosts are down");
+        }
+        assert_eq!(figure(rig.admin, "responses.look.tries"), asked, "nothing went to a host");
+        assert!(order(rig.admin, "up", "s-1"));
+        for talk in clients.iter_mut() {
+            talk.ask(&read("k"));
+            assert_eq!(talk.answer().len(), 4);
+        }
+        assert!(!order(rig.admin, "down", "nobody"));
+        assert!(get(rig.admin, "/ops/readiness").starts_with("HTTP/1.1 200 "));
+        rig.end();
+    }
+}
+
+/// Guards long values: they pass from the worker that holds the host to the one that holds the client whole and
+/// in order, also for a client that reads late.
+#[test]
+fn long_values_pass_between_workers() {
+    let rig = Rig::crew(300, 3);
+    let mut clients: Vec<Talk> = (0..3).map(|_| rig.client()).collect();
+    for _ in 0..4 {
+        for talk in clients.iter_mut() {
+            talk.ask(&read("huge"));
+        }
+        for talk in clients.iter_mut() {
+            let value = value(talk);
+            assert!(value.len() == 1024 * 1024 && value.iter().all(|byte| *byte == 7));
+        }
+    }
+    rig.end();
+}
+
+/// Guards clients of a value that breaks off at another worker: the end of their connection tells.
+#[test]
+fn a_torn_value_ends_its_client_at_another_worker() {
+    let rig = Rig::crew(300, 2);
+    let (mut first, mut second) = (rig.client(), rig.client());
+    for talk in [&mut first, &mut second] {
+        talk.ask(&read("torn"));
+    }
+    rig.mood.released.store(true, Ordering::SeqCst);
+    for talk in [&mut first, &mut second] {
+        assert!(talk.answer().iter().all(|frame| frame.tag != b'C' && frame.tag != b'Z'));
+    }
+    let mut after = rig.client();
+    after.ask(&read("k"));
+    assert_eq!(after.answer().len(), 4);
+    rig.end();
+}
+
+/// Guards hosts against work for nobody: a client that leaves ends its attempt, also where the attempt is at
+/// another worker, and nothing stays open.
+#[test]
+fn a_client_that_leaves_ends_its_attempt_at_another_worker() {
+    let rig = Rig::crew(300, 2);
+    let clients: Vec<Talk> = (0..2)
+        .map(|_| {
+            let mut talk = rig.client();
+            talk.ask(&read("silent"));
+            talk
+        })
+        .collect();
+    let mut silent = 0;
+    while silent < 2 {
+        silent += u32::from(rig.heard.recv().expect("heard").contains("'silent'"));
+    }
+    assert_eq!(figure(rig.admin, "active"), 2);
+    drop(clients);
+    let mut ended = 0;
+    while ended < 2 {
+        ended += u32::from(rig.heard.recv().expect("heard") == "ended");
+    }
+    while figure(rig.admin, "active") > 0 {}
+    rig.end();
+}
+
+/// Guards the end in good order: what every worker owes is answered after the signal, and then all end.
+#[test]
+fn all_workers_answer_what_they_owe_before_the_end() {
+    let mut rig = Rig::crew(300, 4);
+    let mut clients: Vec<Talk> = (0..4).map(|_| rig.client()).collect();
+    for talk in clients.iter_mut() {
+        talk.ask(&read("held"));
+    }
+    let mut held = 0;
+    while held < 4 {
+        held += u32::from(rig.heard.recv().expect("heard").contains("'held'"));
+    }
+    std::io::Write::write_all(&mut rig.stop, &[1]).expect("told");
+    rig.mood.released.store(true, Ordering::SeqCst);
+    for talk in clients.iter_mut() {
+        assert_eq!(talk.answer().len(), 4);
+        assert!(talk.answer().is_empty(), "then the connection ends");
+    }
+    rig.gateway.join().expect("all workers end");
+}
+
+/// Guards a name that is open: the same one on another worker's connection is told so, and only that.
+#[test]
+fn a_name_is_open_once_over_all_workers() {
+    let rig = Rig::crew(300, 3);
+    let mut clients: Vec<Talk> = (0..3).map(|_| rig.client()).collect();
+    let text = read("held");
+    clients[0].ask(&text);
+    while !rig.heard.recv().expect("heard").contains("'held'") {}
+    for talk in &mut clients[1..] {
+        talk.ask(&text);
+        assert_eq!(talk.code(), "08P01");
+    }
+    rig.mood.released.store(true, Ordering::SeqCst);
+    assert_eq!(clients[0].answer().len(), 4);
+    assert!(name() > 0);
+    rig.end();
+}
+
+/// Guards settings that change while several workers serve: a class that only the new file has is known to all
+/// of them, and those in force before go on.
+#[test]
+fn new_settings_reach_all_workers() {
+    let mut rig = Rig::crew(300, 3);
+    let mut clients: Vec<Talk> = (0..3).map(|_| rig.client()).collect();
+    let new = rig.text.replace("\"look\"", "\"glance\"");
+    rig.retune(&new);
+    while figure(rig.admin, "config_applied") < 1 {}
+    for talk in clients.iter_mut() {
+        talk.ask(&read("k").replace("c=look", "c=glance"));
+        assert_eq!(talk.answer().len(), 4);
+        talk.ask(&write("k"));
+        assert_eq!(talk.answer().len(), 4);
+    }
+    rig.end();
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
 use std::sync::{atomic::AtomicBool, atomic::AtomicUsize, atomic::Ordering, Arc};
 use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use dunemount::config::InForce;
 use dunemount::net::event_loop::{Config, Gateway, Signals};
@@ -23,8 +24,9 @@
         "Classes": [
             {"Name": "look", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 1.0, "Effect": "read_like"},
             {"Name": "store", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 2.0, "LateWorth": 0.5,
-             "Effect": "idempotency_key", "Group": "cell", "RepeatWindowMs": 30000.0}],
-        "Specifics": {"CountedFromMs": 0.0, "NeedsByClass": ["loose", "update"], "ServerChecks": "none",
+             "Effect": "idempotency_key", "Group": "cell", "RepeatWindowMs": 30000.0},
+            {"Name": "own", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 1.0, "Effect": "read_like"}],
+        "Specifics": {"CountedFromMs": 0.0, "NeedsByClass": ["loose", "update", "own_writes"], "ServerChecks": "none",
                       "SessionMarks": "router"},
         "Permissions": {"Cancelling": true, "RetryAfter": true, "MaxRetryAfterMs": 500.0,
                         "ConnIdleMs": 60000.0, "ConnectTimeoutMs": 10000.0, "SendCap": 4},
@@ -68,19 +70,19 @@
 }
 
 /// A toy host that tells the test each statement it gets. What it does hangs on the quoted key.
-fn toy_host(heard: Sender<String>, mood: Arc<Mood>) -> SocketAddr {
+fn toy_host(index: u8, heard: Sender<String>, mood: Arc<Mood>) -> SocketAddr {
     let listener = local();
     let address = listener.local_addr().expect("bound");
     std::thread::spawn(move || {
         for socket in listener.incoming().flatten() {
             let (heard, mood) = (heard.clone(), mood.clone());
-            std::thread::spawn(move || host_session(socket, &mood, &heard));
+            std::thread::spawn(move || host_session(index, socket, &mood, &heard));
         }
     });
     address
 }
 
-fn host_session(mut socket: TcpStream, mood: &Mood, heard: &Sender<String>) {
+fn host_session(index: u8, mut socket: TcpStream, mood: &Mood, heard: &Sender<String>) {
     let mut inbox = Inbox::default();
     let mut bytes = [0; 4096];
     while inbox.startup().expect("a startup").is_none() {
@@ -112,6 +114,8 @@
             codec::error(&mut out, "ERROR", "XX000", "internal", None);
         } else {
             let value: &[u8] = match text.split('\'').nth(1) {
+                // Who it was, of a primary and two replicas that are far behind.
+                Some(key) if key.starts_with("who") => &[index],
                 Some("large") => &[7; 64 * 1024],
                 Some("huge") => &[7; 1024 * 1024],
                 _ => b"\x01\x00\xff",
@@ -139,7 +143,13 @@
             }
             codec::frame(&mut out, if spoilt { b'?' } else { b'D' }, &row);
             codec::frame(&mut out, b'C', b"SELECT 1\0");
-            codec::parameter(&mut out, "part", "master");
+            let who = text.contains("'who");
+            codec::parameter(&mut out, "part", if who && index > 0 { "replica" } else { "master" });
+            if who {
+                let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis();
+                let position = if index > 0 { now - 20_000 } else { now };
+                codec::parameter(&mut out, "caught_up_to", &position.to_string());
+            }
         }
         codec::ready(&mut out);
         if text.contains("'doubled'") {
@@ -170,10 +180,19 @@
 
     /// A gateway that waits at this path for the one that follows, and may follow one itself.
     pub fn beside(limit: usize, line: Option<PathBuf>, inherited: Option<Inheritance>) -> Rig {
+        Rig::with_cores(limit, line, inherited, 1)
+    }
+
+    /// A gateway of so many workers.
+    pub fn crew(limit: usize, cores: usize) -> Rig {
+        Rig::with_cores(limit, None, None, cores)
+    }
+
+    fn with_cores(limit: usize, line: Option<PathBuf>, inherited: Option<Inheritance>, cores: usize) -> Rig {
         let (sender, heard) = channel();
         let discovery = local();
         let mood = Arc::new(Mood::default());
-        let hosts: Vec<_> = (0..3).map(|_| toy_host(sender.clone(), mood.clone())).collect();
+        let hosts: Vec<_> = (0..3).map(|index| toy_host(index, sender.clone(), mood.clone())).collect();
         let (stop, end) = UnixStream::pair().expect("a pair");
         let (reload, anew) = UnixStream::pair().expect("a pair");
         let (file, read) = sync_channel(0);
@@ -203,10 +222,10 @@
         });
         let signals = Signals { end, reload: anew, reread };
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let mut gateway = Gateway::open(config, signals, log).expect("it opens");
-        let address = gateway.address().expect("it listens");
-        let admin = gateway.admin_address().expect("it has a door");
-        let gateway = std::thread::spawn(move || gateway.run().expect("it runs"));
+        let workers = Gateway::open_all(config, signals, log, cores).expect("it opens");
+        let address = workers[0].address().expect("it listens");
+        let admin = workers[0].admin_address().expect("it has a door");
+        let gateway = std::thread::spawn(move || Gateway::run_all(workers).expect("it runs"));
         Rig { address, admin, stop, reload, file, text, gateway, heard, discovery, mood }
     }
 
