--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -408,7 +408,7 @@
 
     /// The hand-over is done: takes what has arrived, then closes the listener and idle clients.
     fn close_doors(&mut self) {
-        if self.line.heir.is_none() {
+        if self.line.heir.is_none() && self.me == 0 {
             self.accept();
         }
         if let Some(listener) = self.guests.listener.take() {
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -157,8 +157,13 @@
         let client = ClientLink::new(Client::taking(self.guests.longest_message), self.now);
         let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
         match set.and_then(|()| self.insert(socket, Link::Client(client), false)) {
-            // Its first bytes have often come along.
-            Ok(key) => self.read(key),
+            Ok(key) => {
+                // Its first bytes have often come along.
+                self.read(key);
+                if self.phase == Phase::Closing {
+                    self.ready.push_back(key);
+                }
+            }
             Err(_) => drop(self.crew.count(self.me).fetch_sub(1, Ordering::Relaxed)),
         }
     }
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -151,7 +151,7 @@
         if unread > 0 {
             warn!(self.log, "lines of the list cannot be read"; "rev" => rev, "lines" => unread);
         }
-        if !entries.is_empty() || known {
+        if self.me == 0 && (!entries.is_empty() || known) {
             info!(self.log, "list"; "rev" => rev, "whole" => all, "hosts" => entries.len());
         }
         let (crew, me, balancer) = (&self.crew, self.me, &self.balancer);
