Upgrades between any numbers of workers: estates joined and parted by home

Need: a gateway with more than one worker kept its line closed, and the count could not be changed without a stop. Change: the first worker gathers what all know and hands it over; the next process parts it by home. While there are two, a commit's answer goes by way of the worker that holds the line, and so does a request of another worker's client, so that a read after the answer finds the commit. Clients of all workers go over.

--- a/src/balance/estate.rs
+++ b/src/balance/estate.rs
@@ -6,7 +6,7 @@
 use super::*;
 
 /// All that a router knows of members, groups and sessions.
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Estate {
     members: BTreeMap<MemberId, Member>,
     groups: BTreeMap<GroupId, Group>,
@@ -20,6 +20,35 @@
     pub means: Vec<f64>,
 }
 
+impl Estate {
+    /// Adds what another worker of the same gateway knows; their families differ.
+    pub fn join(&mut self, other: Estate) {
+        self.members.extend(other.members);
+        self.groups.extend(other.groups);
+        for (key, session) in other.sessions.into_iter().chain(other.roaming) {
+            if let Some(before) = self.sessions.insert(key, session) {
+                self.roaming.push((key, before));
+            }
+        }
+        self.barred.extend(other.barred);
+        self.span = self.span.max(other.span);
+    }
+
+    /// What concerns some families.
+    pub fn part(mut self, own: impl Fn(GroupId) -> bool) -> Estate {
+        self.members.retain(|_, member| own(member.entry.group));
+        self.groups.retain(|group, _| own(*group));
+        self.sessions.retain(|_, session| own(session.group()));
+        self.roaming.retain(|(_, session)| own(session.group()));
+        self
+    }
+
+    /// The members that it knows.
+    pub fn members(&self) -> BTreeSet<MemberId> {
+        self.members.keys().copied().collect()
+    }
+}
+
 impl Router {
     /// What this router knows.
     pub fn estate(&self) -> Estate {
--- a/src/balance/sessions.rs
+++ b/src/balance/sessions.rs
@@ -20,6 +20,13 @@
     commit: Micros,
 }
 
+impl Session {
+    /// The family that it wrote to.
+    pub fn group(&self) -> GroupId {
+        self.group
+    }
+}
+
 /// All sessions that have written and are not forgotten.
 #[derive(Debug, Default)]
 pub struct Sessions {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -133,13 +133,31 @@
 }
 
 /// What a balancer knows, for the process that follows.
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub struct Estate {
     groups: BTreeSet<GroupId>,
     pool: BTreeSet<MemberId>,
     router: balance::Estate,
 }
 
+impl Estate {
+    /// Adds what another worker of the same gateway knows; their families differ.
+    pub fn join(&mut self, other: Estate) {
+        self.groups.extend(other.groups);
+        self.pool.extend(other.pool);
+        self.router.join(other.router);
+    }
+
+    /// What concerns some families.
+    pub fn part(mut self, own: impl Fn(GroupId) -> bool) -> Estate {
+        self.groups.retain(|group| own(*group));
+        self.router = self.router.part(own);
+        let members = self.router.members();
+        self.pool.retain(|member| members.contains(member));
+        self
+    }
+}
+
 /// The facade over the decision module.
 pub struct Balancer {
     router: Router,
--- a/src/main.rs
+++ b/src/main.rs
@@ -47,9 +47,7 @@
     let named = |text: &String| serde_json::from_str::<File>(text).ok().map(|file| file.name);
     let name = said("GW_NAME").or_else(|| read.as_ref().ok().and_then(named));
     let line = name.as_ref().and_then(|name| line_path(name));
-    // Several workers cannot take an estate in yet, nor hand one over.
-    let alone = options.cores == 1;
-    let inherited = line.as_deref().filter(|_| alone).map(|line| line::inherit(line, ESTATE_PATIENCE));
+    let inherited = line.as_deref().map(|line| line::inherit(line, ESTATE_PATIENCE));
     let (inherited, missed) = match inherited {
         Some(Ok(inherited)) => (Some(inherited), None),
         Some(Err(e)) if !matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => {
@@ -103,9 +101,6 @@
         warn!(log, "the process before did not hand over, starting alone"; "error" => %e);
     }
     let listen = config.listen;
-    if !alone {
-        warn!(log, "no upgrade without a stop: not with several workers"; "cores" => options.cores);
-    }
     let workers = Gateway::open_all(config, signals, log.clone(), options.cores)
         .map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     info!(log, "listening"; "address" => %listen, "version" => env!("CARGO_PKG_VERSION"),
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -240,16 +240,17 @@
         (first.guests.listener, first.door.listener) = (Some(listener), door);
         (first.signals, first.config, first.line.path) = (Some(signals), config.text, config.line);
         match (line, estate) {
-            (Some(line), Some(estate)) => first.take_estate(line, estate),
+            (Some(line), Some(estate)) => {
+                workers.iter_mut().for_each(|worker| worker.take_part(&estate));
+                workers[0].take_lead(line, estate);
+            }
             _ => {
                 first.listed(config.known, true);
                 first.recall_bans();
             }
         }
-        if count == 1 {
-            first.await_heirs();
-        }
-        first.call_discovery();
+        workers[0].await_heirs();
+        workers[0].call_discovery();
         for worker in &mut workers {
             worker.set_timer(ROUND, Timer::Round);
         }
--- a/src/net/event_loop/crew.rs
+++ b/src/net/event_loop/crew.rs
@@ -12,12 +12,12 @@
 use super::requests::Final;
 use super::slots::Key;
 use super::{Gateway, Phase};
-use crate::balancer::Ticket;
+use crate::balancer::{self, Ticket};
 use crate::net::discovery::Listing;
 use crate::ops::figures::Figures;
 use crate::pg::statement::Statement;
 use crate::settings::{Site, Zones};
-use crate::{GroupId, Micros};
+use crate::{GroupId, Micros, SessionKey};
 
 /// Most requests that lie in one worker's post: some milliseconds of its work, so that one that finds it full
 /// would have waited too long.
@@ -39,6 +39,9 @@
     At(usize),
 }
 
+/// A session's commit: its family, the session, the position.
+pub(super) type Commit = (GroupId, SessionKey, Micros);
+
 /// What workers tell each other.
 pub(super) enum Letter {
     /// To a front: a client to serve.
@@ -67,6 +70,20 @@
     Stats(Key),
     /// To the door: the figures of one worker.
     Figures(Key, Box<Figures>),
+    /// To the line: a request whose way to its home leads past what the other process has told.
+    Via { home: usize, owner: Owner, statement: Box<Statement>, until: Micros },
+    /// To the line: a commit that the other process hears of before this answer goes out.
+    Commit { commit: Commit, owner: Owner, answer: Final },
+    /// To a home: a commit at the other process.
+    Committed(Commit),
+    /// To all: what is known is to be handed over.
+    Part,
+    /// To the line: what one worker knows, and the names of its open requests.
+    Estate(Box<balancer::Estate>, Vec<(String, Micros)>),
+    /// To the line: a client for the process that follows.
+    Pass { socket: TcpStream, greeted: bool, asked: bool, bytes: Vec<u8> },
+    /// To all: connections to hosts are shared with so many processes.
+    Share(usize),
     /// To a front: a client is to make room for a new one.
     MakeRoom,
     /// To all: the listener is closed.
@@ -77,7 +94,10 @@
     /// Who waits for what the letter brings.
     fn owner(&self, me: usize) -> Option<Owner> {
         match self {
-            Letter::Ask { owner, .. } | Letter::Left(owner) | Letter::Drained(owner) => Some(*owner),
+            Letter::Ask { owner, .. } | Letter::Via { owner, .. } | Letter::Commit { owner, .. } => {
+                Some(*owner)
+            }
+            Letter::Left(owner) | Letter::Drained(owner) => Some(*owner),
             Letter::Answer(key, _) | Letter::Piece { key, .. } => Some(Owner { worker: me, key: *key }),
             _ => None,
         }
@@ -101,6 +121,9 @@
     clients: Vec<AtomicUsize>,
     /// A worker has died: none goes on with a part of the families.
     lost: AtomicBool,
+    /// There is another process of this gateway, and it is the one that takes the clients.
+    pub(super) linked: AtomicBool,
+    pub(super) heir: AtomicBool,
 }
 
 impl Crew {
@@ -110,6 +133,8 @@
             posts: pollers.iter().map(|poller| Post::new(ASKS, Bell(poller.clone()))).collect(),
             clients: pollers.iter().map(|_| AtomicUsize::new(0)).collect(),
             lost: AtomicBool::new(false),
+            linked: AtomicBool::new(false),
+            heir: AtomicBool::new(false),
         }
     }
 
@@ -177,6 +202,10 @@
         }
         let mut letters = std::mem::take(&mut self.letters);
         self.crew.posts[self.me].take(&mut letters);
+        if self.me == 0 {
+            // What was told on the line before any of these requests came counts for them.
+            self.guard(usize::MAX, Gateway::hear_peers);
+        }
         while let Some(letter) = letters.pop_front() {
             let owner = letter.owner(self.me);
             if self.guard(usize::MAX, |gateway| gateway.heed_letter(letter)) {
@@ -226,6 +255,29 @@
                 self.crew.deliver(0, Letter::Figures(call, figures));
             }
             Letter::Figures(call, figures) => self.add_figures(call, &figures),
+            Letter::Via { home, owner, statement, until } => match home == self.me {
+                true => self.take_on(owner, *statement, until),
+                false => {
+                    if self.crew.posts[home].offer(Letter::Ask { owner, statement, until }).is_err() {
+                        self.counts.refused += 1;
+                        self.answer(owner, Final::Refused(None));
+                    }
+                }
+            },
+            Letter::Commit { commit, owner, answer } => {
+                self.share_commit(commit);
+                self.answer(owner, answer);
+            }
+            Letter::Committed((group, session, commit)) => self.balancer.committed(group, session, commit),
+            Letter::Part => {
+                let (known, open) = self.own_estate();
+                self.crew.deliver(0, Letter::Estate(Box::new(known), open));
+            }
+            Letter::Estate(known, open) => self.gather_estate(*known, open),
+            Letter::Pass { socket, greeted, asked, bytes } => {
+                self.pass_further(socket, greeted, asked, bytes)
+            }
+            Letter::Share(parts) => self.share_hosts(parts),
             Letter::MakeRoom => drop(self.make_room()),
             Letter::Close => {
                 if self.phase != Phase::Closing {
@@ -235,10 +287,18 @@
         }
     }
 
-    /// Offers a request to its home. False if too many lie there already.
+    /// Whether a request of this worker's clients is decided on the spot.
+    pub(super) fn decides(&self, home: usize) -> bool {
+        home == self.me && (self.me == 0 || !self.crew.linked.load(Ordering::SeqCst))
+    }
+
+    /// Offers a request to its home, past the line where there is another process. False if too many lie
+    /// there already.
     pub(super) fn forward(&mut self, home: usize, key: Key, statement: Statement, until: Micros) -> bool {
-        let owner = Owner { worker: self.me, key };
-        let letter = Letter::Ask { owner, statement: Box::new(statement), until };
-        self.crew.posts[home].offer(letter).is_ok()
+        let (owner, statement) = (Owner { worker: self.me, key }, Box::new(statement));
+        if self.me != 0 && self.crew.linked.load(Ordering::SeqCst) {
+            return self.crew.posts[0].offer(Letter::Via { home, owner, statement, until }).is_ok();
+        }
+        self.crew.posts[home].offer(Letter::Ask { owner, statement, until }).is_ok()
     }
 }
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -274,7 +274,7 @@
         };
         let until = self.now + (statement.wait - MARGIN);
         let home = self.crew.home(GroupId(statement.cluster));
-        if home == self.me {
+        if self.decides(home) {
             return self.take_on(Owner { worker: self.me, key }, statement, until);
         }
         let class = statement.class.clone();
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -1,9 +1,11 @@
 //! The loop's part for requests that are owed an answer: carries verdicts out, sends attempts, and gives the
 //! final answer.
 
+use std::sync::atomic::Ordering;
+
 use slog::debug;
 
-use super::crew::{Letter, Owner};
+use super::crew::{Commit, Letter, Owner};
 use super::hosts::Task;
 use super::slots::Key;
 use super::timers::Timer;
@@ -26,6 +28,11 @@
 impl Gateway {
     /// Gives the final answer, and counts it.
     pub(super) fn finish(&mut self, ticket: Ticket, answer: Final) {
+        self.finish_with(ticket, answer, None);
+    }
+
+    /// Gives the final answer; another process of this gateway hears of its commit first.
+    fn finish_with(&mut self, ticket: Ticket, answer: Final, commit: Option<Commit>) {
         self.drop_attempt(ticket);
         let Some(life) = self.conclude(ticket) else { return };
         let tally = self.figures.class(&life.work.class);
@@ -34,7 +41,15 @@
             Final::Refused(_) => tally.shed += 1,
             Final::Failed | Final::Unroutable(_) => tally.errors += 1,
         }
-        self.answer(life.owner, answer);
+        let owner = life.owner;
+        match commit.filter(|_| self.crew.linked.load(Ordering::SeqCst)) {
+            Some(commit) if self.me != 0 => {
+                return self.crew.deliver(0, Letter::Commit { commit, owner, answer });
+            }
+            Some(commit) => self.share_commit(commit),
+            None => {}
+        }
+        self.answer(owner, answer);
     }
 
     /// Takes a request out of the ledger: whoever gets it must answer.
@@ -213,12 +228,8 @@
             self.counts.served += 1;
             let work = self.ledger.get(ticket).map(|life| &life.work).filter(|work| work.writes);
             let told = work.map(|work| (GroupId(work.cluster), work.session));
-            if let (Some((group, session)), Some(commit), false) =
-                (told, position, self.line.peers.is_empty())
-            {
-                self.share_commit(group, session, commit);
-            }
-            self.finish(ticket, Final::Served(answer.rows));
+            let commit = told.zip(position).map(|((group, session), commit)| (group, session, commit));
+            self.finish_with(ticket, Final::Served(answer.rows), commit);
         } else {
             while self.do_due() {}
             match self.ledger.get(ticket).is_some_and(|life| life.flows()) {
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -10,14 +10,16 @@
 use slab::Slab;
 use slog::{info, warn};
 
+use super::crew::{Commit, Letter};
 use super::guests::ClientLink;
-use super::slots::{Key, Link};
+use super::slots::{Key, Link, Slot};
 use super::{Gateway, Phase, HEIRS, PEERS};
+use crate::balancer;
 use crate::net::discovery::Watch;
 use crate::pg::client::Client;
 use crate::upgrade::line::{self, Line};
 use crate::upgrade::message::{Estate, Message};
-use crate::{GroupId, Micros, SessionKey};
+use crate::Micros;
 
 /// Descriptors that the other process takes for itself while there are two.
 const OTHERS: usize = 24;
@@ -41,6 +43,17 @@
     /// Other processes of this gateway, and the one among them that takes the clients.
     pub(super) peers: Slab<Peer>,
     pub(super) heir: Option<usize>,
+    gathering: Option<Gathering>,
+}
+
+/// The estate for a process that has called, until all workers have told theirs.
+struct Gathering {
+    line: Line,
+    waits: usize,
+    known: balancer::Estate,
+    open: Vec<(String, Micros)>,
+    /// What goes on the line behind the estate.
+    after: Vec<Message>,
 }
 
 impl Gateway {
@@ -57,11 +70,43 @@
         }
     }
 
-    /// A process that follows has come: it gets the estate and a copy of the listener.
+    /// A process that follows has come: it gets the estate of all workers and a copy of the listener.
     pub(super) fn on_heir(&mut self) {
-        let Some(accepted) = self.line.heirs.as_ref().map(Line::accept) else { return };
+        let Some(Ok(line)) = self.line.heirs.as_ref().map(Line::accept) else { return };
+        // One at a time: another that calls meanwhile starts alone.
+        if self.line.gathering.is_some() {
+            return;
+        }
+        let (known, open) = self.own_estate();
+        let waits = self.crew.size() - 1;
+        self.crew.linked.store(true, Ordering::SeqCst);
+        self.line.gathering = Some(Gathering { line, waits, known, open, after: Vec::new() });
+        self.crew.deliver_others(self.me, || Letter::Part);
+        self.hand_over();
+    }
+
+    /// What this worker knows, and the names of its open requests.
+    pub(super) fn own_estate(&self) -> (balancer::Estate, Vec<(String, Micros)>) {
+        let open = self.ledger.names().map(|(name, until)| (name.to_string(), until)).collect();
+        (self.balancer.estate(), open)
+    }
+
+    /// One more worker has told what it knows.
+    pub(super) fn gather_estate(&mut self, known: balancer::Estate, open: Vec<(String, Micros)>) {
+        let Some(gathering) = &mut self.line.gathering else { return };
+        gathering.known.join(known);
+        gathering.open.extend(open);
+        gathering.waits = gathering.waits.saturating_sub(1);
+        self.hand_over();
+    }
+
+    /// Hands the estate over once all workers have told theirs, and then the commits since.
+    fn hand_over(&mut self) {
+        let Some(gathering) = self.line.gathering.take_if(|gathering| gathering.waits == 0) else { return };
         let listener = self.guests.listener.as_ref().and_then(|listener| listener.try_clone().ok());
-        let (Ok(line), Some(listener)) = (accepted, listener) else { return };
+        let Some(listener) = listener else { return };
+        let Gathering { line, known, open, after, .. } = gathering;
+        info!(self.log, "upgrade: estate handed over"; "clients" => self.crew.clients(), "owed" => open.len());
         let estate = Estate {
             clock: self.clock.offset(),
             config: self.config.clone(),
@@ -69,14 +114,16 @@
             rev: self.watching.watch.known(),
             directory: self.directory.clone(),
             classes: self.classes.names().map(|(name, id)| (name.clone(), id)).collect(),
-            balancer: self.balancer.estate(),
+            balancer: known,
             down: self.door.down.clone(),
-            open: self.ledger.names().map(|(name, until)| (name.to_string(), until)).collect(),
-            clients: self.guests.open,
+            open,
+            clients: self.crew.clients(),
         };
-        info!(self.log, "upgrade: estate handed over"; "clients" => self.guests.open, "owed" => self.ledger.len());
         if let Some(peer) = self.meet(line, true, 0) {
             self.tell(peer, &Message::Estate(Box::new(estate)), Some(listener.into()));
+            for message in after {
+                self.tell(peer, &message, None);
+            }
         }
     }
 
@@ -95,28 +142,41 @@
         self.share_budget();
     }
 
-    /// Takes over what the process before knew, and the lead.
-    pub(super) fn take_estate(&mut self, line: Line, estate: Estate) {
-        let Estate { discovery, rev, mut directory, classes, balancer, down, open, clients, .. } = estate;
-        self.door.down = down;
+    /// Takes over what the process before knew of this worker's families.
+    pub(super) fn take_part(&mut self, estate: &Estate) {
+        let mut directory = estate.directory.clone();
         // Zones that only the new settings name have got their numbers by now.
         directory.know_zones(self.directory.zones().clone());
         self.directory = directory;
-        self.watching.address = discovery;
-        self.watching.watch = Watch::from(rev);
         let place = |class| {
             let (name, _) = self.classes.names().find(|(_, id)| *id == class)?;
-            classes.get(name).copied()
+            estate.classes.get(name).copied()
         };
-        self.balancer.inherit(balancer, place);
-        self.ledger.leave_to_others(open);
-        info!(self.log, "upgrade: estate taken over"; "clients" => clients, "rev" => rev.unwrap_or(0));
+        let (crew, me) = (&self.crew, self.me);
+        self.balancer.inherit(estate.balancer.clone().part(|group| crew.home(group) == me), place);
+        self.ledger.leave_to_others(estate.open.iter().cloned());
+    }
+
+    /// Takes over the lead from the process before.
+    pub(super) fn take_lead(&mut self, line: Line, estate: Estate) {
+        self.door.down = estate.down;
+        self.watching.address = estate.discovery;
+        self.watching.watch = Watch::from(estate.rev);
+        let (clients, rev) = (estate.clients, estate.rev.unwrap_or(0));
+        info!(self.log, "upgrade: estate taken over"; "clients" => clients, "rev" => rev);
+        self.crew.linked.store(true, Ordering::SeqCst);
         self.succeed(line, clients);
     }
 
     /// While there are two processes each has its part of what both may hold.
     fn share_budget(&mut self) {
         let parts = if self.line.peers.is_empty() { 1 } else { 2 };
+        self.crew.deliver_others(self.me, || Letter::Share(parts));
+        self.share_hosts(parts);
+    }
+
+    /// Shares this worker's connections to hosts with so many processes.
+    pub(super) fn share_hosts(&mut self, parts: usize) {
         self.pool.share(parts);
         while !self.pool.has_room() {
             let Some(idle) = self.pool.oldest() else { break };
@@ -170,8 +230,11 @@
         let Some(peer) = self.line.peers.try_remove(index) else { return };
         let _ = self.poller.delete(&peer.line);
         info!(self.log, "upgrade: the other process is gone"; "followed" => peer.follows, "why" => %why);
+        let linked = !self.line.peers.is_empty() || self.line.gathering.is_some();
+        self.crew.linked.store(linked, Ordering::SeqCst);
         if self.line.heir == Some(index) {
             self.line.heir = None;
+            self.crew.heir.store(false, Ordering::SeqCst);
             if self.phase == Phase::Serving {
                 self.await_heirs();
                 self.set_accepting(true);
@@ -199,6 +262,7 @@
             Message::Ready => {
                 info!(self.log, "upgrade: the next process takes clients"; "clients" => self.guests.open);
                 self.line.heir = Some(index);
+                self.crew.heir.store(true, Ordering::SeqCst);
                 self.set_accepting(false);
                 if let Some(at) = self.line.heirs.take() {
                     let _ = self.poller.delete(&at);
@@ -224,10 +288,15 @@
                 }
             }
             Message::Commit { group, session, commit } => {
-                self.balancer.committed(group, session, commit);
+                match self.crew.home(group) {
+                    home if home == self.me => self.balancer.committed(group, session, commit),
+                    home => self.crew.deliver(home, Letter::Committed((group, session, commit))),
+                }
                 self.tell_others(Some(index), &Message::Commit { group, session, commit });
             }
             Message::Bar { host, out } => {
+                let letter = || Letter::Bar { host: host.clone(), out, call: None };
+                self.crew.deliver_others(self.me, letter);
                 self.bar(&host, out);
                 self.remember_ban(&host, out);
                 self.tell_others(Some(index), &Message::Bar { host, out });
@@ -247,19 +316,36 @@
 
     /// Passes a client on to the process that follows, if it is owed nothing. False if it stays.
     pub(super) fn pass_on(&mut self, key: Key) -> bool {
-        let Some(heir) = self.line.heir else { return false };
+        if !self.crew.heir.load(Ordering::SeqCst) {
+            return false;
+        }
         let Some(client) = self.client(key).filter(|client| client.errand.is_none() && !client.closing)
         else {
             return false;
         };
         let asked = client.asked;
         let Some((greeted, bytes)) = client.protocol.part() else { return false };
-        if let Some(slot) = self.remove(key) {
-            self.tell(heir, &Message::Client { greeted, asked, bytes }, Some(slot.socket.into()));
+        // Counted until it is on the line: the first worker does not end before.
+        self.crew.count(0).fetch_add(1, Ordering::Relaxed);
+        match self.remove(key) {
+            Some(Slot { socket, .. }) if self.me == 0 => self.pass_further(socket, greeted, asked, bytes),
+            Some(Slot { socket, .. }) => {
+                self.crew.deliver(0, Letter::Pass { socket, greeted, asked, bytes });
+            }
+            None => drop(self.crew.count(0).fetch_sub(1, Ordering::Relaxed)),
         }
         true
     }
 
+    /// Puts a client on the line to the process that follows; if that has died it stays here.
+    pub(super) fn pass_further(&mut self, socket: TcpStream, greeted: bool, asked: bool, bytes: Vec<u8>) {
+        match self.line.heir {
+            Some(heir) => self.tell(heir, &Message::Client { greeted, asked, bytes }, Some(socket.into())),
+            None => self.adopt(socket, Client::resume(self.guests.longest_message, greeted, &bytes), asked),
+        }
+        self.crew.count(0).fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Passes on all clients that are owed nothing, and says how many are left.
     pub(super) fn pass_clients(&mut self) {
         let keys: Vec<Key> = self.slots.iter().map(|(place, s)| Key { place, serial: s.serial }).collect();
@@ -267,13 +353,17 @@
             self.pass_on(key);
         }
         if let Some(heir) = self.line.heir {
-            self.tell(heir, &Message::Holding { clients: self.guests.open }, None);
+            self.tell(heir, &Message::Holding { clients: self.crew.clients() }, None);
         }
     }
 
     /// Tells the other process of a session's commit, before its client hears of it.
-    pub(super) fn share_commit(&mut self, group: GroupId, session: SessionKey, commit: Micros) {
-        self.tell_others(None, &Message::Commit { group, session, commit });
+    pub(super) fn share_commit(&mut self, (group, session, commit): Commit) {
+        let message = Message::Commit { group, session, commit };
+        self.tell_others(None, &message);
+        if let Some(gathering) = &mut self.line.gathering {
+            gathering.after.push(message);
+        }
     }
 
     /// Tells the other process what operators have said of a host, before they hear yes.
--- a/src/net/event_loop/timers.rs
+++ b/src/net/event_loop/timers.rs
@@ -1,6 +1,7 @@
 //! The loop's timers, the round that comes with one of them, and the counts that it writes.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 
 use slog::{info, warn};
 
@@ -151,7 +152,7 @@
         self.see_out_guests();
         self.see_out_callers();
         self.ledger.forget_others(self.now);
-        if self.line.heir.is_some() {
+        if self.crew.heir.load(Ordering::SeqCst) {
             self.pass_clients();
         }
         self.timers.rounds += 1;
--- a/tests/cores.rs
+++ b/tests/cores.rs
@@ -3,8 +3,11 @@
 
 mod rig;
 
+use std::path::PathBuf;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use dunemount::upgrade::line;
 use rig::{figure, get, name, order, read, write, Rig, Talk};
 
 /// The value of an answer's row.
@@ -201,3 +204,48 @@
     }
     rig.end();
 }
+
+/// Guards upgrades that change the number of workers: hosts put down stay down, sessions read what they wrote at
+/// the process before, a write there that is answered while two serve counts at the next process at once, clients
+/// go over on their connections, and the old process ends by itself.
+#[test]
+fn an_upgrade_may_change_the_number_of_workers() {
+    for (before, after) in [(1, 4), (4, 2), (3, 3)] {
+        let name = format!("dunemount-cores-{before}-{after}-{}.line", std::process::id());
+        let at: PathBuf = std::env::temp_dir().join(name);
+        let mut old = Rig::with_cores(300, Some(at.clone()), None, before);
+        let mut clients: Vec<Talk> = (0..4).map(|_| old.client()).collect();
+        for (number, talk) in clients.iter_mut().enumerate() {
+            talk.ask(&own(&format!("who-fresh-{number}")));
+            value(talk);
+            talk.ask(&write(&format!("who-{number}")));
+            assert_eq!(value(talk), [0]);
+        }
+        assert!(order(old.admin, "down", "s-2"));
+        // One that is owed its answer stays until it has it.
+        let mut held = old.client();
+        held.ask(&read("held"));
+        while !old.heard.recv().expect("heard").contains("'held'") {}
+        let inherited = line::inherit(&at, Duration::from_secs(60)).expect("handed over");
+        let new = Rig::with_cores(300, Some(at.clone()), Some(inherited), after);
+        assert_eq!((figure(new.admin, "pool_ejected"), figure(new.admin, "pool_size")), (1, 3));
+        for round in 0..200 {
+            let talk = &mut clients[round % 4];
+            talk.ask(&own(&format!("who-{}", (round + round / 4) % 4)));
+            assert_eq!(value(talk), [0], "from {before} to {after}, round {round}");
+            talk.ask(&write(&format!("who-{}", round % 4)));
+            assert_eq!(value(talk), [0]);
+        }
+        std::io::Write::write_all(&mut old.stop, &[1]).expect("told");
+        assert!(!old.gateway.is_finished(), "it still owes an answer");
+        old.mood.released.store(true, Ordering::SeqCst);
+        assert_eq!(held.answer().len(), 4);
+        old.gateway.join().expect("it ends by itself");
+        for talk in clients.iter_mut().chain([&mut held]) {
+            talk.ask(&read("k"));
+            assert_eq!(talk.answer().len(), 4);
+        }
+        assert_eq!(figure(new.admin, "responses.look.ok"), 5);
+        new.end();
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -188,7 +188,13 @@
         Rig::with_cores(limit, None, None, cores)
     }
 
-    fn with_cores(limit: usize, line: Option<PathBuf>, inherited: Option<Inheritance>, cores: usize) -> Rig {
+    /// A gateway of so many workers that waits at this path, and may follow another.
+    pub fn with_cores(
+        limit: usize,
+        line: Option<PathBuf>,
+        inherited: Option<Inheritance>,
+        cores: usize,
+    ) -> Rig {
         let (sender, heard) = channel();
         let discovery = local();
         let mood = Arc::new(Mood::default());
