Workers stop going past the line when a hand-over comes to nothing

Cause: where the listener could not be copied or the line not taken up, the mark that there is another process stayed, and requests of other workers kept their detour. Change: the mark follows the lines and the hand-over under way, in one place.

--- a/crates/rig/src/hosts.rs
+++ b/crates/rig/src/hosts.rs
@@ -14,7 +14,7 @@
 pub struct Family {
     /// Unix time in milliseconds of the latest commit.
     commit: AtomicU64,
-    /// Requests that its hosts have run, and how many of them each replica could not have known.
+    /// Requests that its hosts have run.
     pub ran: AtomicU64,
 }
 
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -104,7 +104,7 @@
     fn hand_over(&mut self) {
         let Some(gathering) = self.line.gathering.take_if(|gathering| gathering.waits == 0) else { return };
         let listener = self.guests.listener.as_ref().and_then(|listener| listener.try_clone().ok());
-        let Some(listener) = listener else { return };
+        let Some(listener) = listener else { return self.relink() };
         let Gathering { line, known, open, after, .. } = gathering;
         info!(self.log, "upgrade: estate handed over"; "clients" => self.crew.clients(), "owed" => open.len());
         let estate = Estate {
@@ -125,6 +125,13 @@
                 self.tell(peer, &message, None);
             }
         }
+        self.relink();
+    }
+
+    /// Says to all workers whether there is another process.
+    fn relink(&self) {
+        let linked = !self.line.peers.is_empty() || self.line.gathering.is_some();
+        self.crew.linked.store(linked, Ordering::SeqCst);
     }
 
     /// Takes up a line.
@@ -230,8 +237,7 @@
         let Some(peer) = self.line.peers.try_remove(index) else { return };
         let _ = self.poller.delete(&peer.line);
         info!(self.log, "upgrade: the other process is gone"; "followed" => peer.follows, "why" => %why);
-        let linked = !self.line.peers.is_empty() || self.line.gathering.is_some();
-        self.crew.linked.store(linked, Ordering::SeqCst);
+        self.relink();
         if self.line.heir == Some(index) {
             self.line.heir = None;
             self.crew.heir.store(false, Ordering::SeqCst);
