A client that leaves does not overtake its own request during an upgrade

Cause: with two processes and several workers a request goes to its home past the line, while the word that its client had left went straight there, came first, found nothing, and the host worked for nobody. Change: that word takes the same way. Measured: all tests pass; no test catches the overtaking itself yet, it needs a worker that is held up.

--- a/src/net/event_loop/crew.rs
+++ b/src/net/event_loop/crew.rs
@@ -50,6 +50,8 @@
     Ask { owner: Owner, statement: Box<Statement>, until: Micros },
     /// To a home: the client of an open request has left.
     Left(Owner),
+    /// To the line: the client of a request that may have gone past it has left.
+    Leave { home: usize, owner: Owner },
     /// To a home: the client of a long value has read on.
     Drained(Owner),
     /// To a front: the final answer.
@@ -230,6 +232,8 @@
                     self.abandon(ticket);
                 }
             }
+            Letter::Leave { home, owner } if home == self.me => self.heed_letter(Letter::Left(owner)),
+            Letter::Leave { home, owner } => self.crew.deliver(home, Letter::Left(owner)),
             Letter::Drained(owner) => {
                 if let Some(ticket) = self.errands.get(&owner).copied() {
                     self.let_flow(ticket);
@@ -292,6 +296,15 @@
         home == self.me && (self.me == 0 || !self.crew.linked.load(Ordering::SeqCst))
     }
 
+    /// Tells a home that a client has left, by the way that its request took: it must not overtake that.
+    pub(super) fn take_leave(&self, home: usize, key: Key) {
+        let owner = Owner { worker: self.me, key };
+        match self.me != 0 && self.crew.linked.load(Ordering::SeqCst) {
+            true => self.crew.deliver(0, Letter::Leave { home, owner }),
+            false => self.crew.deliver(home, Letter::Left(owner)),
+        }
+    }
+
     /// Offers a request to its home, past the line where there is another process. False if too many lie
     /// there already.
     pub(super) fn forward(&mut self, home: usize, key: Key, statement: Statement, until: Micros) -> bool {
--- a/src/net/event_loop/slots.rs
+++ b/src/net/event_loop/slots.rs
@@ -222,9 +222,7 @@
             Link::Client(client) => {
                 match client.errand.take() {
                     Some(Errand::Here(ticket)) => self.abandon(ticket),
-                    Some(Errand::At(home)) => {
-                        self.crew.deliver(home, Letter::Left(Owner { worker: self.me, key }));
-                    }
+                    Some(Errand::At(home)) => self.take_leave(home, key),
                     None => {}
                 }
                 self.close(key);
