Reads of one gateway among many ask a replica for its position before the primary

Ruled out: replicas that are really behind (a probe's word is under 300 ms old for four in five), a lack of room at replicas (their limits were free).

Change: choose asks one replica that should have caught up, waits 20 ms at most for its word, and only then takes the primary. Only one of more than FULL_LIMITS drivers does so, and only where the settings allow probes at under a quarter of a request; each member is asked once in SEEK by a driver. Fresh reads never ask: a report is always older than they are.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -17,8 +17,9 @@
 mod estate;
 mod sessions;
 mod state;
+mod upkeep;
 
-use book::{Book, Spot};
+use book::Book;
 use chance::{draw, unit};
 pub use estate::Estate;
 use sessions::Sessions;
@@ -71,6 +72,10 @@
 const EJECT_DOUBLINGS: u32 = 3;
 /// Price of knowledge: part of the service that may be spent on probes in the long run.
 const PROBE_SPEND: f64 = 0.004;
+/// A read that only the primary is known to cover asks a replica first where a probe costs less than this
+/// part of a request, and waits so long for its word.
+const ASK_PRICE: f64 = 0.25;
+const ASK_WAIT: Micros = Micros::millis(20);
 /// Most probes saved up: a driver with little traffic can ask a whole small group at once.
 const PROBE_SAVED: f64 = 4.0;
 /// Time after which a member taken as down is tried by a request, and a return counts as a restart.
@@ -360,16 +365,6 @@
         }
     }
 
-    /// Counts the group's live members and finds its leader anew: after a list, a claim, or one that is void.
-    fn recount(&mut self, group: GroupId) {
-        let Some(group) = self.groups.get_mut(&group) else { return };
-        let members = group.members.iter().filter_map(|id| Some((self.members.get(id)?, *id)));
-        let claims = members.filter(|(m, _)| m.role == Role::Primary);
-        group.leader = claims.max_by_key(|(m, _)| m.role_at).map(|(_, id)| id);
-        let live = group.members.iter().filter(|id| self.members.get(*id).is_some_and(Member::listed));
-        group.live = live.count() as f64;
-    }
-
     /// The member believed to be the group's primary.
     fn primary(&self, group: GroupId) -> Option<MemberId> {
         let leader = self.groups.get(&group)?.leader?;
@@ -405,15 +400,6 @@
         self.wake_by(if waits { now + self.period() } else { give_up.min(now + SURVEY) }, actions);
     }
 
-    /// Puts a request into its family's queue.
-    fn enqueue(&mut self, id: RequestId) {
-        let Some(open) = self.open.get(&id) else { return };
-        let (group, class) = (open.req.group, open.req.class);
-        let (give_up, patience) = (open.give_up, self.patience(open));
-        let spot = self.book.wait(Spot { id, group, class, give_up, patience, place: 0 });
-        self.open.entry(id).and_modify(|open| open.spot = Some(spot));
-    }
-
     /// How long a request may wait. A read that has waited for this part of its aim would be sent only to be
     /// given up. One that was never sent is given up while its client has the time to come again.
     fn patience(&self, open: &Open) -> Micros {
@@ -425,11 +411,6 @@
         aimed.min(held)
     }
 
-    /// A session's write was committed, here or at the process beside this one.
-    pub fn committed(&mut self, group: GroupId, key: SessionKey, commit: Micros) {
-        self.sessions.committed(group, key, commit);
-    }
-
     /// Cost of a request in usual requests: its class's mean latency against the smallest.
     fn cost(&self, class: ClassId) -> f64 {
         let least = self.means.iter().copied().fold(f64::INFINITY, f64::min);
@@ -460,7 +441,7 @@
                 let Some((last, _)) = newest.last() else { break };
                 before = *last;
                 for (_, id) in newest {
-                    if let Some(member) = self.choose(now, id, writes_wait) {
+                    if let Some(member) = self.choose(now, id, writes_wait, actions) {
                         self.send(now, id, member, actions);
                     } else {
                         failed += 1;
@@ -530,7 +511,13 @@
 
     /// The member for a waiting request, if one can take it now. While writes wait, the primary is
     /// closed to reads.
-    fn choose(&mut self, now: Micros, id: RequestId, writes_wait: bool) -> Option<MemberId> {
+    fn choose(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        writes_wait: bool,
+        actions: &mut Actions,
+    ) -> Option<MemberId> {
         let group = self.open.get(&id).filter(|open| self.may_send(now, open))?.req.group;
         let turn = self.turn(group);
         let open = self.open.get(&id)?;
@@ -552,17 +539,36 @@
         let primary = primary.filter(|id| !writes_wait && !open.avoid.contains(id));
         self.weigh(now, turn, covers, &mut drawn);
         let mut found = draw(&mut self.rng, &drawn);
-        // Where replicas check, those that should have caught up come before the primary.
+        // Where replicas check, those that should have caught up come before the primary. Where they do not,
+        // one of them is asked first: a driver among many meets each too seldom to know.
+        let caught_up = |id, m: &Member| now - m.lag > needed && candidate(id, m);
+        let (mut ask, mut asked) = (None, false);
         if found.is_none() && self.settings.checks == Checks::Refuse {
-            let caught_up = |id, m: &Member| now - m.lag > needed && candidate(id, m);
             self.weigh(now, turn, caught_up, &mut drawn);
             found = draw(&mut self.rng, &drawn);
+        } else if found.is_none() && self.may_ask() && class.need != Need::Fresh {
+            let under_way = |m: &Member| m.probing && now - m.probed_at < ASK_WAIT;
+            asked = self.candidates(turn).any(|(id, m)| under_way(m) && caught_up(id, m));
+            let rested = |m: &Member| !m.probing && now - m.probed_at >= SEEK;
+            self.weigh(now, turn, |id, m| rested(m) && caught_up(id, m), &mut drawn);
+            ask = draw(&mut self.rng, &drawn).filter(|_| !asked);
         }
         self.drawn = drawn;
+        if let Some(member) = ask {
+            self.ask(now, member, actions);
+        }
+        if asked || ask.is_some() {
+            return None;
+        }
         let reads = |id: &MemberId| self.members[id].has_room(now, &self.settings, cost, PRIMARY_READ_PART);
         found.or(primary.filter(reads))
     }
 
+    /// Whether reads ask replicas: one of few drivers hears from each often enough.
+    fn may_ask(&self) -> bool {
+        self.limit_share < 1.0 && self.settings.probes && self.settings.probe_price <= ASK_PRICE
+    }
+
     /// Whether the attempt that is out may still be written now that its connection is up.
     pub fn holds(&self, now: Micros, id: RequestId) -> bool {
         let Some(open) = self.open.get(&id) else { return false };
@@ -681,20 +687,6 @@
         self.place_waiting(now, group, actions);
     }
 
-    /// An answer has begun to flow: the request belongs to its client, and the member has room again.
-    fn started(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
-        let Some(Open { req, out, .. }) = self.open.get(&id) else { return };
-        for (no, to) in out {
-            if let (Some(a), Some(m)) = (self.attempts.get_mut(&(id, *no)), self.members.get_mut(to)) {
-                a.flows = true;
-                m.release(a.cost);
-            }
-        }
-        let group = req.group;
-        self.close(id);
-        self.place_waiting(now, group, actions);
-    }
-
     /// Books an outcome to its member: load, limit, latency and failures.
     fn judge(&mut self, now: Micros, o: &Outcome, attempt: &Attempt) {
         let mean = &mut self.means[attempt.class.0];
@@ -794,38 +786,8 @@
         self.close(id);
     }
 
-    /// Cancels the attempts still out for a finished read: their answers serve nobody.
-    fn call_off_rest(&self, id: RequestId, actions: &mut Actions) {
-        let Some(open) = self.open.get(&id) else { return };
-        if self.settings.cancels && self.settings.classes[open.req.class.0].effect == Effect::Safe {
-            let out = open.out.iter().filter(|(attempt, _)| self.attempts.contains_key(&(id, *attempt)));
-            actions.extend(out.map(|(attempt, _)| Action::Cancel { request: id, attempt: *attempt }));
-        }
-    }
-
-    /// Forgets a finished request; its attempts are still booked as they end.
-    fn close(&mut self, id: RequestId) {
-        let Some(open) = self.open.remove(&id) else { return };
-        self.book.close(id, open.end, open.spot);
-        if self.settings.classes[open.req.class.0].need == Need::Write {
-            open.req.session.inspect(|key| self.sessions.end(open.req.group, *key));
-        }
-    }
-
     // ---- Sweep ----
 
-    fn period(&self) -> Micros {
-        Micros(self.settings.tick.0.max(1) * SWEEP_TICKS)
-    }
-
-    /// Asks for a sweep at `at`, unless one comes before.
-    fn wake_by(&mut self, at: Micros, actions: &mut Actions) {
-        if at < self.wake {
-            self.wake = at;
-            actions.push(Action::SetTimer { timer: SWEEP, at });
-        }
-    }
-
     fn sweep(&mut self, now: Micros, actions: &mut Actions) {
         self.wake = Micros(u64::MAX);
         let period = self.period();
@@ -874,7 +836,7 @@
         if open.out.iter().any(|(_, m)| usable(m)) {
             return;
         }
-        if let Some(to) = self.choose(now, id, false) {
+        if let Some(to) = self.choose(now, id, false, actions) {
             self.send(now, id, to, actions);
         }
     }
@@ -909,11 +871,11 @@
             return;
         }
         for (_, _, id) in std::mem::take(&mut self.due) {
-            let Some(member) = self.members.get_mut(&id).filter(|_| self.probe_credit >= 1.0) else { return };
+            if self.probe_credit < 1.0 {
+                return;
+            }
             self.probe_credit -= 1.0;
-            member.probing = true;
-            member.probed_at = now;
-            actions.push(Action::Probe { member: id });
+            self.ask(now, id, actions);
         }
     }
 
--- /dev/null
+++ b/src/balance/upkeep.rs
@@ -0,0 +1,84 @@
+//! The router's bookkeeping: queues, sessions and the one timer. What is booked, and when, is decided
+//! elsewhere.
+
+use super::book::Spot;
+use super::state::{Member, Open};
+use super::{Actions, Router, SWEEP, SWEEP_TICKS};
+use crate::api::*;
+
+impl Router {
+    /// Counts the group's live members and finds its leader anew: after a list, a claim, or one that is void.
+    pub(super) fn recount(&mut self, group: GroupId) {
+        let Some(group) = self.groups.get_mut(&group) else { return };
+        let members = group.members.iter().filter_map(|id| Some((self.members.get(id)?, *id)));
+        let claims = members.filter(|(m, _)| m.role == Role::Primary);
+        group.leader = claims.max_by_key(|(m, _)| m.role_at).map(|(_, id)| id);
+        let live = group.members.iter().filter(|id| self.members.get(*id).is_some_and(Member::listed));
+        group.live = live.count() as f64;
+    }
+
+    /// Puts a request into its family's queue.
+    pub(super) fn enqueue(&mut self, id: RequestId) {
+        let Some(open) = self.open.get(&id) else { return };
+        let (group, class) = (open.req.group, open.req.class);
+        let (give_up, patience) = (open.give_up, self.patience(open));
+        let spot = self.book.wait(Spot { id, group, class, give_up, patience, place: 0 });
+        self.open.entry(id).and_modify(|open| open.spot = Some(spot));
+    }
+
+    /// A session's write was committed, here or at the process beside this one.
+    pub fn committed(&mut self, group: GroupId, key: SessionKey, commit: Micros) {
+        self.sessions.committed(group, key, commit);
+    }
+
+    /// An answer has begun to flow: the request belongs to its client, and the member has room again.
+    pub(super) fn started(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
+        let Some(Open { req, out, .. }) = self.open.get(&id) else { return };
+        for (no, to) in out {
+            if let (Some(a), Some(m)) = (self.attempts.get_mut(&(id, *no)), self.members.get_mut(to)) {
+                a.flows = true;
+                m.release(a.cost);
+            }
+        }
+        let group = req.group;
+        self.close(id);
+        self.place_waiting(now, group, actions);
+    }
+
+    /// Cancels the attempts still out for a finished read: their answers serve nobody.
+    pub(super) fn call_off_rest(&self, id: RequestId, actions: &mut Actions) {
+        let Some(open) = self.open.get(&id) else { return };
+        if self.settings.cancels && self.settings.classes[open.req.class.0].effect == Effect::Safe {
+            let out = open.out.iter().filter(|(attempt, _)| self.attempts.contains_key(&(id, *attempt)));
+            actions.extend(out.map(|(attempt, _)| Action::Cancel { request: id, attempt: *attempt }));
+        }
+    }
+
+    /// Forgets a finished request; its attempts are still booked as they end.
+    pub(super) fn close(&mut self, id: RequestId) {
+        let Some(open) = self.open.remove(&id) else { return };
+        self.book.close(id, open.end, open.spot);
+        if self.settings.classes[open.req.class.0].need == Need::Write {
+            open.req.session.inspect(|key| self.sessions.end(open.req.group, *key));
+        }
+    }
+
+    pub(super) fn period(&self) -> Micros {
+        Micros(self.settings.tick.0.max(1) * SWEEP_TICKS)
+    }
+
+    /// Asks for a sweep at `at`, unless one comes before.
+    pub(super) fn wake_by(&mut self, at: Micros, actions: &mut Actions) {
+        if at < self.wake {
+            self.wake = at;
+            actions.push(Action::SetTimer { timer: SWEEP, at });
+        }
+    }
+
+    /// Probes a member.
+    pub(super) fn ask(&mut self, now: Micros, id: MemberId, actions: &mut Actions) {
+        let Some(member) = self.members.get_mut(&id) else { return };
+        (member.probing, member.probed_at) = (true, now);
+        actions.push(Action::Probe { member: id });
+    }
+}
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -159,6 +159,53 @@
     }
 }
 
+/// Guards primaries of a large fleet, where each driver meets a replica too seldom to know its position: a
+/// read that no replica is known to cover asks one and follows its word, others wait for the same word, and
+/// only what no replica covers goes to the primary.
+#[test]
+fn one_of_many_asks_a_replica_before_a_read_goes_to_the_primary() {
+    let asked = |actions: &[Action]| {
+        let probe = |a: &Action| if let Action::Probe { member } = a { Some(*member) } else { None };
+        actions.iter().filter_map(probe).collect::<Vec<_>>()
+    };
+    let mut rig = Rig::new(Settings { drivers: 10, probe_price: 0.08, ..settings() });
+    rig.sweep(100);
+    let behind = |rig: &Rig| Micros(rig.now.0 - 3_000_000);
+    for member in [NEAR, FAR] {
+        let word = behind(&rig);
+        rig.probed(member, word);
+    }
+    // Both are seconds behind as far as is known: nobody is asked.
+    let (id, actions) = rig.request(BOUNDED, 1);
+    assert_eq!((sends(&actions), asked(&actions)), (vec![(id, PRIMARY)], vec![]));
+    rig.end(id, 0, PRIMARY, Status::Ok, None);
+    for member in [NEAR, FAR] {
+        let word = Micros(rig.now.0 - 20_000);
+        rig.probed(member, word);
+    }
+    // Long after their last word, one is asked for two reads.
+    rig.now = rig.now + Micros::millis(5_000);
+    let (first, actions) = rig.request(BOUNDED, 1);
+    let [member] = asked(&actions)[..] else { panic!("asked {:?}", asked(&actions)) };
+    assert_eq!(sends(&actions), []);
+    let (second, actions) = rig.request(BOUNDED, 2);
+    assert_eq!((sends(&actions), asked(&actions)), (vec![], vec![]));
+    rig.now = rig.now + Micros::millis(2);
+    let report = Report { position: Some(rig.now), role: Some(Role::Replica) };
+    let mut sent = sends(&rig.event(Event::Probed { member, status: Status::Ok, report }));
+    sent.sort();
+    assert_eq!(sent, [(first, member), (second, member)]);
+    // The word of one that is behind, or none in time, sends the next on: to the other, then to the primary.
+    rig.now = rig.now + Micros::millis(5_000);
+    let (third, actions) = rig.request(BOUNDED, 3);
+    let [member] = asked(&actions)[..] else { panic!("asked {:?}", asked(&actions)) };
+    let report = Report { position: Some(behind(&rig)), role: Some(Role::Replica) };
+    let actions = rig.event(Event::Probed { member, status: Status::Ok, report });
+    let [other] = asked(&actions)[..] else { panic!("asked {:?}", asked(&actions)) };
+    assert!(other != member && sends(&actions).is_empty());
+    assert_eq!(sends(&rig.sweep(30)), [(third, PRIMARY)]);
+}
+
 #[test]
 fn a_position_never_goes_back() {
     let mut rig = Rig::new(settings());
