A bounded read goes to a primary that answers faster than the mean, unasked

Ruled out: a subset of replicas does not help positions, since any answer of a family within 800 ms serves all its reads, whichever replica gave it. Change: in Router::choose, where only the primary covers a read and its running latency is under 0.9 of the class's mean, the read goes there without a probe.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -75,6 +75,7 @@
 /// A read that only the primary is known to cover asks a replica first where a probe costs less than this
 /// part of a request, and waits so long for its word.
 const ASK_PRICE: f64 = 0.25;
+const PRIMARY_EASE: f64 = 0.9;
 const ASK_WAIT: Micros = Micros::millis(20);
 /// Most probes saved up: a driver with little traffic can ask a whole small group at once.
 const PROBE_SAVED: f64 = 4.0;
@@ -542,11 +543,14 @@
         // Where replicas check, those that should have caught up come before the primary. Where they do not,
         // one of them is asked first: a driver among many meets each too seldom to know.
         let caught_up = |id, m: &Member| now - m.lag > needed && candidate(id, m);
+        let reads = |id: &MemberId| self.members[id].has_room(now, &self.settings, cost, PRIMARY_READ_PART);
+        let primary = primary.filter(reads);
+        let at_ease = primary.is_some_and(|id| self.members[&id].stretch < PRIMARY_EASE);
         let (mut ask, mut asked) = (None, false);
         if found.is_none() && self.settings.checks == Checks::Refuse {
             self.weigh(now, turn, caught_up, &mut drawn);
             found = draw(&mut self.rng, &drawn);
-        } else if found.is_none() && self.may_ask() && class.need != Need::Fresh {
+        } else if found.is_none() && self.may_ask() && class.need != Need::Fresh && !at_ease {
             let under_way = |m: &Member| m.probing && now - m.probed_at < ASK_WAIT;
             asked = self.candidates(turn).any(|(id, m)| under_way(m) && caught_up(id, m));
             let rested = |m: &Member| !m.probing && now - m.probed_at >= SEEK;
@@ -560,8 +564,7 @@
         if asked || ask.is_some() {
             return None;
         }
-        let reads = |id: &MemberId| self.members[id].has_room(now, &self.settings, cost, PRIMARY_READ_PART);
-        found.or(primary.filter(reads))
+        found.or(primary)
     }
 
     /// Whether reads ask replicas: one of few drivers hears from each often enough.
