A silent host is asked before it is used again, and a failed dial is told after its request left

The connect timeout (250 ms) is longer than a read's aim (140 ms): the read is called off first, its connection goes on coming up without a task, and HostLink's end with Task::None told the module nothing (net/event_loop/hosts.rs, host_lost). And an attempt that is called off on an open connection says nothing of the host's health (Router::judge).

Ruled out: refused connects (under 40 in two seconds), discovery (the list said nothing before 12.6 s).

Change: a dial that failed is told to the module whether or not somebody still waits for it; a member that gave no word since an unanswered attempt was sent counts as silent and, with many gateways, is asked by a probe before reads are sent there again. Three gateways decide as before.

Tests: a dial behind a cut line ejects (fails without the change, checked), a silent member is asked first.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -360,6 +360,7 @@
     fn heard(&mut self, now: Micros, id: MemberId) {
         let Some(member) = self.members.get_mut(&id) else { return };
         member.ejected = None;
+        (member.silent, member.heard_at) = (false, now);
         if member.broken.take().is_some_and(|(since, cut)| cut && now - since > AWAY) {
             // Away for so long, its process has most likely started again, whatever the list says: cold.
             member.restart(now, &mut self.rng);
@@ -536,7 +537,9 @@
             let out = open.avoid.contains(&id) || open.out.iter().any(|(_, tried)| *tried == id);
             Some(id) != primary && !pin_holds && !out && m.has_room(now, &self.settings, cost, 1.0)
         };
-        let covers = |id, m: &Member| m.position.unwrap_or_default() >= needed && candidate(id, m);
+        let unsure = |m: &Member| m.silent && self.may_ask();
+        let covers =
+            |id, m: &Member| m.position.unwrap_or_default() >= needed && !unsure(m) && candidate(id, m);
         let primary = primary.filter(|id| !writes_wait && !open.avoid.contains(id));
         self.weigh(now, turn, covers, &mut drawn);
         let mut found = draw(&mut self.rng, &drawn);
@@ -545,7 +548,8 @@
         let caught_up = |id, m: &Member| now - m.lag > needed && candidate(id, m);
         let reads = |id: &MemberId| self.members[id].has_room(now, &self.settings, cost, PRIMARY_READ_PART);
         let primary = primary.filter(reads);
-        let at_ease = primary.is_some_and(|id| self.members[&id].stretch < PRIMARY_EASE);
+        let at_ease = |m: &Member| m.stretch < PRIMARY_EASE && !m.silent;
+        let at_ease = primary.is_some_and(|id| at_ease(&self.members[&id]));
         let (mut ask, mut asked) = (None, false);
         if found.is_none() && self.settings.checks == Checks::Refuse {
             self.weigh(now, turn, caught_up, &mut drawn);
@@ -725,6 +729,8 @@
             Status::Full => Some(MISSED),
             _ => None,
         };
+        // It may be cut off, which shows in nothing else.
+        member.silent |= silent && dropped.is_none() && now - member.heard_at >= o.latency;
         if let Some(used) = used {
             // Of many drivers each sees few answers, and the noise of their steps evens out: they are longer.
             let step = LIMIT_STEP / self.limit_share.sqrt() * (1.0 - used.min(MISSED) / LIMIT_AIM);
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -50,6 +50,9 @@
     pub breaks: u32,
     /// Since when, and whether one was cut, as by a process that died.
     pub broken: Option<(Micros, bool)>,
+    /// It gave no word since an attempt that went without an answer was sent, and when it last gave one.
+    pub silent: bool,
+    pub heard_at: Micros,
     /// Out of the draw since then.
     pub ejected: Option<Micros>,
     pub probed_at: Micros,
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -141,10 +141,14 @@
     pub(super) fn host_lost(&mut self, key: Key, cause: Cause) {
         let Some(host) = self.host(key) else { return };
         let (member, task) = (host.member, std::mem::replace(&mut host.task, Task::None));
-        let reach = host.protocol.reach();
+        let (reach, welcome) = (host.protocol.reach(), host.welcome);
         let answer = host.protocol.ended();
         self.close(key);
         match (task, answer) {
+            // Whoever it was dialled for did not wait for it to fail, but the module must hear of it.
+            (Task::None, _) if !welcome && cause == Cause::Lost => {
+                self.balancer.probed(self.now, member, Ended::Broken(Broken { reach, cause }));
+            }
             (Task::None, _) => {}
             (Task::Attempt(ticket), Some(answer)) => self.answered(ticket, answer),
             (Task::Attempt(ticket), None) => {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -363,3 +363,25 @@
     }
     std::fs::remove_file(path).expect("removed");
 }
+
+/// Guards a fleet against a lost zone: a dial that fails after its request has left is told to the module
+/// all the same, and the host leaves the draw.
+#[test]
+fn a_dial_that_nobody_waits_for_any_more_still_ejects() {
+    let mut rig = Rig::start(200);
+    let text = rig.with("/settings/Permissions/ConnectTimeoutMs", Some(json!(300.0)));
+    rig.retune(&text);
+    rig.mood.mute.store(true, Ordering::SeqCst);
+    let mut client = rig.client();
+    let id = rig::name();
+    client.ask(&format!("SELECT doc FROM items WHERE id = 'a' /* id={id},c=look,d=80,cluster=1 */"));
+    assert!(matches!(client.code().as_str(), "53300" | "57P03"), "refused in time");
+    for _ in 0..1_000 {
+        if figure(rig.admin, "pool_ejected") > 0 {
+            break;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    assert!(figure(rig.admin, "pool_ejected") > 0, "the module heard of it");
+    rig.end();
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -67,6 +67,8 @@
 pub struct Mood {
     pub broke: AtomicBool,
     pub released: AtomicBool,
+    /// Hosts take connections and say nothing, as behind a cut line.
+    pub mute: AtomicBool,
 }
 
 /// A toy host that tells the test each statement it gets. What it does hangs on the quoted key.
@@ -89,6 +91,11 @@
         let count = socket.read(&mut bytes).unwrap_or(0);
         inbox.push(&bytes[..count]);
     }
+    if mood.mute.load(Ordering::SeqCst) {
+        // Until the gateway gives it up.
+        let _ = socket.read(&mut bytes);
+        return;
+    }
     let mut out = Vec::new();
     codec::frame(&mut out, b'R', &[0; 4]);
     codec::ready(&mut out);
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -206,6 +206,47 @@
     assert_eq!(sends(&rig.sweep(30)), [(third, PRIMARY)]);
 }
 
+/// Guards a large fleet against a lost zone, where each driver would lose request after request at each of
+/// its hosts: after one attempt without any word the member is asked before it is used again.
+#[test]
+fn one_of_many_asks_a_member_that_fell_silent_before_it_sends_again() {
+    for (drivers, asks) in [(3, false), (10, true)] {
+        let mut rig = Rig::new(Settings { drivers, probe_price: 0.08, ..settings() });
+        rig.sweep(100);
+        let word = Micros(rig.now.0 - 20_000);
+        rig.probed(NEAR, word);
+        let (id, actions) = rig.request(BOUNDED, 1);
+        assert_eq!(sends(&actions), [(id, NEAR)]);
+        rig.now = rig.now + Micros::millis(100);
+        rig.router.handle(rig.now, Event::Gone(id), &mut Vec::new());
+        let cancelled = Outcome {
+            request: id,
+            attempt: AttemptNo(0),
+            member: NEAR,
+            status: Status::Cancelled,
+            latency: Micros::millis(100),
+            finished: true,
+            role: None,
+            position: None,
+            report: Report::default(),
+        };
+        rig.event(Event::Outcome(cancelled));
+        rig.now = rig.now + Micros::millis(200);
+        let (id, actions) = rig.request(BOUNDED, 1);
+        let asked = actions.iter().any(|a| matches!(a, Action::Probe { .. }));
+        assert_eq!(asked, asks, "{drivers} drivers: {actions:?}");
+        assert_eq!(sends(&actions).is_empty(), asks);
+        if asks {
+            // Its word, whatever it says of its position, brings it back.
+            let report = Report { position: Some(rig.now), role: Some(Role::Replica) };
+            let answered = |member| Event::Probed { member, status: Status::Ok, report };
+            let sent: Vec<_> = [NEAR, FAR].map(|m| sends(&rig.event(answered(m)))).concat();
+            assert_eq!(sent.len(), 1);
+            assert_eq!(sent[0].0, id);
+        }
+    }
+}
+
 #[test]
 fn a_position_never_goes_back() {
     let mut rig = Rig::new(settings());
