The price of a handshake pulls draws to hosts with open connections

Ruled out: idle limits (no connection was closed as idle). What is left comes of connections closed with called-off attempts and of hosts that are new.

Change: Settings carries Deductions.Handshake; in Router::weigh the pull is LINK_PULL x (1 + 100 x price), so nothing changes where handshakes are free.

--- a/benches/scene/mod.rs
+++ b/benches/scene/mod.rs
@@ -77,6 +77,7 @@
         max_attempts: 8,
         probe_price: 0.01,
         cross_zone_price: 0.01,
+        handshake_price: 0.0,
         drain_grace: Micros::millis(2000),
         only_draining_binds: false,
         connection_idle: Micros::millis(15_000),
--- a/src/api.rs
+++ b/src/api.rs
@@ -197,6 +197,8 @@
     pub probe_price: f64,
     /// Price of an attempt that crosses zones, likewise.
     pub cross_zone_price: f64,
+    /// Price of a connection that is opened, likewise.
+    pub handshake_price: f64,
     /// Sends to a member must end this long after word that it drains or is gone.
     pub drain_grace: Micros,
     /// Only word that a member drains binds; one that is called gone without it may be sent to.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -83,8 +83,9 @@
 const AWAY: Micros = Micros::millis(1000);
 /// How strongly the price of crossing zones pulls the draw to the driver's own zone.
 const ZONE_PULL: f64 = 25.0;
-/// How strongly a connection that is open pulls the draw.
+/// How strongly a connection that is open pulls the draw, and how much more so for the price of a new one.
 const LINK_PULL: f64 = 8.0;
+const HANDSHAKE_PULL: f64 = 100.0;
 /// Part of the multiple of its capacity that a cold member may be sent; the rest is for chance.
 const COLD_PART: f64 = 0.7;
 /// Part of the fall window's budget that a cold member may get in one go.
@@ -606,10 +607,11 @@
     /// are capped.
     fn weigh(&self, now: Micros, turn: Turn, fits: impl Fn(MemberId, &Member) -> bool, drawn: &mut Drawn) {
         let far = 1.0 + ZONE_PULL * self.settings.cross_zone_price;
+        let new = LINK_PULL * (1.0 + HANDSHAKE_PULL * self.settings.handshake_price);
         let weight = |member: &Member| {
             let distance = if member.entry.zone == self.settings.zone { 1.0 } else { far };
             let linked = now - member.used_at < self.settings.connection_idle;
-            let distance = if linked { distance } else { distance * LINK_PULL };
+            let distance = if linked { distance } else { distance * new };
             let busy = 1.0 + (member.load + member.ghost) / member.weight;
             member.weight / distance / (busy * busy)
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 //!     max_attempts: 4,
 //!     probe_price: 0.01,
 //!     cross_zone_price: 0.0,
+//!     handshake_price: 0.0,
 //!     drain_grace: Micros::millis(1000),
 //!     only_draining_binds: false,
 //!     connection_idle: Micros::millis(30_000),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -148,6 +148,7 @@
 #[serde(rename_all = "PascalCase", default)]
 struct Deductions {
     cross_zone: f64,
+    handshake: f64,
     probe: f64,
 }
 
@@ -278,6 +279,7 @@
             max_attempts: self.permissions.send_cap,
             probe_price: self.deductions.probe,
             cross_zone_price: self.deductions.cross_zone,
+            handshake_price: self.deductions.handshake,
             drain_grace: self.safety.stop_sending_within_ms.into(),
             only_draining_binds: self.safety.drain_binds_alone,
             connection_idle: self.permissions.conn_idle_ms.into(),
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -47,6 +47,7 @@
         max_attempts: 4,
         probe_price: 0.01,
         cross_zone_price: 0.01,
+        handshake_price: 0.0,
         drain_grace: Micros::millis(300),
         only_draining_binds: false,
         connection_idle: Micros::millis(15_000),
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -46,6 +46,7 @@
         max_attempts: 4,
         probe_price: 0.01,
         cross_zone_price: 0.0,
+        handshake_price: 0.0,
         drain_grace: Micros::millis(300),
         only_draining_binds: false,
         connection_idle: Micros::millis(15_000),
@@ -322,6 +323,31 @@
     assert_eq!(sends(&rig.request(SESSION, 5).1)[0].1, late);
 }
 
+/// Guards hosts and prices against handshakes that a large fleet needs not: where one costs something, reads
+/// stay with the member that has a connection open, unless it is loaded.
+#[test]
+fn a_price_for_handshakes_keeps_reads_where_a_connection_is_open() {
+    let moved = |handshake_price| {
+        let mut rig = Rig::new(Settings { handshake_price, ..settings() });
+        let mut moved = 0;
+        for _ in 0..100 {
+            // Long enough apart that both are idle, and no longer than a connection stays open.
+            rig.now = rig.now + Micros::millis(16_000);
+            let (id, actions) = rig.request(ANY, 1);
+            let first = sends(&actions)[0].1;
+            rig.end(id, 0, first, Status::Ok, None);
+            rig.now = rig.now + Micros::millis(500);
+            let (id, actions) = rig.request(ANY, 1);
+            let second = sends(&actions)[0].1;
+            rig.end(id, 0, second, Status::Ok, None);
+            moved += u32::from(second != first);
+        }
+        moved
+    };
+    let (free, dear) = (moved(0.0), moved(0.08));
+    assert!(free > 4 && dear < free / 2, "moved {free} and {dear} times");
+}
+
 #[test]
 fn any_reads_leave_the_primary_out_and_spread_by_load() {
     let mut rig = Rig::new(settings());
