Hosts are told by when a read is too late, so that they drop what they have not begun

The read was given up 200 ms after it came, but the host was told the client's whole deadline (650 ms), went on working off what nobody waited for, and every queue stayed full of it. Ruled out: the budget of cold hosts (they were sent 70 to 100% of what they could do), limits (one lost answer already brings a limit to its floor).

At fault: net/event_loop/requests.rs wrote life.until - now, and the module sent no timeout with Action::Send. A class that is worth something late, and writes with it, keep their deadline.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -649,7 +649,9 @@
             (id, attempt),
             Attempt { class, session, idle, needed, cost, load: member.load, flows: false },
         );
-        actions.push(Action::Send { request: id, member: to, timeout: None });
+        // The member is told by when it is too late: it drops what it has not begun by then.
+        let timeout = Some(open.give_up + self.period() - now);
+        actions.push(Action::Send { request: id, member: to, timeout });
     }
 
     // ---- Outcome ----
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -27,6 +27,8 @@
     pub(super) counted: bool,
     /// Not read, since the client that its answer flows to has enough unread.
     pub(super) held: bool,
+    /// When the attempt on it ends at the latest.
+    pub(super) until: Micros,
     /// When bytes last came.
     pub(super) heard: Micros,
     pub(super) task: Task,
@@ -61,6 +63,7 @@
             welcome: false,
             counted: false,
             held: false,
+            until: self.now,
             heard: self.now,
             task: Task::None,
         };
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -130,8 +130,9 @@
             return;
         }
         self.set_timer(timeout, Timer::Attempt(ticket, key));
+        let until = self.now + timeout;
         if let Some(host) = self.host(key) {
-            host.task = Task::Attempt(ticket);
+            (host.task, host.until) = (Task::Attempt(ticket), until);
         }
         self.start_task(key);
     }
@@ -140,7 +141,7 @@
     pub(super) fn start_task(&mut self, key: Key) {
         let now = self.now;
         let Some(host) = self.host(key).filter(|host| host.welcome) else { return };
-        let (member, task) = (host.member, host.task);
+        let (member, task, until) = (host.member, host.task, host.until);
         let text = match task {
             Task::None => {
                 self.pool.put(now, member, key);
@@ -155,7 +156,7 @@
             Task::Attempt(ticket) => {
                 let holds = self.balancer.still_holds(now, ticket);
                 let Some(life) = self.ledger.get(ticket) else { return };
-                let text = life.work.with_wait(life.until - now);
+                let text = life.work.with_wait(until.min(life.until) - now);
                 if !holds {
                     self.free(key);
                     self.ledger.end(ticket);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -385,3 +385,22 @@
     assert!(figure(rig.admin, "pool_ejected") > 0, "the module heard of it");
     rig.end();
 }
+
+/// Guards hosts in an overload: a read is told to be wanted until its aim, after which nobody waits for it,
+/// and not until its client's deadline, so that the host need not run what comes too late.
+#[test]
+fn a_host_is_told_by_when_a_read_is_too_late() {
+    let mut rig = Rig::start(200);
+    let text = rig.with("/settings/Classes/0/AimMs", Some(json!(4000.0)));
+    rig.retune(&text);
+    let mut client = rig.client();
+    for (text, most) in [(read("a"), 4_100), (write("b"), 30_000)] {
+        client.ask(&text);
+        assert_eq!(client.answer().last().map(|frame| frame.tag), Some(b'Z'));
+        let heard = rig.heard.recv().expect("a statement");
+        let told = heard.split_once(",d=").and_then(|(_, rest)| rest.split(',').next()).expect("a wait");
+        let told: u64 = told.parse().expect("a number");
+        assert!(told <= most && told * 2 > most, "told {told}");
+    }
+    rig.end();
+}
