Failed calls to discovery back off with jitter by the fleet's size, and ask for changes only

At fault: discovery::RETRY was a fixed 100 ms for each gateway, and Gateway::discovery_failed forgot the version after two failures of any kind, so that the fleet asked an overbooked discovery 850 times a second for all lines.

Change: discovery::pause draws from 20 ms x gateways, doubled twice, at most 8 s; few gateways repeat after 100 ms as before. An answer with a status keeps the version that is known; the whole list is asked for only after two calls that broke, were silent or malformed.

Tests: a hundred gateways that start at once all get through to a discovery that serves 25 calls a second within 15 s, with the fixed pause most do not; turned away four times, a gateway still asks for changes only.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -18,10 +18,28 @@
 pub const PATIENCE: Micros = Micros::millis(1_500);
 /// Pause before the next try after a call failed: within the 200 ms in which a watch continues.
 pub const RETRY: Micros = Micros::millis(100);
+/// Time that a call of one gateway takes up of a discovery that serves a whole fleet, at a guess; failed calls
+/// of many gateways together stay below that.
+const FLEET_GAP: Micros = Micros::millis(20);
+/// Doublings of the pause, and the longest.
+const DOUBLINGS: u64 = 2;
+const LONGEST: Micros = Micros::millis(8_000);
 /// Most bytes of an answer's head and of its body.
 const MAX_HEAD: usize = 16 * 1024;
 const MAX_BODY: usize = 4 * 1024 * 1024;
 
+/// Pause before the next try after so many failures in a row of one among so many gateways; `draw` is an even
+/// draw between 0 and 1. Few repeat at once. Many would keep discovery overbooked for as long as they did:
+/// they draw from a range that grows with their number and doubles.
+pub fn pause(fails: u64, gateways: u32, draw: f64) -> Micros {
+    let share = FLEET_GAP.scale(f64::from(gateways));
+    if share <= RETRY {
+        return RETRY;
+    }
+    let most = share.scale((1u64 << fails.saturating_sub(1).min(DOUBLINGS)) as f64);
+    RETRY + most.min(LONGEST).scale(draw)
+}
+
 /// A list, or a change to one, in discovery's form.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Listing {
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -179,6 +179,7 @@
         let mut workers: Vec<Gateway> = (0..count)
             .map(|me| {
                 let site = config.site.clone();
+                let gateways = site.settings.drivers;
                 let mut figures = Figures::default();
                 for class in &site.classes {
                     figures.class(class);
@@ -219,7 +220,7 @@
                     },
                     door: Door { listener: None, down: BTreeSet::new() },
                     line: Succession::default(),
-                    watching: Watching::of(config.discovery, config.known.rev),
+                    watching: Watching::of(config.discovery, config.known.rev, gateways, config.seed),
                     phase: Phase::Serving,
                     log: log.new(o!("worker" => me)),
                 }
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -3,6 +3,8 @@
 use std::io::Read;
 use std::net::SocketAddr;
 
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use slog::{info, warn};
 
 use super::crew::Letter;
@@ -10,7 +12,7 @@
 use super::slots::{Key, Link};
 use super::timers::Timer;
 use super::Gateway;
-use crate::net::discovery::{self, Listing, Watch};
+use crate::net::discovery::{self, BadAnswer, Listing, Watch};
 use crate::pg::codec::Outbox;
 use crate::settings::Site;
 use crate::{Listed, Micros};
@@ -20,14 +22,25 @@
     pub(super) address: SocketAddr,
     pub(super) watch: Watch,
     calling: Option<Key>,
-    /// Failures in a row.
+    /// Failures in a row, and the answers with a status among them.
     fails: u64,
+    turned_away: u64,
+    /// Number of gateways that call the same discovery.
+    pub(super) gateways: u32,
+    rng: Pcg64Mcg,
 }
 
 impl Watching {
     /// A watch at this address that goes on from a version.
-    pub(super) fn of(address: SocketAddr, rev: u64) -> Self {
-        Watching { address, watch: Watch::from(Some(rev)), calling: None, fails: 0 }
+    pub(super) fn of(address: SocketAddr, rev: u64, gateways: u32, seed: u64) -> Self {
+        let (watch, rng) = (Watch::from(Some(rev)), Pcg64Mcg::seed_from_u64(seed));
+        Watching { address, watch, calling: None, fails: 0, turned_away: 0, gateways, rng }
+    }
+
+    /// Time until the next call.
+    fn pause(&mut self) -> Micros {
+        let draw = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        discovery::pause(self.fails, self.gateways, draw)
     }
 }
 
@@ -47,7 +60,11 @@
                 self.watching.calling = Some(key);
                 self.set_timer(patience, Timer::Call(key));
             }
-            Err(_) => self.set_timer(discovery::RETRY, Timer::Discovery),
+            Err(_) => {
+                self.watching.fails += 1;
+                let pause = self.watching.pause();
+                self.set_timer(pause, Timer::Discovery);
+            }
         }
     }
 
@@ -57,11 +74,17 @@
             Ok(None) if ended => self.discovery_failed(key, "connection ended"),
             Ok(None) => {}
             Ok(Some(listing)) => {
-                self.watching.fails = 0;
+                (self.watching.fails, self.watching.turned_away) = (0, 0);
                 self.listed(listing, false);
                 self.end_call(key);
                 self.call_discovery();
             }
+            Err(BadAnswer::Status(status)) => {
+                // It is there and knows what it has told. Whoever asks an overbooked one for the whole list
+                // only makes it worse.
+                self.watching.turned_away += 1;
+                self.discovery_failed(key, &format!("turned away: {status}"))
+            }
             Err(bad) => self.discovery_failed(key, &format!("bad answer: {bad:?}")),
         }
     }
@@ -70,14 +93,16 @@
     pub(super) fn discovery_failed(&mut self, key: Key, why: &str) {
         self.end_call(key);
         self.watching.fails += 1;
-        // The first failure and every hundredth after it: one line in ten seconds.
+        // The first failure and every hundredth after it: one line in ten seconds, or few more.
         if self.watching.fails % 100 == 1 {
             warn!(self.log, "discovery failed"; "why" => why, "in a row" => self.watching.fails);
         }
-        if self.watching.fails > 1 {
+        // What was told may be lost.
+        if self.watching.fails - self.watching.turned_away > 1 {
             self.watching.watch.restart();
         }
-        self.set_timer(discovery::RETRY, Timer::Discovery);
+        let pause = self.watching.pause();
+        self.set_timer(pause, Timer::Discovery);
     }
 
     fn end_call(&mut self, key: Key) {
@@ -121,6 +146,7 @@
             self.figures.class(class);
         }
         self.pool.keep_for(settings.connection_idle);
+        self.watching.gateways = settings.drivers;
         self.connect_timeout = site.connect_timeout.max(Micros::millis(10));
         self.balancer.retune(settings);
     }
@@ -129,7 +155,7 @@
     /// the one need mean nothing to the other.
     fn follow_discovery(&mut self, discovery: SocketAddr) {
         self.watching.address = discovery;
-        self.watching.fails = 0;
+        (self.watching.fails, self.watching.turned_away) = (0, 0);
         self.watching.watch.restart();
         if let Some(key) = self.watching.calling {
             self.end_call(key);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,7 +7,7 @@
 use std::process::Command;
 use std::sync::atomic::Ordering;
 
-use dunemount::net::discovery::{BadAnswer, Directory, Listing, Watch};
+use dunemount::net::discovery::{self, BadAnswer, Directory, Listing, Watch};
 use dunemount::pg::codec;
 use dunemount::settings::Zones;
 use rig::{figure, listing, local, read, settings, write, Rig, Talk};
@@ -404,3 +404,52 @@
     }
     rig.end();
 }
+
+/// Guards an overbooked discovery: a call that is turned away is repeated for the changes alone, however
+/// often, and never for the whole list, which costs it many times as much.
+#[test]
+fn an_overbooked_discovery_is_asked_for_changes_only() {
+    let rig = Rig::start(200);
+    for _ in 0..4 {
+        let (mut socket, _) = rig.discovery.accept().expect("a call");
+        let mut bytes = [0; 4096];
+        let count = socket.read(&mut bytes).expect("a request");
+        let call = String::from_utf8_lossy(&bytes[..count]).to_string();
+        assert!(call.starts_with("GET /catalog/members?index=4&"), "{call}");
+        socket.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").expect("written");
+    }
+    rig.end();
+}
+
+/// Guards a discovery of fixed capacity against a fleet that starts at once: a hundred gateways, each call
+/// served in turn within 2 s or failed. With a fixed pause most never get through; with the pause of a fleet
+/// all do, soon, and a few gateways repeat at once as ever.
+#[test]
+fn a_fleet_that_starts_at_once_gets_through_to_discovery() {
+    let late = |pause: &dyn Fn(u64, f64) -> u64| {
+        let mut draws = (1..).map(|n: u64| (n * 7_919 % 1_009) as f64 / 1_009.0);
+        let mut calls: Vec<(u64, u64)> = (0..100).map(|_| (0, 0)).collect();
+        let (mut free, mut late) = (0, 0);
+        for _ in 0..20_000 {
+            calls.sort_by(|a, b| b.cmp(a));
+            let Some((at, fails)) = calls.pop() else { break };
+            // 40 ms of work for a call, half of it also where it is turned away.
+            free = free.max(at);
+            if free - at < 2_000 {
+                free += 40;
+                late += u64::from(free > 15_000);
+            } else {
+                free += 20;
+                calls.push((at + pause(fails + 1, draws.next().expect("a draw")), fails + 1));
+            }
+        }
+        late + calls.len() as u64
+    };
+    let fleet = |fails, draw| discovery::pause(fails, 100, draw).0 / 1_000;
+    assert_eq!(late(&fleet), 0);
+    assert!(late(&|_, _| discovery::RETRY.0 / 1_000) > 20);
+    for (gateways, draw) in [(0, 0.9), (1, 0.5), (3, 1.0)] {
+        assert_eq!(discovery::pause(9, gateways, draw), discovery::RETRY);
+    }
+    assert!(discovery::pause(99, 1_000, 1.0) < dunemount::Micros::millis(10_000));
+}
