Members that are out stay out longer where many gateways try them, and a new start brings them back

At fault: Router::reweigh, AWAY counted for each gateway alone. Change: the pause out of the draw is AWAY / sqrt(limit_share), 5 s at a hundred gateways and as before up to four; word of a new start ends it, and with it what was counted against the member before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -288,6 +288,7 @@
             if entry.started > member.born {
                 // What was known of its health is void.
                 member.fail = 0.0;
+                (member.ejected, member.breaks, member.silent) = (None, 0, false);
                 member.restart(entry.started, &mut self.rng);
                 if now - entry.started < self.settings.cold_time {
                     member.limit = start;
@@ -906,7 +907,7 @@
         let since = self.groups.get_index(place).map_or(now, |(_, group)| group.surveyed);
         let elapsed = if since == Micros(0) { elapsed } else { now - since }.as_f64().max(1.0);
         let (kept, forget) = (self.kept(elapsed), halved(elapsed));
-        let Router { settings, members, span, .. } = self;
+        let Router { settings, members, span, limit_share, .. } = self;
         let Some((id, group)) = self.groups.get_index_mut(place) else { return 0 };
         group.surveyed = now;
         group.served *= kept;
@@ -943,9 +944,9 @@
                 let position = member.position.unwrap_or_default();
                 passed = Some(passed.map_or(position, |least: Micros| least.min(position)));
             }
-            // A member that is out gets a request now and then, ever more seldom.
+            // A member that is out gets a request now and then, ever more seldom, and from many not at once.
             let doublings = member.breaks.saturating_sub(EJECT_AFTER).min(EJECT_DOUBLINGS);
-            let pause = AWAY.scale(f64::from(1 << doublings));
+            let pause = AWAY.scale(f64::from(1 << doublings) / limit_share.sqrt());
             member.ejected = member.ejected.filter(|since| now - *since <= pause);
             let urgent = member.breaks > 0;
             let asked = member.probed_at.max(member.position_at);
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -942,3 +942,28 @@
     assert!(finals(&rig.sweep(198)).is_empty());
     assert_eq!(finals(&rig.sweep(1)), [(id, true)]);
 }
+
+/// Guards a large fleet whose hosts have gone: each driver tries a member that is out so much more seldom the
+/// more of them do, and word of a new start brings it back at once.
+#[test]
+fn many_try_a_member_that_is_out_more_seldom_and_a_new_start_brings_it_back() {
+    let out = |drivers, started: bool| {
+        let mut rig = Rig::new(Settings { drivers, probes: false, ..settings() });
+        rig.sweep(100);
+        let broken = Event::Probed { member: NEAR, status: Status::ConnectFailed, report: Report::default() };
+        rig.event(broken);
+        let since = rig.now;
+        assert!(rig.router.avoids(NEAR));
+        if started {
+            let new = entry(NEAR, Listed::Ready, rig.now);
+            rig.list(ListKind::Changes, vec![new]);
+        }
+        while rig.router.avoids(NEAR) {
+            rig.sweep(100);
+        }
+        rig.now - since
+    };
+    assert!(out(3, false) <= Micros::millis(1_200));
+    assert!(out(100, false) >= Micros::millis(4_500) && out(100, false) <= Micros::millis(6_000));
+    assert_eq!(out(100, true), Micros(0));
+}
