A read asks a second replica only while it has time left to go to the primary

Seen in a test of odd settings: two replicas asked one after the other, neither of which answers, take 40 ms, the whole patience of a read with an aim of 200 ms, and it was refused although the primary had room. At fault: Router::choose asked anew after ASK_WAIT without a look at the read's patience. Change: it asks only while a wait of ASK_WAIT ends before that. The test covers 0 to 1,000 gateways and prices from nothing to very high.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -559,7 +559,9 @@
         } else if found.is_none() && self.may_ask() && class.need != Need::Fresh && !at_ease {
             let under_way = |m: &Member| m.probing && now - m.probed_at < ASK_WAIT;
             asked = self.candidates(turn).any(|(id, m)| under_way(m) && caught_up(id, m));
-            let rested = |m: &Member| !m.probing && now - m.probed_at >= SEEK;
+            // Whoever has waited for one that says nothing has no time for a second.
+            let in_time = now + ASK_WAIT < self.patience(open);
+            let rested = |m: &Member| in_time && !m.probing && now - m.probed_at >= SEEK;
             self.weigh(now, turn, |id, m| rested(m) && caught_up(id, m), &mut drawn);
             ask = draw(&mut self.rng, &drawn).filter(|_| !asked);
         }
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -967,3 +967,36 @@
     assert!(out(100, false) >= Micros::millis(4_500) && out(100, false) <= Micros::millis(6_000));
     assert_eq!(out(100, true), Micros(0));
 }
+
+/// Guards odd settings: whatever the number of drivers and the prices, a read is sent or asked for, and
+/// answered once; only one of many asks, and only where that is cheap.
+#[test]
+fn any_number_of_drivers_and_any_price_will_do() {
+    for drivers in [0, 1, 3, 100, 1_000] {
+        for price in [0.0, 0.08, 40.0] {
+            let prices = Settings { probe_price: price, handshake_price: price, ..settings() };
+            let mut rig = Rig::new(Settings { drivers, cross_zone_price: price, ..prices });
+            // Past the routine probes of the start, which then all have failed to tell anything.
+            for _ in 0..3 {
+                rig.sweep(1_000);
+                for member in [PRIMARY, NEAR, FAR] {
+                    let word = Micros(rig.now.0 - 20_000);
+                    rig.probed(member, word);
+                }
+            }
+            rig.now = rig.now + Micros::millis(3_000);
+            let (id, mut actions) = rig.request(BOUNDED, 1);
+            let asked = sends(&actions).is_empty();
+            assert_eq!(asked, drivers > 4 && price < 0.25, "{drivers} drivers, price {price}");
+            if asked {
+                // Nobody answers.
+                actions = (0..30).flat_map(|_| rig.sweep(2)).collect();
+            }
+            let sent = sends(&actions);
+            assert_eq!(sent.len(), 1, "{drivers} drivers, price {price}");
+            assert_eq!(sent[0].0, id);
+            rig.end(id, 0, sent[0].1, Status::Ok, Some(rig.now));
+            assert_eq!(finals(&rig.sweep(3_000)), []);
+        }
+    }
+}
