A read waits for a replica's word for a part of its aim, so that short aims ask too

Change: the wait is a third of a read's patience, as it already was at the site's usual aim of 300 ms. Time for one that goes unheard, for a second and for the primary is left at any aim. Test: a_read_asks_a_replica_however_short_ its_aim (40, 100, 300 ms); without the change it fails at the first.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -74,8 +74,9 @@
 const PROBE_SPEND: f64 = 0.004;
 /// Most that a probe may cost, in requests, for a read to ask a replica before it goes to the primary.
 const ASK_PRICE: f64 = 0.25;
-/// How long such a read waits for the word.
-const ASK_WAIT: Micros = Micros::millis(20);
+/// Part of its aim for which such a read waits for the word, so that one that goes unheard leaves it time
+/// for another and for the primary, however short its aim.
+const ASK_PART: f64 = PATIENCE / 3.0;
 /// Latency against the mean under which a primary has room to spare, so that nobody is asked.
 const PRIMARY_EASE: f64 = 0.9;
 /// Most probes saved up: a driver with little traffic can ask a whole small group at once.
@@ -564,10 +565,11 @@
             self.weigh(now, turn, caught_up, &mut drawn);
             found = draw(&mut self.rng, &drawn);
         } else if found.is_none() && self.may_ask() && class.need != Need::Fresh && !at_ease {
-            let under_way = |m: &Member| m.probing && now - m.probed_at < ASK_WAIT;
+            let wait = class.aim.scale(ASK_PART);
+            let under_way = |m: &Member| m.probing && now - m.probed_at < wait;
             asked = self.candidates(turn).any(|(id, m)| under_way(m) && caught_up(id, m));
             // Whoever has waited for one that says nothing has no time for a second.
-            let in_time = now + ASK_WAIT < self.patience(open);
+            let in_time = now + wait < self.patience(open);
             let rested = |m: &Member| in_time && !m.probing && now - m.probed_at >= SEEK;
             self.weigh(now, turn, |id, m| rested(m) && caught_up(id, m), &mut drawn);
             ask = draw(&mut self.rng, &drawn).filter(|_| !asked);
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -223,6 +223,34 @@
     assert_eq!((sends(&actions), asked(&actions)), (vec![(fourth, PRIMARY)], vec![]));
 }
 
+/// Guards classes with short aims: a read waits for the word for a part of its aim, and one that hears nothing
+/// has time for a second replica and the primary. With a wait of its own length for all of them a read
+/// with an aim of 100 ms had none to spare: it asked nobody and crowded the primary.
+#[test]
+fn a_read_asks_a_replica_however_short_its_aim() {
+    for aim in [40, 100, 300].map(Micros::millis) {
+        let mut settings = one_of(300);
+        settings.checks = Checks::None;
+        settings.classes[BOUNDED.0].aim = aim;
+        let mut rig = Rig::new(settings);
+        rig.sweep(100);
+        for member in [NEAR, FAR] {
+            let word = Micros(rig.now.0 - 20_000);
+            rig.probed(member, word);
+        }
+        rig.now = rig.now + Micros::millis(5_000);
+        let (id, actions) = rig.request(BOUNDED, 1);
+        assert_eq!((sends(&actions), asked(&actions).len()), (vec![], 1), "aim {aim:?}");
+        let (mut sent, mut others) = (vec![], 0);
+        while sent.is_empty() && finals(&actions).is_empty() {
+            let actions = rig.sweep(1);
+            others += asked(&actions).iter().filter(|member| **member != PRIMARY).count();
+            sent.extend(sends(&actions));
+        }
+        assert_eq!((sent, others), (vec![(id, PRIMARY)], 1), "aim {aim:?}");
+    }
+}
+
 /// Guards a large fleet against a lost zone, where each driver would lose request after request at each of
 /// its hosts: after one attempt without any word the member is asked before it is used again.
 #[test]
