The pause after a failed call to discovery stays within the time in which a drain counts as told

Cause: net::discovery::pause drew up to 20 ms x gateways, doubled twice, at most 8 s, after any failure; at 300 gateways 6 s after the first. Its comment rested on 40 s. The protocol counts a change as told 6 s later unless a call is out that may wait, and what the agent has written as told at once, though the answer was cut on its way; the grace of StopSendingWithinMs (2 s) follows. So 8.1 s and the call are too long after a call that was turned away, and anything over 2 s after an answer that was lost.

Change: longest_pause(lost, grace): half the grace after an answer that was lost (1 s), 5 s after a call that was turned away, so that a second and the whole grace are left for the next call. The grace comes from the settings and follows them at SIGHUP. Load on an overbooked discovery of 300 gateways: about 120 calls a second at most, about 75 before. Test: a_drain_is_heard_in_time_however_the_last_call_failed, 0 to 3,000 gateways, fails with the old bound; the fleet that starts at once still gets through to a discovery of fixed capacity.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -19,26 +19,39 @@
 /// Pause before the next try after a call failed: within the 200 ms in which a watch continues.
 pub const RETRY: Micros = Micros::millis(100);
 /// Pause after a first failure at the longest, for each gateway: a hundred repeat 100 times a second together,
-/// then 50 and 25 times. Beyond 400 gateways the longest pause binds and they repeat more often.
+/// then 50 times. Beyond 250 gateways the longest pause binds and they repeat more often.
 const FLEET_GAP: Micros = Micros::millis(20);
-/// Doublings of the pause, and the longest: well within the 40 s after which a gateway that has failed to ask
-/// counts as told.
+/// Doublings of the pause.
 const DOUBLINGS: u64 = 2;
-const LONGEST: Micros = Micros::millis(8_000);
+/// What discovery has to tell counts as told after so long, heard or not, while no call is out that may wait.
+const TOLD_WITHIN: Micros = Micros::millis(6_000);
+/// Of that the part left for the call after the pause.
+const CALL_TIME: Micros = Micros::millis(1_000);
 /// Most bytes of an answer's head and of its body.
 const MAX_HEAD: usize = 16 * 1024;
 const MAX_BODY: usize = 4 * 1024 * 1024;
 
+/// The longest pause between two calls after which a drain is still heard in time. A call that was turned away
+/// brought nothing: a change counts as told [`TOLD_WITHIN`] later, and only then the grace begins. An answer that
+/// was lost may have told of a drain already: the next one has to come within the grace itself.
+pub fn longest_pause(lost: bool, drain_grace: Micros) -> Micros {
+    if lost {
+        drain_grace.scale(0.5)
+    } else {
+        TOLD_WITHIN - CALL_TIME
+    }
+}
+
 /// Pause before the next try after so many failures in a row of one among so many gateways; `draw` is an even
 /// draw between 0 and 1. Few repeat at once. Many would keep discovery overbooked for as long as they did:
-/// they draw from a range that grows with their number and doubles.
-pub fn pause(fails: u64, gateways: u32, draw: f64) -> Micros {
+/// they draw from a range that grows with their number and doubles, up to the longest pause.
+pub fn pause(fails: u64, gateways: u32, draw: f64, longest: Micros) -> Micros {
     let share = FLEET_GAP.scale(f64::from(gateways));
     if share <= RETRY {
         return RETRY;
     }
     let most = share.scale((1u64 << fails.saturating_sub(1).min(DOUBLINGS)) as f64);
-    RETRY + most.min(LONGEST).scale(draw)
+    RETRY + most.min(longest - RETRY).scale(draw)
 }
 
 /// A list, or a change to one, in discovery's form.
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -179,7 +179,7 @@
         let mut workers: Vec<Gateway> = (0..count)
             .map(|me| {
                 let site = config.site.clone();
-                let gateways = site.settings.drivers;
+                let watching = Watching::of(config.discovery, config.known.rev, &site.settings, config.seed);
                 let mut figures = Figures::default();
                 for class in &site.classes {
                     figures.class(class);
@@ -220,7 +220,7 @@
                     },
                     door: Door { listener: None, down: BTreeSet::new() },
                     line: Succession::default(),
-                    watching: Watching::of(config.discovery, config.known.rev, gateways, config.seed),
+                    watching,
                     phase: Phase::Serving,
                     log: log.new(o!("worker" => me)),
                 }
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -16,7 +16,7 @@
 use crate::net::discovery::{self, BadAnswer, Listing, Watch};
 use crate::pg::codec::Outbox;
 use crate::settings::Site;
-use crate::{Listed, Micros};
+use crate::{Listed, Micros, Settings};
 
 /// The watch on discovery: where it is, what is known, and the call that is out.
 pub(super) struct Watching {
@@ -28,19 +28,23 @@
     lost: u64,
     /// Number of gateways that call the same discovery.
     pub(super) gateways: u32,
+    /// Time after word of a drain in which the last requests may still go there.
+    pub(super) drain_grace: Micros,
     rng: Pcg64Mcg,
 }
 
 impl Watching {
     /// A watch at this address that goes on from a version.
-    pub(super) fn of(address: SocketAddr, rev: u64, gateways: u32, seed: u64) -> Self {
+    pub(super) fn of(address: SocketAddr, rev: u64, settings: &Settings, seed: u64) -> Self {
         let (watch, rng) = (Watch::from(Some(rev)), Pcg64Mcg::seed_from_u64(seed));
-        Watching { address, watch, calling: None, fails: 0, lost: 0, gateways, rng }
+        let (gateways, drain_grace) = (settings.drivers, settings.drain_grace);
+        Watching { address, watch, calling: None, fails: 0, lost: 0, gateways, drain_grace, rng }
     }
 
-    /// Time until the next call.
-    fn pause(&mut self) -> Micros {
-        discovery::pause(self.fails, self.gateways, unit(&mut self.rng))
+    /// Time until the next call; `lost`: the last one may have told something that was not heard.
+    fn pause(&mut self, lost: bool) -> Micros {
+        let longest = discovery::longest_pause(lost, self.drain_grace);
+        discovery::pause(self.fails, self.gateways, unit(&mut self.rng), longest)
     }
 }
 
@@ -60,7 +64,7 @@
                 self.watching.calling = Some(key);
                 self.set_timer(patience, Timer::Call(key));
             }
-            Err(e) => self.call_again(&e.to_string()),
+            Err(e) => self.call_again(&e.to_string(), true),
         }
     }
 
@@ -79,7 +83,7 @@
                 // It is there and knows what it has told. Whoever asks an overbooked one for the whole list
                 // only makes it worse.
                 self.end_call(key);
-                self.call_again(&format!("turned away: {status}"))
+                self.call_again(&format!("turned away: {status}"), false)
             }
             Err(bad) => self.discovery_failed(key, &format!("bad answer: {bad:?}")),
         }
@@ -92,17 +96,17 @@
         if self.watching.lost > 1 {
             self.watching.watch.restart();
         }
-        self.call_again(why);
+        self.call_again(why, true);
     }
 
     /// Another call follows after a pause.
-    fn call_again(&mut self, why: &str) {
+    fn call_again(&mut self, why: &str, lost: bool) {
         self.watching.fails += 1;
         // The first failure and every hundredth after it: one line in ten seconds at the most.
         if self.watching.fails % 100 == 1 {
             warn!(self.log, "discovery failed"; "why" => why, "in a row" => self.watching.fails);
         }
-        let pause = self.watching.pause();
+        let pause = self.watching.pause(lost);
         self.set_timer(pause, Timer::Discovery);
     }
 
@@ -147,7 +151,7 @@
             self.figures.class(class);
         }
         self.pool.keep_for(settings.connection_idle);
-        self.watching.gateways = settings.drivers;
+        (self.watching.gateways, self.watching.drain_grace) = (settings.drivers, settings.drain_grace);
         self.connect_timeout = site.connect_timeout.max(Micros::millis(10));
         self.balancer.retune(settings);
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -445,11 +445,33 @@
         }
         late + calls.len() as u64
     };
-    let fleet = |fails, draw| discovery::pause(fails, 100, draw).0 / 1_000;
+    let longest = discovery::longest_pause(false, dunemount::Micros::millis(2_000));
+    let fleet = |fails, draw| discovery::pause(fails, 100, draw, longest).0 / 1_000;
     assert_eq!(late(&fleet), 0);
     assert!(late(&|_, _| discovery::RETRY.0 / 1_000) > 20);
     for (gateways, draw) in [(0, 0.9), (1, 0.5), (3, 1.0)] {
-        assert_eq!(discovery::pause(9, gateways, draw), discovery::RETRY);
+        assert_eq!(discovery::pause(9, gateways, draw, longest), discovery::RETRY);
     }
-    assert!(discovery::pause(99, 1_000, 1.0) < dunemount::Micros::millis(10_000));
+}
+
+/// Guards drains of which discovery has told while a call failed: whatever the fleet's size, the call after the
+/// pause brings word within the grace, which begins at once where an answer was lost, and 6 s after the change
+/// where the call was turned away. A pause of up to 8 s after either was too long for both.
+#[test]
+fn a_drain_is_heard_in_time_however_the_last_call_failed() {
+    let second = dunemount::Micros::millis(1_000);
+    for gateways in [0, 1, 3, 10, 100, 300, 3_000] {
+        for fails in [1, 2, 3, 99] {
+            for grace in [second, second.scale(2.0)] {
+                let pause =
+                    |lost| discovery::pause(fails, gateways, 1.0, discovery::longest_pause(lost, grace));
+                // The call takes its time too: half of the grace, or a second beside it.
+                assert!(pause(true) <= grace.scale(0.5), "{gateways} gateways, {fails} failures");
+                assert!(pause(false) + second <= second.scale(6.0), "{gateways} gateways, {fails} failures");
+            }
+        }
+    }
+    // No grace at all is no reason to call without a pause.
+    let none = discovery::longest_pause(true, dunemount::Micros(0));
+    assert_eq!(discovery::pause(1, 300, 0.5, none), discovery::RETRY);
 }
