--- a/tests/router.rs
+++ b/tests/router.rs
@@ -1007,7 +1007,7 @@
 /// answered once; only one of many asks, and only where that is cheap.
 #[test]
 fn any_number_of_drivers_and_any_price_will_do() {
-    for drivers in [0, 1, 3, 100, 1_000] {
+    for drivers in [0, 1, 3, 100, 300, 1_000, 3_000] {
         for price in [0.0, 0.08, 40.0] {
             let prices = Settings { probe_price: price, handshake_price: price, ..settings() };
             let mut rig = Rig::new(Settings { drivers, cross_zone_price: price, ..prices });
