Reads that must be current pass the pause that late answers put on their primary

Cause: Member::has_room closes a member for latency x (1 / limit - 1). With 300 gateways a limit's floor is 0.027, so one late answer, mostly to some other read, closes the primary for 37 latencies, and a fresh read may go nowhere else.

Change: Router::takes looks past the pause for reads that must be current; the limit, the part kept for writes and the budget of a cold member hold for them as before. Up to four gateways no limit falls under 2 and nothing changes. Test: a_read_that_must_be_current_passes_the_pause_of_its_primary, fails without it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -115,8 +115,14 @@
     }
 
     fn has_room(&self, now: Micros, settings: &Settings, cost: f64, part: f64) -> bool {
+        now >= self.paused_until && self.has_place(now, settings, cost, part)
+    }
+
+    /// Whether it has room for a read that has no other place, pause or not: few are such, and a pause is for
+    /// the many that may go elsewhere or come again.
+    fn has_place(&self, now: Micros, settings: &Settings, cost: f64, part: f64) -> bool {
         let warmth = self.warmth(now, settings);
-        if now < self.paused_until || warmth < 1.0 && self.credit <= 0.0 {
+        if warmth < 1.0 && self.credit <= 0.0 {
             return false;
         }
         let busy = self.load + self.ghost;
@@ -470,7 +476,15 @@
     fn any_room(&self, now: Micros, group: GroupId, class: ClassId) -> bool {
         let (cost, Some(group)) = (self.cost(class), self.groups.get(&group)) else { return false };
         let mut members = group.members.iter().filter_map(|id| self.members.get(id));
-        group.members.len() > WINDOW || members.any(|m| m.has_room(now, &self.settings, cost, 1.0))
+        group.members.len() > WINDOW || members.any(|m| self.takes(now, class, m, cost, 1.0))
+    }
+
+    /// Whether a member that may be the primary has room for a request of this class.
+    fn takes(&self, now: Micros, class: ClassId, member: &Member, cost: f64, part: f64) -> bool {
+        match self.settings.classes[class.0].need {
+            Need::Fresh => member.has_place(now, &self.settings, cost, part),
+            _ => member.has_room(now, &self.settings, cost, part),
+        }
     }
 
     /// Where in a group one choice begins to look: anywhere, if there are more members than it looks at.
@@ -556,7 +570,8 @@
         // Where replicas check, those that should have caught up come before the primary. Where they do not,
         // one of them is asked first: a driver among many meets each too seldom to know.
         let caught_up = |id, m: &Member| now - m.lag > needed && candidate(id, m);
-        let reads = |id: &MemberId| self.members[id].has_room(now, &self.settings, cost, PRIMARY_READ_PART);
+        let reads =
+            |id: &MemberId| self.takes(now, open.req.class, &self.members[id], cost, PRIMARY_READ_PART);
         let primary = primary.filter(reads);
         let at_ease = |m: &Member| m.stretch < PRIMARY_EASE && !m.silent;
         let at_ease = primary.is_some_and(|id| at_ease(&self.members[&id]));
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -686,6 +686,27 @@
     }
 }
 
+/// Guards reads that must be current: the primary is their only place, and one of many keeps it closed for tens of
+/// latencies after one late answer. Reads that may go elsewhere wait; these do not.
+#[test]
+fn a_read_that_must_be_current_passes_the_pause_of_its_primary() {
+    let mut settings = one_of(300);
+    settings.classes.push(class(Need::Fresh, Effect::Safe, 0.0));
+    let fresh = ClassId(settings.classes.len() - 1);
+    let mut rig = Rig::new(settings);
+    rig.list(ListKind::Full, vec![entry(PRIMARY, Listed::Ready, Micros(0))]);
+    let (late, actions) = rig.request(BOUNDED, 1);
+    assert_eq!(sends(&actions), [(late, PRIMARY)]);
+    rig.now = rig.now + Micros::millis(190);
+    rig.event(Event::Gone(late));
+    rig.end(late, 0, PRIMARY, Status::Cancelled, None);
+    assert_eq!(sends(&rig.request(BOUNDED, 1).1), []);
+    let (current, actions) = rig.request(fresh, 1);
+    assert_eq!(sends(&actions), [(current, PRIMARY)]);
+    // While one is out there the limit counts as ever.
+    assert_eq!(sends(&rig.request(fresh, 1).1), []);
+}
+
 // ---- Members, connections and lists that mislead ----
 
 /// One reset ejected a member until a probe; where answers were lost everywhere nobody was left.
