--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,11 +37,13 @@
 const MEMBER_GAIN: f64 = 0.1;
 /// Part of the aim that a limit steers the mean latency to: few answers come after it.
 const LIMIT_AIM: f64 = 0.25;
-/// Most of its aim that a request may spend waiting for room. Its client comes again by itself, sooner than
-/// a queue would get to it, and what waits keeps the primary closed to reads.
-const PATIENCE: f64 = 0.05;
-/// Step of a concurrency limit for each answer: tens of answers move it by a request's worth.
-const LIMIT_STEP: f64 = 0.1;
+/// Most of its aim that a request may spend waiting for room: its client comes again by itself, sooner than
+/// a queue would get to it.
+const PATIENCE: f64 = 0.03;
+/// Step of a concurrency limit for each answer: some answers move it by a request's worth.
+const LIMIT_STEP: f64 = 0.3;
+/// Most that it may be for one of many drivers: an answer more or less moves a limit by a request's worth.
+const LONGEST_STEP: f64 = 0.85;
 /// A latency counts for at most this many aims, as does a full queue: a few requests that cost many times the
 /// usual work do not speak for all.
 const MISSED: f64 = 1.0;
@@ -56,8 +58,9 @@
 const SCAN: u32 = 4;
 /// Load under which a member counts as idle and may take a request of any size.
 const SPENT: f64 = 0.1;
-/// Part of the primary's limit open to reads; the rest is for writes, which have no other place.
-const PRIMARY_READ_PART: f64 = 0.9;
+/// Part of the primary's limit open to reads that must be current, beyond the whole for others: they have no
+/// other place, are few, and would be the class that is served worst.
+const CURRENT_PART: f64 = 1.4;
 /// Time in which the memory of failures halves, so that a member gets another chance.
 const FAIL_HALF_LIFE: Micros = Micros::millis(3000);
 /// Least draw weight of a failing member: the trickle that shows its return.
@@ -116,8 +119,8 @@
         settings.cold_from + (1.0 - settings.cold_from) * age / cold_time
     }
 
-    fn has_room(&self, now: Micros, settings: &Settings, cost: f64, part: f64) -> bool {
-        now >= self.paused_until && self.has_place(now, settings, cost, part)
+    fn has_room(&self, now: Micros, settings: &Settings, cost: f64) -> bool {
+        now >= self.paused_until && self.has_place(now, settings, cost, 1.0)
     }
 
     /// Whether it has room for a read that has no other place, pause or not: few are such, and a pause is for
@@ -419,10 +422,8 @@
         };
         let mut queue: Vec<_> = self.book.classes(group).into_iter().map(ranked).collect();
         queue.sort_by(|(a_write, a, _), (b_write, b, _)| b_write.cmp(a_write).then(b.total_cmp(a)));
-        let mut writes_wait = false;
-        for (write, _, class) in queue {
+        for (_, _, class) in queue {
             if !self.any_room(now, group, class) {
-                writes_wait |= write;
                 continue;
             }
             // The newest first: in an overload it is the one that can still be in time, while the oldest
@@ -434,11 +435,10 @@
                 let Some((last, _)) = newest.last() else { break };
                 before = *last;
                 for (_, id) in newest {
-                    if let Some(member) = self.choose(now, id, writes_wait, actions) {
+                    if let Some(member) = self.choose(now, id, actions) {
                         self.send(now, id, member, actions);
                     } else {
                         failed += 1;
-                        writes_wait |= write;
                     }
                 }
             }
@@ -451,14 +451,14 @@
     fn any_room(&self, now: Micros, group: GroupId, class: ClassId) -> bool {
         let (cost, Some(group)) = (self.cost(class), self.groups.get(&group)) else { return false };
         let mut members = group.members.iter().filter_map(|id| self.members.get(id));
-        group.members.len() > WINDOW || members.any(|m| self.takes(now, class, m, cost, 1.0))
+        group.members.len() > WINDOW || members.any(|m| self.takes(now, class, m, cost))
     }
 
     /// Whether a member that may be the primary has room for a request of this class.
-    fn takes(&self, now: Micros, class: ClassId, member: &Member, cost: f64, part: f64) -> bool {
+    fn takes(&self, now: Micros, class: ClassId, member: &Member, cost: f64) -> bool {
         match self.settings.classes[class.0].need {
-            Need::Fresh => member.has_place(now, &self.settings, cost, part),
-            _ => member.has_room(now, &self.settings, cost, part),
+            Need::Fresh => member.has_place(now, &self.settings, cost, CURRENT_PART),
+            _ => member.has_room(now, &self.settings, cost),
         }
     }
 
@@ -510,15 +510,8 @@
         }
     }
 
-    /// The member for a waiting request, if one can take it now. While writes wait, the primary is
-    /// closed to reads.
-    fn choose(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        writes_wait: bool,
-        actions: &mut Actions,
-    ) -> Option<MemberId> {
+    /// The member for a waiting request, if one can take it now.
+    fn choose(&mut self, now: Micros, id: RequestId, actions: &mut Actions) -> Option<MemberId> {
         let group = self.open.get(&id).filter(|open| self.may_send(now, open))?.req.group;
         let turn = self.turn(group);
         let open = self.open.get(&id)?;
@@ -534,19 +527,18 @@
         let pin_holds = class.need == Need::Session && pinned && primary.is_some();
         let candidate = |id: MemberId, m: &Member| {
             let out = open.avoid.contains(&id) || open.out.iter().any(|(_, tried)| *tried == id);
-            Some(id) != primary && !pin_holds && !out && m.has_room(now, &self.settings, cost, 1.0)
+            Some(id) != primary && !pin_holds && !out && m.has_room(now, &self.settings, cost)
         };
         let unsure = |m: &Member| m.silent && self.may_ask();
         let covers =
             |id, m: &Member| m.position.unwrap_or_default() >= needed && !unsure(m) && candidate(id, m);
-        let primary = primary.filter(|id| !writes_wait && !open.avoid.contains(id));
+        let primary = primary.filter(|id| !open.avoid.contains(id));
         self.weigh(now, turn, covers, &mut drawn);
         let mut found = draw(&mut self.rng, &drawn);
         // Where replicas check, those that should have caught up come before the primary. Where they do not,
         // one of them is asked first: a driver among many meets each too seldom to know.
         let caught_up = |id, m: &Member| now - m.lag > needed && candidate(id, m);
-        let reads =
-            |id: &MemberId| self.takes(now, open.req.class, &self.members[id], cost, PRIMARY_READ_PART);
+        let reads = |id: &MemberId| self.takes(now, open.req.class, &self.members[id], cost);
         let primary = primary.filter(reads);
         let at_ease = |m: &Member| m.stretch < PRIMARY_EASE && !m.silent;
         let at_ease = primary.is_some_and(|id| at_ease(&self.members[&id]));
@@ -592,7 +584,7 @@
     /// Where a write goes: the primary, or while none is known the most advanced of the members that
     /// have not just said that they are replicas. Answers to reads tell of a new primary too.
     fn choose_writer(&self, now: Micros, open: &Open, cost: f64, turn: Turn) -> Option<MemberId> {
-        let fits = |m: &Member| m.has_room(now, &self.settings, cost, 1.0);
+        let fits = |m: &Member| m.has_room(now, &self.settings, cost);
         if let Some(primary) = self.primary(open.req.group) {
             return Some(primary).filter(|id| fits(&self.members[id]));
         }
@@ -615,7 +607,7 @@
             let linked = now - member.used_at < self.settings.connection_idle;
             let distance = if linked { distance } else { distance * new };
             let busy = 1.0 + (member.load + member.ghost) / member.weight;
-            member.weight / distance / (busy * busy)
+            member.weight / distance / busy.powi(4)
         };
         drawn.clear();
         let fitting = self.candidates(turn).filter(|(id, m)| fits(*id, m));
@@ -739,11 +731,12 @@
         member.silent |= silent && dropped.is_none() && now - member.heard_at >= o.latency;
         if let Some(used) = used {
             // Of many drivers each sees few answers, and the noise of their steps evens out: they are longer.
-            let step = LIMIT_STEP / self.limit_share.sqrt() * (1.0 - used.min(MISSED) / LIMIT_AIM);
+            let step = (LIMIT_STEP / self.limit_share.sqrt()).min(LONGEST_STEP);
+            let step = step * (1.0 - used.min(MISSED) / LIMIT_AIM);
             let step = step * attempt.cost.min(member.limit.max(1.0));
             if step < 0.0 || attempt.load * 2.0 > member.limit {
-                member.limit =
-                    (member.limit + step).max(LIMIT_FLOOR / f64::from(self.settings.drivers.max(1)));
+                let floor = LIMIT_FLOOR / f64::from(self.settings.drivers.max(1));
+                member.limit = (member.limit + step).max(floor);
             }
             member.paused_until = now + o.latency.scale(1.0 / member.limit - 1.0);
         }
@@ -751,6 +744,8 @@
             Status::Ok => member.fail -= member.fail * MEMBER_GAIN,
             // It has done the work and sent something: neither down nor idle.
             Status::Spoilt => member.fail += (1.0 - member.fail) * MEMBER_GAIN,
+            // What it has begun may go on there, for about as long as a request takes.
+            Status::Timeout | Status::Cancelled => member.ghost += attempt.cost,
             // A member that fails or turns away at once must not look lightly loaded and draw all
             // traffic; one that failed by chance is spared for no longer than a request takes.
             Status::Error | Status::Full | Status::ConnectFailed | Status::Reset => {
@@ -855,7 +850,7 @@
         if open.out.iter().any(|(_, m)| usable(m)) {
             return;
         }
-        if let Some(to) = self.choose(now, id, false, actions) {
+        if let Some(to) = self.choose(now, id, actions) {
             self.send(now, id, to, actions);
         }
     }
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -123,8 +123,8 @@
         let mut batches = vec![first];
         for round in 0..8 {
             let (id, at) = (format!("{round:x}"), 51_000.0 + 2000.0 * f64::from(round));
-            batches.push(json!({"MomentMs": at, "news": [{"Req": {"Who": 3, "Id": id, "Priority": "look",
-                "Cluster": 4, "TimeLeftMs": 800.0}}]}));
+            batches.push(json!({"MomentMs": at, "news": [{"Elapsed": {"Who": 3, "Nonce": 0}},
+                {"Req": {"Who": 3, "Id": id, "Priority": "look", "Cluster": 4, "TimeLeftMs": 800.0}}]}));
             batches.push(json!({"MomentMs": at + 200.0, "news": [{"Outcome": {"Who": 3, "Id": id, "Copy": 0,
                 "Member": 71, "Disposition": "called_off", "SpentMs": 200.0, "Terminal": true}}]}));
         }
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -408,6 +408,41 @@
     assert!(of_five <= 1.0, "one of five holds {of_five} at a member");
 }
 
+/// Guards members that go on with what was called off: each such request takes room there for about as long as one
+/// takes, and no longer.
+#[test]
+fn what_was_called_off_takes_room_until_it_is_done() {
+    let mut settings = one_of(1);
+    settings.classes = vec![class(Need::Any, Effect::Safe, 0.0)];
+    let mut rig = Rig::new(settings);
+    rig.list(ListKind::Full, vec![entry(NEAR, Listed::Ready, Micros(0))]);
+    let fill = |rig: &mut Rig| {
+        let mut out = Vec::new();
+        loop {
+            let (id, actions) = rig.request(ClassId(0), 1);
+            if sends(&actions).is_empty() {
+                return out;
+            }
+            out.push(id);
+        }
+    };
+    let out = fill(&mut rig);
+    let room = out.len();
+    for id in out {
+        rig.event(Event::Gone(id));
+        rig.end(id, 0, NEAR, Status::Cancelled, None);
+    }
+    let at_once = fill(&mut rig);
+    assert!(at_once.len() * 2 < room, "{} at once where {room} were called off", at_once.len());
+    for id in at_once {
+        rig.end(id, 0, NEAR, Status::Ok, None);
+    }
+    for _ in 0..40 {
+        rig.sweep(50);
+    }
+    assert!(fill(&mut rig).len() >= 4);
+}
+
 /// Guards the limits against a few requests that cost many times the usual work: the others are in time.
 #[test]
 fn a_few_heavy_requests_do_not_shut_the_rest_out() {
@@ -779,6 +814,8 @@
     rig.now = rig.now + Micros::millis(190);
     rig.event(Event::Gone(late));
     rig.end(late, 0, PRIMARY, Status::Cancelled, None);
+    // What it may still be at work on is over, the pause is not.
+    rig.sweep(300);
     assert_eq!(sends(&rig.request(BOUNDED, 1).1), []);
     let (current, actions) = rig.request(fresh, 1);
     assert_eq!(sends(&actions), [(current, PRIMARY)]);
@@ -786,6 +823,24 @@
     assert_eq!(sends(&rig.request(fresh, 1).1), []);
 }
 
+/// Guards the class that would be served worst: a primary that is full for reads that may go elsewhere, or come
+/// again when a replica has caught up, still takes some that must be current, and not without end.
+#[test]
+fn a_full_primary_takes_some_reads_that_must_be_current() {
+    let mut settings = settings();
+    settings.classes.push(class(Need::Fresh, Effect::Safe, 0.0));
+    let fresh = ClassId(settings.classes.len() - 1);
+    let mut rig = Rig::new(settings);
+    rig.list(ListKind::Full, vec![entry(PRIMARY, Listed::Ready, Micros(0))]);
+    let count = |rig: &mut Rig, class| {
+        let sent = |rig: &mut Rig| !sends(&rig.request(class, 1).1).is_empty();
+        (0..100).take_while(|_| sent(rig)).count()
+    };
+    let (others, current) = (count(&mut rig, BOUNDED), count(&mut rig, fresh));
+    assert!((1..=others).contains(&current), "{current} beside {others}");
+    assert_eq!(count(&mut rig, SESSION), 0);
+}
+
 // ---- Members, connections and lists that mislead ----
 
 /// One reset ejected a member until a probe; where answers were lost everywhere nobody was left.
