The floor of limits over all gateways is six and a half requests

A floor of 5/3 each admits one request of a gateway at a member, three on five cores: the limits' mean, 0.25 of the aim, is out of reach while everything is slow, so all stand at the floor.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -51,7 +51,7 @@
 const LIMIT_START: f64 = 8.0;
 /// Least concurrency limit over all drivers: enough to keep a member's cores at work, whatever makes all
 /// answers slow, and to go on learning from them.
-const LIMIT_FLOOR: f64 = 5.0;
+const LIMIT_FLOOR: f64 = 6.5;
 /// Drivers up to which each may start with the whole limit; more share what so many have.
 const FULL_LIMITS: f64 = 4.0;
 /// Requests of a class that may fail to find room before the rest of it waits for the next pass.
