--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,9 +37,14 @@
 const MEMBER_GAIN: f64 = 0.1;
 /// Part of the aim that a limit steers the mean latency to: few answers come after it.
 const LIMIT_AIM: f64 = 0.25;
-/// Most of its aim that a request may spend waiting for room: its client comes again by itself, sooner than
-/// a queue would get to it.
-const PATIENCE: f64 = 0.03;
+/// Most of its aim that a request may spend waiting for room while its family finds room for all...
+const PATIENCE: f64 = 0.3;
+/// ...and once it refuses this part of them or more: who waits then is late, and its client comes again by
+/// itself sooner than a queue would get to it. Evenly less in between.
+const CROWDED: f64 = 0.5;
+const CROWDED_PATIENCE: f64 = 0.03;
+/// Weight of a new request in that part: about the last fifty count.
+const CROWD_GAIN: f64 = 0.02;
 /// Step of a concurrency limit for each answer: some answers move it by a request's worth.
 const LIMIT_STEP: f64 = 0.3;
 /// Most that it may be for one of many drivers: an answer more or less moves a limit by a request's worth.
@@ -403,7 +408,9 @@
         if class.need == Need::Write && open.unproven {
             return open.give_up;
         }
-        let part = if class.need != Need::Write && self.may_ask() { ASK_PATIENCE } else { PATIENCE };
+        let crowd = self.groups.get(&open.req.group).map_or(0.0, |group| group.crowd / CROWDED).min(1.0);
+        let asks = if class.need != Need::Write && self.may_ask() { ASK_PATIENCE } else { 0.0 };
+        let part = asks.max(PATIENCE + (CROWDED_PATIENCE - PATIENCE) * crowd);
         open.give_up.min(open.arrived + class.aim.scale(part))
     }
 
@@ -624,6 +631,9 @@
         if let Some(spot) = open.spot.take() {
             self.book.leave(spot);
         }
+        if open.attempts == 0 {
+            self.groups.entry(open.req.group).and_modify(|group| group.crowd -= group.crowd * CROWD_GAIN);
+        }
         let attempt = AttemptNo(open.attempts);
         open.attempts += 1;
         open.out.push((attempt, to));
@@ -784,6 +794,10 @@
     /// Ends a request unserved, at once: refused where that is proved harmless, else failed.
     fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
         let Some(open) = self.open.get(&id) else { return };
+        if open.attempts == 0 {
+            let crowded = |group: &mut Group| group.crowd += (1.0 - group.crowd) * CROWD_GAIN;
+            self.groups.entry(open.req.group).and_modify(crowded);
+        }
         let effect = self.settings.classes[open.req.class.0].effect;
         let harmless = matches!(effect, Effect::Safe | Effect::Keyed { scope: RepeatScope::All, .. });
         if harmless || open.unrun() {
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -93,6 +93,9 @@
     pub leader: Option<MemberId>,
     #[serde(skip)]
     pub surveyed: Micros,
+    /// Running share of requests that were given up before anybody was sent them.
+    #[serde(skip)]
+    pub crowd: f64,
 }
 
 /// A request that awaits its final answer.
