Settings that no deployment can have are refused by place; drains, take-overs and slow members tested

Tests: 13 faults, each refused with line and cause; a drain or removal told while a connection to the host is coming up (fails where `still_holds` is taken for granted); a list that names the old primary for 4 s; one slow member loses its part of the reads (under a quarter) where two keep theirs. The step of a write itself cannot be told apart from outside: a statement is handed to the system in the turn in which it was checked.

--- a/crates/rig/tests/deployments.rs
+++ b/crates/rig/tests/deployments.rs
@@ -5,6 +5,7 @@
 use dunemount::*;
 use dunemount_rig::deployment::{Deployment, Dice};
 use dunemount_rig::world::{Counts, Trouble, World};
+use serde_json::{json, Value};
 
 fn settings(deployment: &Deployment) -> Settings {
     let taken = InForce::default().take(deployment.config.to_string(), &mut Zones::default());
@@ -66,6 +67,40 @@
     assert!(all.served > 80_000 && all.in_time > 60_000 && all.offloaded > 30_000, "{all:?}");
 }
 
+/// Guards the start: what no deployment can have is refused with the place and the cause, and nothing panics on it.
+#[test]
+fn what_no_deployment_can_have_is_refused_by_place_and_cause() {
+    let faults = [
+        ("/settings/Balancers", json!(0), "Balancers: not positive"),
+        ("/settings/Balancers", json!(-1), "invalid value"),
+        ("/settings/Classes", json!([]), "Classes: empty"),
+        ("/settings/Classes/0/AimMs", json!(0.0), "AimMs: not positive"),
+        ("/settings/Classes/0/DeadlineMs", json!(-5.0), "DeadlineMs: not positive"),
+        ("/settings/Classes/0/Value", json!(-1.0), "Value: negative"),
+        ("/settings/Classes/0/LateWorth", json!(1.5), "LateWorth: not within 0 to 1"),
+        ("/settings/Classes/0/Effect", json!("perhaps"), "unknown variant"),
+        ("/settings/Specifics/NeedsByClass", json!([]), "NeedsByClass: not one for each of Classes"),
+        ("/settings/Specifics/ServerChecks", json!("maybe"), "unknown variant"),
+        ("/settings/Permissions/SendCap", json!(0), "SendCap: not positive"),
+        ("/settings/Safety/ColdFrom", json!(1.5), "Safety.ColdFrom: not within 0 to 1"),
+        ("/settings/Safety/TipMultiple", json!(0.0), "Safety.TipMultiple: not positive"),
+    ];
+    // A draw whose first class has a late worth.
+    let drawn = |seed| Deployment::draw(seed).config;
+    let whole = |config: &Value| config.pointer("/settings/Classes/0/LateWorth").is_some();
+    let config = (0..100).map(drawn).find(whole).expect("such a draw");
+    for (place, value, cause) in faults {
+        let mut config = config.clone();
+        *config.pointer_mut(place).unwrap_or_else(|| panic!("{place} is there")) = value;
+        let text = serde_json::to_string_pretty(&config).expect("text");
+        let fault = InForce::default().take(text, &mut Zones::default()).err();
+        let fault = fault.unwrap_or_else(|| panic!("{place} was taken")).of("drawn");
+        assert!(fault.contains(cause), "{place}: {fault}");
+        let rest = fault.strip_prefix("drawn:").unwrap_or_default();
+        assert!(rest.starts_with(|c: char| c.is_ascii_digit()), "{place}: no line in {fault}");
+    }
+}
+
 /// The audit finds each broken rule: routers are told settings that are not the deployment's.
 #[test]
 fn the_audit_finds_each_broken_rule() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -214,6 +214,16 @@
         if self.permissions.send_cap == 0 {
             return Err("SendCap: not positive".into());
         }
+        if self.balancers == 0 {
+            return Err("Balancers: not positive".into());
+        }
+        if !(0.0..=1.0).contains(&self.safety.cold_from) {
+            return Err("Safety.ColdFrom: not within 0 to 1".into());
+        }
+        // At nothing a cold member would never be sent what warms it.
+        if self.safety.tip_multiple <= 0.0 {
+            return Err("Safety.TipMultiple: not positive".into());
+        }
         let mut classes = Vec::new();
         for (index, class) in self.classes.iter().enumerate() {
             let need = &needs[index];
@@ -222,6 +232,12 @@
                     return Err(format!("{}: {key}: not positive", class.name));
                 }
             }
+            if class.value < 0.0 {
+                return Err(format!("{}: Value: negative", class.name));
+            }
+            if !(0.0..=1.0).contains(&class.late_worth) {
+                return Err(format!("{}: LateWorth: not within 0 to 1", class.name));
+            }
             if self.classes[..index].iter().any(|other| other.name == class.name) {
                 return Err(format!("{}: named twice", class.name));
             }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -386,6 +386,36 @@
     rig.end();
 }
 
+/// Guards a drain whose word comes while a connection to that host is coming up: the request that waits for it is
+/// never written there, and its client hears of it.
+#[test]
+fn nothing_is_written_on_a_connection_that_comes_up_after_the_word_of_a_drain() {
+    for state in ["Terminating", "Gone"] {
+        let rig = Rig::start(200);
+        rig.mood.mute.store(true, Ordering::SeqCst);
+        let mut client = rig.client();
+        client.ask(&write("k").replace("d=30000", "d=2000"));
+        assert_eq!(rig.heard.recv().expect("a dial"), "dialled");
+        let (mut call, _) = rig.discovery.accept().expect("a call");
+        assert!(call.read(&mut [0; 1024]).expect("a request") > 0);
+        let mut list: Value =
+            serde_json::from_str::<Value>(&rig.text).expect("a configuration")["known"].take();
+        list["rev"] = json!(9);
+        for target in list["targets"].as_array_mut().expect("hosts") {
+            target["state"] = json!(state);
+        }
+        list["all"] = json!(false);
+        let body = list.to_string();
+        write!(call, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).expect("written");
+        // The next call shows that the list was taken.
+        let (_watch, _) = rig.discovery.accept().expect("the next call");
+        rig.mood.mute.store(false, Ordering::SeqCst);
+        assert!(matches!(client.code().as_str(), "53300" | "57P03"), "refused: nothing was sent");
+        assert!(rig.heard.try_iter().all(|said| said == "dialled"), "a statement was written");
+        rig.end();
+    }
+}
+
 /// Guards hosts in an overload: a read is told to be wanted until its aim, after which nobody waits for it,
 /// and not until its client's deadline, so that the host need not run what comes too late.
 #[test]
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -92,9 +92,16 @@
         inbox.push(&bytes[..count]);
     }
     if mood.mute.load(Ordering::SeqCst) {
-        // Until the gateway gives it up.
-        let _ = socket.read(&mut bytes);
-        return;
+        let _ = heard.send("dialled".to_string());
+        // Until the test lets it speak, or the gateway gives it up.
+        socket.set_nonblocking(true).expect("a socket");
+        while mood.mute.load(Ordering::SeqCst) {
+            if socket.peek(&mut bytes).is_ok_and(|count| count == 0) {
+                return;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(1));
+        }
+        socket.set_nonblocking(false).expect("a socket");
     }
     let mut out = Vec::new();
     codec::frame(&mut out, b'R', &[0; 4]);
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -847,6 +847,60 @@
 
 // ---- Members, connections and lists that mislead ----
 
+/// Guards writes after a take-over: the list goes on naming the old primary for seconds, and its word counts for
+/// nothing against what the members themselves have said since.
+#[test]
+fn a_list_that_names_the_old_primary_changes_nothing() {
+    let mut rig = Rig::new(settings());
+    let (id, _) = rig.request(ANY, 1);
+    let lead = Report { position: Some(rig.now), role: Some(Role::Primary) };
+    rig.event(Event::Gone(id));
+    rig.event(Event::Probed { member: NEAR, status: Status::Ok, report: lead });
+    for second in 1..=4 {
+        rig.sweep(1_000);
+        let old = [PRIMARY, NEAR, FAR].map(|m| entry(m, Listed::Ready, Micros(0)));
+        rig.list(if second % 2 == 0 { ListKind::Full } else { ListKind::Changes }, old.to_vec());
+        let (id, actions) = rig.request(WRITE, 7);
+        assert_eq!(sends(&actions), [(id, NEAR)], "{second} s after the take-over");
+        rig.end(id, 0, NEAR, Status::Miss, None);
+        let lead = Report { position: Some(rig.now), role: Some(Role::Primary) };
+        rig.event(Event::Probed { member: NEAR, status: Status::Ok, report: lead });
+    }
+}
+
+/// Guards what tells one slow member from all: where one takes ten times as long it gets a small part of the
+/// reads, where both do they share them as before.
+#[test]
+fn one_slow_member_loses_its_part_and_all_slow_ones_keep_theirs() {
+    let part_of_near = |slow: &[MemberId]| {
+        let mut rig = Rig::new(settings());
+        let mut counts = BTreeMap::new();
+        for round in 0..600u64 {
+            rig.sweep(10);
+            let (request, actions) = rig.request(ANY, 1);
+            let Some((_, member)) = sends(&actions).first().copied() else { continue };
+            let latency = Micros::millis(if slow.contains(&member) { 100 } else { 10 });
+            *counts.entry(member).or_insert(0) += u32::from(round >= 100);
+            rig.event(Event::Outcome(Outcome {
+                request,
+                attempt: AttemptNo(0),
+                member,
+                status: Status::Ok,
+                latency,
+                finished: true,
+                role: Some(Role::Replica),
+                position: None,
+                report: Report::default(),
+            }));
+        }
+        let total: u32 = counts.values().sum();
+        f64::from(counts.get(&NEAR).copied().unwrap_or(0)) / f64::from(total)
+    };
+    let (one, both) = (part_of_near(&[NEAR]), part_of_near(&[NEAR, FAR]));
+    assert!(one < 0.25, "a slow member gets {one}");
+    assert!((0.35..=0.65).contains(&both), "one of two slow members gets {both}");
+}
+
 /// One reset ejected a member until a probe; where answers were lost everywhere nobody was left.
 #[test]
 fn two_broken_connections_eject_and_one_does_not() {
