Writes give way where replicas of their family are behind

At fault: one limit for writes whatever their replicas do (`choose_writer`). Now 1.25 of the primary's limit while all replicas keep up with the tightest bound, down to 0.85 while all are behind. `admits` and `avoids` are bookkeeping.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -66,6 +66,12 @@
 /// Part of the primary's limit open to reads that must be current, beyond the whole for others: they have no
 /// other place, are few, and would be the class that is served worst.
 const CURRENT_PART: f64 = 1.4;
+/// Part open to writes while all replicas of the family keep up, and while all are behind: each write that is
+/// taken is applied by all of them, and who is behind serves few reads until caught up.
+const WRITE_PART: f64 = 1.25;
+const BEHIND_WRITE_PART: f64 = 0.85;
+/// How far behind that is where no class names a bound.
+const BEHIND: Micros = Micros::millis(500);
 /// Time in which the memory of failures halves, so that a member gets another chance.
 const FAIL_HALF_LIFE: Micros = Micros::millis(3000);
 /// Least draw weight of a failing member: the trickle that shows its return.
@@ -124,8 +130,8 @@
         settings.cold_from + (1.0 - settings.cold_from) * age / cold_time
     }
 
-    fn has_room(&self, now: Micros, settings: &Settings, cost: f64) -> bool {
-        now >= self.paused_until && self.has_place(now, settings, cost, 1.0)
+    fn has_room(&self, now: Micros, settings: &Settings, cost: f64, part: f64) -> bool {
+        now >= self.paused_until && self.has_place(now, settings, cost, part)
     }
 
     /// Whether it has room for a read that has no other place, pause or not: few are such, and a pause is for
@@ -323,16 +329,6 @@
         self.wake_by(now, actions);
     }
 
-    /// Whether a member may be sent anything new.
-    pub fn admits(&self, id: MemberId) -> bool {
-        self.members.get(&id).is_some_and(Member::listed)
-    }
-
-    /// Whether a member is left out, by hand or by choice.
-    pub fn avoids(&self, id: MemberId) -> bool {
-        self.barred.contains(&id) || self.members.get(&id).is_some_and(|m| m.ejected.is_some())
-    }
-
     /// Takes in what a member said. A position stays valid for ever; the latest word on the role wins.
     fn learn(&mut self, now: Micros, id: MemberId, role: Option<Role>, at: Micros, position: Option<Micros>) {
         let Some(member) = self.members.get_mut(&id) else { return };
@@ -465,7 +461,8 @@
     fn takes(&self, now: Micros, class: ClassId, member: &Member, cost: f64) -> bool {
         match self.settings.classes[class.0].need {
             Need::Fresh => member.has_place(now, &self.settings, cost, CURRENT_PART),
-            _ => member.has_room(now, &self.settings, cost),
+            Need::Write => member.has_room(now, &self.settings, cost, WRITE_PART),
+            _ => member.has_room(now, &self.settings, cost, 1.0),
         }
     }
 
@@ -534,7 +531,7 @@
         let pin_holds = class.need == Need::Session && pinned && primary.is_some();
         let candidate = |id: MemberId, m: &Member| {
             let out = open.avoid.contains(&id) || open.out.iter().any(|(_, tried)| *tried == id);
-            Some(id) != primary && !pin_holds && !out && m.has_room(now, &self.settings, cost)
+            Some(id) != primary && !pin_holds && !out && m.has_room(now, &self.settings, cost, 1.0)
         };
         let unsure = |m: &Member| m.silent && self.may_ask();
         let covers =
@@ -591,7 +588,8 @@
     /// Where a write goes: the primary, or while none is known the most advanced of the members that
     /// have not just said that they are replicas. Answers to reads tell of a new primary too.
     fn choose_writer(&self, now: Micros, open: &Open, cost: f64, turn: Turn) -> Option<MemberId> {
-        let fits = |m: &Member| m.has_room(now, &self.settings, cost);
+        let part = self.write_part(turn);
+        let fits = |m: &Member| m.has_room(now, &self.settings, cost, part);
         if let Some(primary) = self.primary(open.req.group) {
             return Some(primary).filter(|id| fits(&self.members[id]));
         }
@@ -603,6 +601,17 @@
         unsure.max_by_key(|(id, m)| (m.position, *id)).map(|(id, _)| id)
     }
 
+    /// Part of the primary's limit open to writes: the less, the more replicas are behind a bound.
+    fn write_part(&self, turn: Turn) -> f64 {
+        let bound = |class: &Class| if let Need::Bounded(bound) = class.need { Some(bound) } else { None };
+        let bound = self.settings.classes.iter().filter_map(bound).min().unwrap_or(BEHIND);
+        let replicas = self.candidates(turn).filter(|(_, m)| m.role == Role::Replica);
+        let count = |(all, late), (_, m): (_, &Member)| (all + 1, late + u32::from(m.lag > bound));
+        let (all, late) = replicas.fold((0, 0), count);
+        let part = f64::from(late) / f64::from(all.max(1));
+        WRITE_PART + (BEHIND_WRITE_PART - WRITE_PART) * part
+    }
+
     /// The weights of a group's fitting members in a draw: periodic weight, nearness, and against the load
     /// in flight. A driver keeps to replicas that it has connections to: new ones take time and work, and
     /// are capped.
--- a/src/balance/upkeep.rs
+++ b/src/balance/upkeep.rs
@@ -41,6 +41,16 @@
         }
     }
 
+    /// Whether a member may be sent anything new.
+    pub fn admits(&self, id: MemberId) -> bool {
+        self.members.get(&id).is_some_and(Member::listed)
+    }
+
+    /// Whether a member is left out, by hand or by choice.
+    pub fn avoids(&self, id: MemberId) -> bool {
+        self.barred.contains(&id) || self.members.get(&id).is_some_and(|m| m.ejected.is_some())
+    }
+
     /// Counts the group's live members and finds its leader anew: after a list, a claim, or one that is void.
     pub(super) fn recount(&mut self, group: GroupId) {
         let Some(group) = self.groups.get_mut(&group) else { return };
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -330,6 +330,7 @@
         rig.probed(FAR, lagging);
         // Filled with writes: their answers are owed longer than those of reads.
         while !sends(&rig.request(WRITE, 100).1).is_empty() {}
+        while !sends(&rig.request(BOUNDED, 100).1).is_empty() {}
         let held = |rig: &mut Rig| {
             let (last, _) = rig.request(class, 100);
             let refused = |a: &Action| matches!(a, Action::Refuse { request, retry_after: Some(_) } if *request == last);
@@ -827,6 +828,25 @@
     assert_eq!(sends(&rig.request(fresh, 1).1), []);
 }
 
+/// Guards replicas that fall behind: each write is applied by all of them, so the primary takes fewer while they
+/// have not caught up, and never none.
+#[test]
+fn writes_give_way_where_replicas_are_behind() {
+    let taken = |behind: &[MemberId]| {
+        let mut settings = settings();
+        settings.drivers = 1;
+        let mut rig = Rig::new(settings);
+        for member in [NEAR, FAR] {
+            let lag = if behind.contains(&member) { 20_000 } else { 10 };
+            let position = rig.now - Micros::millis(lag);
+            rig.probed(member, position);
+        }
+        (0..100).take_while(|session| !sends(&rig.request(WRITE, *session).1).is_empty()).count()
+    };
+    let (none, one, both) = (taken(&[]), taken(&[FAR]), taken(&[NEAR, FAR]));
+    assert!(none > one && one > both && both * 2 > none, "{none}, {one}, {both} writes");
+}
+
 /// Guards the class that would be served worst: a primary that is full for reads that may go elsewhere, or come
 /// again when a replica has caught up, still takes some that must be current, and not without end.
 #[test]
