The audited world says whether a host had begun an attempt, no longer by a magic position

Seen on reading the change again: an attempt's end carried a position that nobody read, and the value of one microsecond stood for 'the host ran it'. Now a type of its own says so.

--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -89,11 +89,16 @@
     commits: BTreeMap<(GroupId, SessionKey), Micros>,
 }
 
+/// Whether the host had begun the work, so that it takes a place there until its end.
+#[derive(Clone, Copy, Debug)]
+struct Begun(bool);
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Arrive,
     Reach(RequestId, AttemptNo, MemberId),
-    End(RequestId, AttemptNo, MemberId, Status, Micros),
+    /// An attempt ends; the host had begun it, or it was the clock, the router or a word of refusal.
+    End(RequestId, AttemptNo, MemberId, Status, Begun),
     Timer(usize, TimerId),
     Probed(usize, MemberId),
     Owed(RequestId),
@@ -107,7 +112,7 @@
 pub struct Counts {
     /// Requests taken.
     pub taken: u64,
-    /// Served, and of these within the class's aim.
+    /// Served.
     pub served: u64,
     /// Served within the class's aim.
     pub in_time: u64,
@@ -281,7 +286,7 @@
         match step {
             Step::Arrive => self.arrive(),
             Step::Reach(id, no, to) => self.reach(id, no, to),
-            Step::End(id, no, from, status, position) => self.end(id, no, from, status, position),
+            Step::End(id, no, from, status, begun) => self.end(id, no, from, status, begun),
             Step::Timer(node, timer) => self.handle(node, Event::Timer(timer)),
             Step::Probed(node, member) => self.probed(node, member),
             Step::Owed(id) => self.owed(id),
@@ -354,7 +359,7 @@
                     self.breach(format!("{request:?}: called off where that is not allowed"));
                 }
                 let to = self.to(request, attempt);
-                self.at(WAY, Step::End(request, attempt, to, Status::Cancelled, Micros(0)));
+                self.at(WAY, Step::End(request, attempt, to, Status::Cancelled, Begun(false)));
             }
             Action::Refuse { .. } | Action::Fail { .. } if self.loses => {}
             Action::Refuse { request, .. } => self.final_answer(request, true),
@@ -447,7 +452,7 @@
         }
         self.sends.insert((id, no), now);
         self.at(WAY, Step::Reach(id, no, to));
-        self.at(wait, Step::End(id, no, to, Status::Timeout, Micros(0)));
+        self.at(wait, Step::End(id, no, to, Status::Timeout, Begun(false)));
     }
 
     /// A host gets a request.
@@ -473,10 +478,10 @@
             return;
         }
         if turned_away {
-            return self.at(WAY, Step::End(id, no, to, Status::Miss, position));
+            return self.at(WAY, Step::End(id, no, to, Status::Miss, Begun(false)));
         }
         if f64::from(host.running) >= cores * 20.0 {
-            return self.at(WAY, Step::End(id, no, to, Status::Full, position));
+            return self.at(WAY, Step::End(id, no, to, Status::Full, Begun(false)));
         }
         host.running += 1;
         host.received.push((now, work.as_f64()));
@@ -484,7 +489,7 @@
         let takes = work.scale(crowd * host.slow / warmth);
         self.budget(to);
         let status = if self.dice.chance(0.002) { Status::Error } else { Status::Ok };
-        self.at(takes, Step::End(id, no, to, status, Micros(1)));
+        self.at(takes, Step::End(id, no, to, status, Begun(true)));
     }
 
     /// Audits what a cold host was sent, by these routers' part of the fleet.
@@ -507,8 +512,8 @@
     }
 
     /// An attempt ends for its router, by its host or by the clock, whichever comes first.
-    fn end(&mut self, id: RequestId, no: AttemptNo, from: MemberId, status: Status, position: Micros) {
-        let ran = position == Micros(1);
+    fn end(&mut self, id: RequestId, no: AttemptNo, from: MemberId, status: Status, begun: Begun) {
+        let Begun(ran) = begun;
         let Some(host) = self.hosts.get_mut(&from) else { return };
         if ran {
             host.running = host.running.saturating_sub(1);
