What waits is ranked by worth alone where the settings count worth by work

Settings::worth_for_work tells the two apart; drawn deployments set either. Test: worth_counts_for_a_request_or_for_its_work (fails for work before).

--- a/crates/rig/src/deployment.rs
+++ b/crates/rig/src/deployment.rs
@@ -114,6 +114,7 @@
                 "StopSendingWithinMs": dice.pick(&[&0.0, &250.0, &2_000.0])}});
         maybe(dice, &mut settings["Safety"], "DrainBindsAlone", |dice| json!(dice.chance(0.5)));
         maybe(dice, &mut settings, "OverShareWorth", |_| json!(0.1));
+        maybe(dice, &mut settings, "WorthBy", |dice| json!(dice.pick(&["request", "work"])));
         maybe(dice, &mut settings, "Tenants", |_| json!([]));
         maybe(dice, &mut settings, "Deductions", |dice| {
             let mut prices = Value::Object(Map::new());
--- a/src/api.rs
+++ b/src/api.rs
@@ -158,6 +158,16 @@
     Remembered,
 }
 
+/// What the worth of a class counts for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WorthBy {
+    /// Each request, whatever it costs.
+    #[default]
+    Request,
+    /// Each unit of the work that a request takes.
+    Work,
+}
+
 /// Everything a router is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -167,6 +177,8 @@
     pub tenants: Vec<Tenant>,
     /// Worth of a request beyond its tenant's share, as a part of its usual worth.
     pub over_share_worth: f64,
+    /// What a class's worth is the worth of.
+    pub worth_by: WorthBy,
     /// The router's own zone.
     pub zone: ZoneId,
     /// Number of drivers in the deployment, this one included.
@@ -215,6 +227,17 @@
     pub fall_time: Micros,
 }
 
+impl Settings {
+    /// What a unit of work is worth that goes into a request of this class, of which one takes so much.
+    pub fn worth_for_work(&self, class: ClassId, work: f64) -> f64 {
+        let worth = self.classes[class.0].worth;
+        match self.worth_by {
+            WorthBy::Request => worth / work,
+            WorthBy::Work => worth,
+        }
+    }
+}
+
 /// What the list says of a member's state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listed {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -421,7 +421,7 @@
     fn place_waiting(&mut self, now: Micros, group: GroupId, actions: &mut Actions) {
         let ranked = |class: ClassId| {
             let settings = &self.settings.classes[class.0];
-            (settings.need == Need::Write, settings.worth / self.means[class.0], class)
+            (settings.need == Need::Write, self.settings.worth_for_work(class, self.means[class.0]), class)
         };
         let mut queue: Vec<_> = self.book.classes(group).into_iter().map(ranked).collect();
         queue.sort_by(|(a_write, a, _), (b_write, b, _)| b_write.cmp(a_write).then(b.total_cmp(a)));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -40,9 +40,19 @@
     #[serde(default)]
     tenants: Vec<WireTenant>,
     tick_ms: Ms,
+    #[serde(default)]
+    worth_by: WireWorthBy,
     zone: String,
 }
 
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireWorthBy {
+    #[default]
+    Request,
+    Work,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireClass {
@@ -274,6 +284,10 @@
             classes,
             tenants: self.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
             over_share_worth: self.over_share_worth,
+            worth_by: match self.worth_by {
+                WireWorthBy::Request => WorthBy::Request,
+                WireWorthBy::Work => WorthBy::Work,
+            },
             zone: zones.id(self.zone),
             drivers: self.balancers,
             tick: self.tick_ms.into(),
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -31,6 +31,7 @@
         ],
         tenants: vec![],
         over_share_worth: 1.0,
+        worth_by: Default::default(),
         zone: ZoneId(0),
         drivers: 3,
         tick: Micros::millis(5),
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -31,6 +31,7 @@
         ],
         tenants: vec![],
         over_share_worth: 1.0,
+        worth_by: Default::default(),
         zone: ZoneId(0),
         drivers: 2,
         tick: Micros::millis(1),
@@ -1268,3 +1269,28 @@
         }
     }
 }
+
+/// Guards the order in which requests wait, where worth is told for each unit of work: what is worth more for its
+/// work goes first, however long it takes.
+#[test]
+fn worth_counts_for_a_request_or_for_its_work() {
+    for (worth_by, first) in [(WorthBy::Request, SESSION), (WorthBy::Work, ANY)] {
+        let mut settings = Settings { worth_by, ..settings() };
+        // Twice the aim is taken for twice the work, until answers tell.
+        (settings.classes[ANY.0].aim, settings.classes[ANY.0].worth) = (Micros::millis(400), 1.5);
+        let mut rig = Rig::new(settings);
+        rig.list(
+            ListKind::Full,
+            [PRIMARY, NEAR, FAR].map(|m| entry(m, Listed::Draining, Micros(0))).to_vec(),
+        );
+        let mut ids = BTreeMap::new();
+        for class in [SESSION, ANY] {
+            let (id, actions) = rig.request(class, 1);
+            assert!(sends(&actions).is_empty(), "nobody may be sent to");
+            ids.insert(id, class);
+        }
+        rig.list(ListKind::Full, [PRIMARY, NEAR, FAR].map(|m| entry(m, Listed::Ready, Micros(0))).to_vec());
+        let sent: Vec<ClassId> = sends(&rig.sweep(10)).iter().map(|(id, _)| ids[id]).collect();
+        assert_eq!(sent.first(), Some(&first), "{worth_by:?}: {sent:?}");
+    }
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -24,6 +24,7 @@
         ],
         tenants: vec![],
         over_share_worth: 1.0,
+        worth_by: Default::default(),
         zone: ZoneId(0),
         drivers: 1,
         tick: Micros::millis(1),
