A connection to a host that drains is closed after its last answer, not pooled

Requests::free put every idle connection into the pool, whether or not its member may be sent anything; only those idle at the moment of the word were closed (Due::CloseIdle). A host that drains could so wait for its connections to end. Now free closes it where the member is not admitted, for one that comes up without a task as well. Test: a_request_that_is_half_written_when_a_drain_is_told_is_finished, with the host at 0 to all bytes of it; without the change it waits for the pool's limit.

--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -143,10 +143,7 @@
         let Some(host) = self.host(key).filter(|host| host.welcome) else { return };
         let (member, task, until) = (host.member, host.task, host.until);
         let text = match task {
-            Task::None => {
-                self.pool.put(now, member, key);
-                return;
-            }
+            Task::None => return self.free(key),
             Task::Probe if !self.balancer.admits(member) => {
                 self.free(key);
                 let broken = Broken { reach: Reach::NotConnected, cause: Cause::NotTried };
@@ -186,14 +183,15 @@
         }
     }
 
-    /// Puts a welcomed connection that carries nothing back into the pool.
+    /// Puts a welcomed connection that carries nothing back into the pool; one to a host that gets nothing new is
+    /// closed, so that the host need not wait for it.
     pub(super) fn free(&mut self, key: Key) {
         let now = self.now;
         let Some(host) = self.host(key) else { return };
         host.task = Task::None;
         host.counted = false;
         let (member, idle, welcome) = (host.member, host.protocol.is_idle(), host.welcome);
-        if idle {
+        if idle && self.balancer.admits(member) {
             self.pool.put(now, member, key);
         } else if welcome {
             self.close(key);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -405,8 +405,7 @@
             target["state"] = json!(state);
         }
         list["all"] = json!(false);
-        let body = list.to_string();
-        write!(call, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).expect("written");
+        rig::tell(&mut call, &list);
         // The next call shows that the list was taken.
         let (_watch, _) = rig.discovery.accept().expect("the next call");
         rig.mood.mute.store(false, Ordering::SeqCst);
@@ -416,6 +415,67 @@
     }
 }
 
+/// Guards a drain whose word comes while a request is being written: what has begun to go out is finished there and
+/// answered, however much of it the host has read by then, and nothing else is written to that host.
+#[test]
+fn a_request_that_is_half_written_when_a_drain_is_told_is_finished() {
+    const WHOLE: usize = 128 << 10;
+    for read_first in [0, 1, 4, 5, 4_096, WHOLE / 2, WHOLE] {
+        let rig = Rig::start(200);
+        // A primary of the test's own, which reads no further than it is told.
+        let slow = rig::local();
+        let mut list: Value =
+            serde_json::from_str::<Value>(&rig.text).expect("a configuration")["known"].take();
+        let (mut call, _) = rig.discovery.accept().expect("a call");
+        assert!(call.read(&mut [0; 1024]).expect("a request") > 0);
+        list["rev"] = json!(9);
+        list["targets"][0]["endpoint"] = json!(slow.local_addr().expect("bound").to_string());
+        rig::tell(&mut call, &list);
+        let (mut call, _) = rig.discovery.accept().expect("the next call");
+        assert!(call.read(&mut [0; 1024]).expect("a request") > 0);
+        let mut client = rig.client();
+        let long = write("k").replace("\\x9f", &format!("\\x{}", "9f".repeat(WHOLE / 2)));
+        assert!(long.len() > WHOLE, "the value is long");
+        client.ask(&long);
+        let (mut host, _) = slow.accept().expect("a dial");
+        let mut inbox = codec::Inbox::default();
+        let mut bytes = [0; 4096];
+        while inbox.startup().expect("a startup").is_none() {
+            let count = host.read(&mut bytes).expect("a startup");
+            inbox.push(&bytes[..count]);
+        }
+        let mut welcome = Vec::new();
+        codec::frame(&mut welcome, b'R', &[0; 4]);
+        codec::ready(&mut welcome);
+        host.write_all(&welcome).expect("written");
+        // The first byte shows that the request is on its way; the rest as far as this run goes.
+        let mut begun = vec![0; read_first.max(1)];
+        host.read_exact(&mut begun).expect("the request's first bytes");
+        inbox.push(&begun);
+        list["rev"] = json!(10);
+        list["targets"][0]["state"] = json!("Terminating");
+        rig::tell(&mut call, &list);
+        let (_watch, _) = rig.discovery.accept().expect("the next call shows that the list was taken");
+        let query = rig::next_frame(&mut host, &mut inbox).expect("the whole request");
+        assert!(query.body.len() > WHOLE);
+        let mut answer = Vec::new();
+        codec::frame(&mut answer, b'T', b"\0\x01doc\0\0\0\0\0\0\0\0\0\0\x11\0\0\0\0\0\0\0\x01");
+        codec::frame(&mut answer, b'D', &[0, 1, 0, 0, 0, 1, 7]);
+        codec::frame(&mut answer, b'C', b"INSERT 0 1\0");
+        codec::parameter(&mut answer, "part", "master");
+        codec::ready(&mut answer);
+        host.write_all(&answer).expect("written");
+        assert_eq!(client.answer().len(), 4, "served by the host that had begun to get it");
+        // Whatever comes now goes elsewhere: this host's connection ends and none is dialled.
+        assert!(rig::next_frame(&mut host, &mut inbox).is_none(), "nothing new on the old connection");
+        client.ask(&read("any"));
+        client.answer();
+        slow.set_nonblocking(true).expect("a listener");
+        assert!(slow.accept().is_err(), "nothing is dialled");
+        rig.end();
+    }
+}
+
 /// Guards hosts in an overload: a read is told to be wanted until its aim, after which nobody waits for it,
 /// and not until its client's deadline, so that the host need not run what comes too late.
 #[test]
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -44,6 +44,12 @@
     json!({"rev": 4, "all": true, "targets": targets})
 }
 
+/// Answers a call to discovery with a list.
+pub fn tell(call: &mut TcpStream, list: &Value) {
+    let body = list.to_string();
+    write!(call, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).expect("written");
+}
+
 pub fn local() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
