--- /dev/null
+++ b/crates/fleet/src/lease.rs
@@ -0,0 +1,486 @@
+//! A role of the fleet and who holds it: at most one process at a time, under an epoch that only rises.
+//!
+//! The register of a role holds a [`Tenure`]. Time decides only when somebody may *try* to take the role: a contender
+//! waits until a beat has stood still for a lease's length by its own clock. What keeps an owner that wakes up
+//! late from doing harm is the epoch on whatever it orders ([`crate::fence`]), never a clock.
+
+use std::time::Duration;
+
+use rand_core::RngCore;
+use serde::{Deserialize, Serialize};
+
+use crate::register::*;
+use crate::round::{Event, Round, Stamps};
+
+/// What the register of a role holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Tenure {
+    /// Rises with each change of the owner, and never falls.
+    pub epoch: u64,
+    /// Who holds the role; nobody after it was given back.
+    pub owner: Option<NodeId>,
+    /// Rises with each renewal.
+    pub beat: u64,
+    /// Who has asked the owner to hand it over.
+    pub wanted: Option<NodeId>,
+}
+
+impl Tenure {
+    /// What the register holds; an unreadable value, of a later version say, is nobody's and its epoch unknown.
+    pub fn read(value: &[u8]) -> Option<Tenure> {
+        postcard::from_bytes(value).ok()
+    }
+
+    fn write(&self) -> Value {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+}
+
+/// How long a lease lasts, and how far clocks may run apart.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// From the moment before a renewal was asked for.
+    pub length: Duration,
+    /// The most by which two monotonic clocks run at different speeds, as a part.
+    pub drift: f64,
+    /// Calls without an answer are sent again after this; a round ends after four times as long.
+    pub resend: Duration,
+}
+
+impl Terms {
+    fn held(&self) -> Duration {
+        self.length.mul_f64(1.0 - self.drift)
+    }
+
+    fn waited(&self) -> Duration {
+        self.length.mul_f64(1.0 + self.drift)
+    }
+}
+
+/// What all seats of a process share about the voters.
+#[derive(Clone, Debug, Default)]
+pub struct Electorate {
+    /// Number of places.
+    pub voters: u8,
+    /// The newest view heard of.
+    pub view: View,
+    /// How often each has stored.
+    pub stamps: Stamps,
+    /// Places whose voter goes by an older view.
+    pub older: Vec<Slot>,
+    /// Voters that have lost their file and want to be let in.
+    pub blank: Vec<(Slot, u64)>,
+    /// Replies of voters that came back with an older copy or cannot store.
+    pub unfit: u64,
+    nonce: u64,
+}
+
+impl Electorate {
+    /// Voters in so many places.
+    pub fn of(voters: u8) -> Electorate {
+        Electorate { voters, ..Electorate::default() }
+    }
+
+    /// A number that no other round of this process has.
+    pub fn nonce(&mut self) -> u64 {
+        self.nonce += 1;
+        self.nonce
+    }
+
+    /// Notes what an event says of the voters.
+    pub fn note(&mut self, event: &Event) {
+        match event {
+            Event::Newer(view) => self.view = self.view.join(view),
+            Event::Older(slot) if !self.older.contains(slot) => self.older.push(*slot),
+            Event::Blank(slot, generation) if !self.blank.contains(&(*slot, *generation)) => {
+                self.blank.retain(|(at, _)| at != slot);
+                self.blank.push((*slot, *generation));
+            }
+            Event::Unfit(_) => self.unfit += 1,
+            _ => {}
+        }
+    }
+}
+
+/// Why a role ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// No majority has renewed it in time.
+    NotRenewed,
+    /// Somebody else has it.
+    Taken,
+    /// It was given back, or handed over.
+    GivenBack,
+}
+
+/// A change that whoever has the seat hears of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// This process holds the role from now on.
+    Took {
+        /// Under this epoch.
+        epoch: u64,
+    },
+    /// It does not any more.
+    Ended {
+        /// The epoch that is over.
+        epoch: u64,
+        /// Why.
+        why: Ended,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    Take,
+    Renew,
+    GiveBack,
+    Want,
+}
+
+/// A look at the register without a promise.
+#[derive(Clone, Debug)]
+struct Look {
+    nonce: u64,
+    heard: Vec<(Slot, Ballot, Option<Value>)>,
+}
+
+#[derive(Clone, Debug)]
+enum Doing {
+    Nothing,
+    Looking(Look),
+    Changing { round: Round, purpose: Purpose },
+}
+
+/// One process's part in one role.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    me: NodeId,
+    key: Key,
+    terms: Terms,
+    doing: Doing,
+    /// When the round or look under way began, when its calls are sent again.
+    asked: Duration,
+    resend: Duration,
+    /// The highest ballot heard of.
+    highest: u64,
+    /// The tenure seen last, and since when it has stood like this.
+    seen: Option<(Tenure, Duration)>,
+    /// The epoch held, and until when.
+    held: Option<(u64, Duration)>,
+    next: Duration,
+    /// It gives the role back at the next occasion.
+    leaving: bool,
+    wants: bool,
+}
+
+impl Seat {
+    /// A seat that knows nothing yet.
+    pub fn new(me: NodeId, key: Key, terms: Terms) -> Seat {
+        Seat {
+            me,
+            key,
+            terms,
+            doing: Doing::Nothing,
+            asked: Duration::ZERO,
+            resend: Duration::ZERO,
+            highest: 0,
+            seen: None,
+            held: None,
+            next: Duration::ZERO,
+            leaving: false,
+            wants: false,
+        }
+    }
+
+    /// The role's name.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
+    /// The epoch under which this process may order at this moment. To be asked right before each order, and
+    /// again after whatever may have taken time.
+    pub fn order(&self, now: Duration) -> Option<u64> {
+        self.held.filter(|(_, until)| now < *until && !self.leaving).map(|(epoch, _)| epoch)
+    }
+
+    /// The tenure seen last: the owner may have changed since.
+    pub fn seen(&self) -> Option<&Tenure> {
+        self.seen.as_ref().map(|(tenure, _)| tenure)
+    }
+
+    /// Gives the role back; nothing is ordered any more from now on.
+    pub fn give_back(&mut self) {
+        self.leaving = self.held.is_some();
+        self.next = Duration::ZERO;
+    }
+
+    /// Asks the owner to hand the role over.
+    pub fn want(&mut self) {
+        self.wants = self.held.is_none();
+    }
+
+    /// When [`Seat::tick`] has something to do next.
+    pub fn due(&self) -> Duration {
+        let round = match self.doing {
+            Doing::Nothing => self.next,
+            _ => self.resend,
+        };
+        self.held.map_or(round, |(_, until)| round.min(until))
+    }
+
+    /// Lets time act. `rank` is this process's place among the candidates for the role, none if it is no candidate;
+    /// those behind try later, so that they need not outbid each other.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        rank: Option<u32>,
+        electorate: &mut Electorate,
+        dice: &mut impl RngCore,
+        out: &mut Vec<(Slot, Call)>,
+    ) -> Option<Change> {
+        let mut change = None;
+        if let Some((epoch, until)) = self.held {
+            if now >= until {
+                (self.held, self.leaving) = (None, false);
+                change = Some(Change::Ended { epoch, why: Ended::NotRenewed });
+            }
+        }
+        if !matches!(self.doing, Doing::Nothing) && now >= self.asked + self.terms.resend * 4 {
+            self.stop(now, dice);
+        }
+        match &self.doing {
+            Doing::Nothing if now >= self.next => self.begin(now, rank, electorate, dice, out),
+            Doing::Nothing => {}
+            _ if now >= self.resend => self.send(now, electorate, out),
+            _ => {}
+        }
+        change
+    }
+
+    /// Ends what is under way, and rests for a drawn while.
+    fn stop(&mut self, now: Duration, dice: &mut impl RngCore) {
+        self.doing = Doing::Nothing;
+        let part = f64::from(dice.next_u32()) / f64::from(u32::MAX);
+        self.next = now + self.terms.resend.mul_f64(0.25 + part);
+    }
+
+    fn begin(
+        &mut self,
+        now: Duration,
+        rank: Option<u32>,
+        electorate: &mut Electorate,
+        dice: &mut impl RngCore,
+        out: &mut Vec<(Slot, Call)>,
+    ) {
+        let purpose = match (&self.held, &self.seen, rank) {
+            (Some(_), ..) if self.leaving => Some(Purpose::GiveBack),
+            (Some(_), ..) => Some(Purpose::Renew),
+            (None, Some((tenure, since)), Some(rank)) if self.may_take(now, tenure, *since, rank) => {
+                Some(Purpose::Take)
+            }
+            (None, Some((tenure, _)), _)
+                if self.wants && tenure.owner.is_some() && tenure.wanted.is_none() =>
+            {
+                Some(Purpose::Want)
+            }
+            _ => None,
+        };
+        let nonce = electorate.nonce();
+        self.asked = now;
+        self.doing = match purpose {
+            None => Doing::Looking(Look { nonce, heard: Vec::new() }),
+            Some(purpose) => {
+                self.highest += 1 + u64::from(dice.next_u32() % 2);
+                let ballot = Ballot { round: self.highest, by: self.me };
+                let (view, stamps) = (electorate.view.clone(), electorate.stamps.clone());
+                let round = Round::begin(self.key.clone(), ballot, view, nonce, electorate.voters, stamps);
+                Doing::Changing { round, purpose }
+            }
+        };
+        self.send(now, electorate, out);
+    }
+
+    /// Whether a tenure is free, or has stood still for a lease's length.
+    fn may_take(&self, now: Duration, tenure: &Tenure, since: Duration, rank: u32) -> bool {
+        let behind = self.terms.length.mul_f64(0.1) * rank.min(8);
+        match (tenure.owner, tenure.wanted) {
+            (Some(owner), _) if owner == self.me => true,
+            (Some(_), _) => now >= since + self.terms.waited() + behind,
+            (None, Some(wanted)) if wanted == self.me => true,
+            (None, Some(_)) => now >= since + self.terms.length / 2 + behind,
+            (None, None) => now >= since + behind,
+        }
+    }
+
+    fn send(&mut self, now: Duration, electorate: &Electorate, out: &mut Vec<(Slot, Call)>) {
+        self.resend = now + self.terms.resend;
+        match &self.doing {
+            Doing::Nothing => {}
+            Doing::Changing { round, .. } => out.extend(round.calls()),
+            Doing::Looking(look) => {
+                let request = Request::Read { key: self.key.clone() };
+                let call = Call { view: electorate.view.clone(), nonce: look.nonce, request };
+                let silent = |slot: &Slot| look.heard.iter().all(|(at, ..)| at != slot);
+                let slots = (0..electorate.voters).map(Slot).filter(silent);
+                out.extend(slots.map(|slot| (slot, call.clone())));
+            }
+        }
+    }
+
+    /// Takes a voter's reply.
+    pub fn hear(
+        &mut self,
+        now: Duration,
+        reply: &Reply,
+        electorate: &mut Electorate,
+        dice: &mut impl RngCore,
+        out: &mut Vec<(Slot, Call)>,
+    ) -> Option<Change> {
+        match &mut self.doing {
+            Doing::Nothing => None,
+            Doing::Looking(look) if reply.nonce == look.nonce => {
+                self.look(now, reply, electorate, dice);
+                None
+            }
+            Doing::Changing { round, purpose } if reply.nonce == round.nonce() => {
+                let (event, purpose) = (round.hear(reply), *purpose);
+                electorate.note(&event);
+                electorate.stamps.book(&electorate.view, reply);
+                match event {
+                    Event::Prepared(value) => self.prepared(now, value, purpose, electorate, dice, out),
+                    Event::Chosen(value) => self.chosen(now, &value, purpose),
+                    Event::Outbid(by) => {
+                        self.highest = self.highest.max(by.round);
+                        self.stop(now, dice);
+                        None
+                    }
+                    Event::Newer(_) => {
+                        self.stop(now, dice);
+                        None
+                    }
+                    Event::None | Event::Older(_) | Event::Blank(..) | Event::Unfit(_) => None,
+                }
+            }
+            _ => None,
+        }
+    }
+
+    /// One voter's word in a look. The latest that a majority has accepted need not be chosen; to see that nobody
+    /// renews, it does.
+    fn look(&mut self, now: Duration, reply: &Reply, electorate: &mut Electorate, dice: &mut impl RngCore) {
+        let Doing::Looking(look) = &mut self.doing else { return };
+        let view = electorate.view.clone();
+        if let Answer::Refused(Refusal::View(other)) = &reply.answer {
+            let event = match view.join(other) == view {
+                true => Event::Older(reply.slot),
+                false => Event::Newer(other.clone()),
+            };
+            return electorate.note(&event);
+        }
+        if reply.answer == Answer::Refused(Refusal::Blank) {
+            return electorate.note(&Event::Blank(reply.slot, reply.generation));
+        }
+        let counts = reply.generation == view.generation(reply.slot) && reply.slot.0 < electorate.voters;
+        let Answer::Promise { accepted, value } = &reply.answer else { return };
+        if !counts || look.heard.iter().any(|(at, ..)| *at == reply.slot) {
+            return;
+        }
+        electorate.stamps.book(&view, reply);
+        look.heard.push((reply.slot, *accepted, value.clone()));
+        if look.heard.len() <= usize::from(electorate.voters) / 2 {
+            return;
+        }
+        let latest = look.heard.iter().max_by_key(|(_, accepted, _)| *accepted);
+        let (round, value) = latest.map(|(_, at, value)| (at.round, value.clone())).unwrap_or_default();
+        self.highest = self.highest.max(round);
+        self.stop(now, dice);
+        match value.as_deref().map_or(Some(Tenure::default()), Tenure::read) {
+            Some(tenure) if self.seen.as_ref().is_none_or(|(known, _)| *known != tenure) => {
+                let free = tenure.owner.is_none();
+                self.seen = Some((tenure, now));
+                self.next = if free { now } else { now + self.terms.length / 6 };
+            }
+            _ => self.next = now + self.terms.length / 6,
+        }
+    }
+
+    /// A majority has promised: what the register becomes, or that this process has no business with it.
+    fn prepared(
+        &mut self,
+        now: Duration,
+        value: Option<Value>,
+        purpose: Purpose,
+        electorate: &Electorate,
+        dice: &mut impl RngCore,
+        out: &mut Vec<(Slot, Call)>,
+    ) -> Option<Change> {
+        let known = match value.as_deref().map_or(Some(Tenure::default()), Tenure::read) {
+            Some(known) => known,
+            // Not this version's to read, and not to be written over.
+            None => {
+                self.stop(now, dice);
+                return None;
+            }
+        };
+        let mine = known.owner == Some(self.me);
+        let next = match purpose {
+            Purpose::Take if mine => Some(Tenure { beat: known.beat + 1, ..known.clone() }),
+            // Only if it still stands as it was seen: any beat since shows an owner that lives.
+            Purpose::Take if known.owner.is_none() || self.seen() == Some(&known) => {
+                Some(Tenure { epoch: known.epoch + 1, owner: Some(self.me), beat: 0, wanted: None })
+            }
+            Purpose::Renew if mine => match known.wanted.filter(|by| *by != self.me) {
+                Some(_) => {
+                    self.leaving = true;
+                    Some(Tenure { owner: None, ..known.clone() })
+                }
+                None => Some(Tenure { beat: known.beat + 1, ..known.clone() }),
+            },
+            Purpose::GiveBack if mine => Some(Tenure { owner: None, ..known.clone() }),
+            Purpose::Want if known.owner.is_some() && !mine && known.wanted.is_none() => {
+                Some(Tenure { wanted: Some(self.me), ..known.clone() })
+            }
+            _ => None,
+        };
+        match next {
+            Some(tenure) => {
+                if let Doing::Changing { round, .. } = &mut self.doing {
+                    round.propose(tenure.write());
+                }
+                self.send(now, electorate, out);
+                None
+            }
+            None => {
+                // What was prepared stands; whoever holds it writes under a higher ballot.
+                if self.seen() != Some(&known) {
+                    self.seen = Some((known, now));
+                }
+                self.stop(now, dice);
+                let over = self.held.take().filter(|_| !mine);
+                self.leaving &= over.is_none();
+                over.map(|(epoch, _)| Change::Ended { epoch, why: Ended::Taken })
+            }
+        }
+    }
+
+    /// The register holds what this process proposed.
+    fn chosen(&mut self, now: Duration, value: &[u8], purpose: Purpose) -> Option<Change> {
+        self.doing = Doing::Nothing;
+        let tenure = Tenure::read(value)?;
+        let mine = tenure.owner == Some(self.me);
+        let epoch = tenure.epoch;
+        self.seen = Some((tenure, now));
+        if mine {
+            let before = self.held.replace((epoch, self.asked + self.terms.held()));
+            self.next = self.asked + self.terms.length / 3;
+            (self.leaving, self.wants) = (self.leaving && purpose != Purpose::Take, false);
+            return before.is_none().then_some(Change::Took { epoch });
+        }
+        self.next = now + self.terms.length / 6;
+        self.wants &= purpose != Purpose::Want;
+        let over = self.held.take();
+        self.leaving = false;
+        over.map(|(epoch, _)| Change::Ended { epoch, why: Ended::GivenBack })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,14 @@
+//! Agreement and leases between the gateways of a fleet, without input, output, clock or threads: bytes, the time and
+//! a seeded generator are passed in, what is to be sent or stored is handed out.
+//!
+//! - [`register`] and [`voter`]: a few registers, kept by a small, fixed number of voters; a change needs a majority
+//!   (compare-and-swap on ballots, one round of promises and one of acceptance, as in the published CASPaxos);
+//! - [`round`]: one change as its proposer drives it, and how a voter that has lost its file is let in again;
+//! - [`lease`]: a role in a register, held by one process at a time under an epoch that only rises;
+//! - [`fence`]: what a receiver of orders keeps, so that an owner that wakes up late does no harm.
+
+pub mod fence;
+pub mod lease;
+pub mod register;
+pub mod round;
+pub mod voter;
