--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -31,7 +31,8 @@
         postcard::from_bytes(value).ok()
     }
 
-    fn write(&self) -> Value {
+    /// What the register is to hold.
+    pub fn write(&self) -> Value {
         postcard::to_stdvec(self).unwrap_or_default()
     }
 }
@@ -130,14 +131,41 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Purpose {
+/// What a change of a role's register is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Purpose {
+    /// To hold the role under a new epoch.
     Take,
+    /// To hold it longer.
     Renew,
+    /// To leave it to others.
     GiveBack,
+    /// To ask its owner for it.
     Want,
 }
 
+/// What the register is to hold, if the change still makes sense now that a majority has told what it holds. `seen` is
+/// the tenure that stood still for a lease's length. The one place where an epoch rises.
+pub fn proposal(purpose: Purpose, me: NodeId, known: &Tenure, seen: Option<&Tenure>) -> Option<Tenure> {
+    let mine = known.owner == Some(me);
+    match purpose {
+        Purpose::Take if mine => Some(Tenure { beat: known.beat + 1, ..known.clone() }),
+        // Only if it still stands as it was seen: any beat since shows an owner that lives.
+        Purpose::Take if known.owner.is_none() || seen == Some(known) => {
+            Some(Tenure { epoch: known.epoch + 1, owner: Some(me), beat: 0, wanted: None })
+        }
+        Purpose::Renew if mine && known.wanted.is_some_and(|by| by != me) => {
+            Some(Tenure { owner: None, ..known.clone() })
+        }
+        Purpose::Renew if mine => Some(Tenure { beat: known.beat + 1, ..known.clone() }),
+        Purpose::GiveBack if mine => Some(Tenure { owner: None, ..known.clone() }),
+        Purpose::Want if known.owner.is_some() && !mine && known.wanted.is_none() => {
+            Some(Tenure { wanted: Some(me), ..known.clone() })
+        }
+        _ => None,
+    }
+}
+
 /// A look at the register without a promise.
 #[derive(Clone, Debug)]
 struct Look {
@@ -424,25 +452,9 @@
             }
         };
         let mine = known.owner == Some(self.me);
-        let next = match purpose {
-            Purpose::Take if mine => Some(Tenure { beat: known.beat + 1, ..known.clone() }),
-            // Only if it still stands as it was seen: any beat since shows an owner that lives.
-            Purpose::Take if known.owner.is_none() || self.seen() == Some(&known) => {
-                Some(Tenure { epoch: known.epoch + 1, owner: Some(self.me), beat: 0, wanted: None })
-            }
-            Purpose::Renew if mine => match known.wanted.filter(|by| *by != self.me) {
-                Some(_) => {
-                    self.leaving = true;
-                    Some(Tenure { owner: None, ..known.clone() })
-                }
-                None => Some(Tenure { beat: known.beat + 1, ..known.clone() }),
-            },
-            Purpose::GiveBack if mine => Some(Tenure { owner: None, ..known.clone() }),
-            Purpose::Want if known.owner.is_some() && !mine && known.wanted.is_none() => {
-                Some(Tenure { wanted: Some(self.me), ..known.clone() })
-            }
-            _ => None,
-        };
+        let next = proposal(purpose, self.me, &known, self.seen());
+        // An owner that is asked to hand over orders nothing more from here on.
+        self.leaving |= purpose == Purpose::Renew && next.as_ref().is_some_and(|next| next.owner.is_none());
         match next {
             Some(tenure) => {
                 if let Doing::Changing { round, .. } = &mut self.doing {
--- /dev/null
+++ b/crates/fleet/tests/model.rs
@@ -0,0 +1,270 @@
+//! The agreement exhaustively: the voters and rounds that ship, with every order of messages, losses and doubles, and
+//! a crash of a voter with or without its file.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dunemount_fleet::lease::{proposal, Purpose, Tenure};
+use dunemount_fleet::register::*;
+use dunemount_fleet::round::{Admission, Event, Round, Stamps};
+use dunemount_fleet::voter::{Step, Voter};
+use stateright::{Checker, HasDiscoveries, Model, Property, UniformChooser};
+
+const VOTERS: u8 = 3;
+const KEY: &str = "survey/1";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Letter {
+    Ask { slot: u8, from: usize, call: CallKey },
+    Reply { to: usize, reply: ReplyKey },
+}
+
+/// Calls and replies have no order of their own; their bytes do.
+type CallKey = Vec<u8>;
+type ReplyKey = Vec<u8>;
+
+fn pack<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("bytes")
+}
+
+fn unpack<'a, T: serde::Deserialize<'a>>(bytes: &'a [u8]) -> T {
+    postcard::from_bytes(bytes).expect("what was packed")
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Contender {
+    round: Option<Round>,
+    begun: u8,
+    view: View,
+    admission: Option<Admission>,
+    highest: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    voters: Vec<Voter>,
+    contenders: Vec<Contender>,
+    /// Any letter may come never or late, and so many of them again.
+    links: BTreeSet<Letter>,
+    doubled: u8,
+    owners: BTreeMap<u64, BTreeSet<NodeId>>,
+    crashes: u8,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Action {
+    Begin(usize),
+    Deliver(Letter),
+    /// Delivers a letter that comes once more.
+    Double(Letter),
+    Crash {
+        slot: u8,
+        loses_file: bool,
+    },
+}
+
+struct Agreement {
+    /// Changes that each contender may begin.
+    rounds: Vec<u8>,
+    crashes: u8,
+    loses_file: bool,
+    doubles: u8,
+    /// A voter comes back from a crash as if the fleet were new.
+    forgets: bool,
+    /// Contenders take the role whatever the register holds by then.
+    blind: bool,
+}
+
+fn id(index: usize) -> NodeId {
+    NodeId(index as u64 + 1)
+}
+
+impl Agreement {
+    fn post(state: &mut State, from: usize, calls: Vec<(Slot, Call)>) {
+        for (slot, call) in calls {
+            state.links.insert(Letter::Ask { slot: slot.0, from, call: pack(&call) });
+        }
+    }
+
+    fn hear(&self, state: &mut State, to: usize, reply: &Reply) {
+        let contender = &mut state.contenders[to];
+        if let Some(admission) = contender.admission.as_mut().filter(|a| a.nonce() == reply.nonce) {
+            let over = admission.hear(reply) != Event::None || admission.is_done();
+            contender.view = contender.view.join(admission.view());
+            let calls = if over { Vec::new() } else { admission.calls() };
+            contender.admission = contender.admission.take().filter(|_| !over);
+            return Self::post(state, to, calls);
+        }
+        let Some(round) = contender.round.as_mut() else { return };
+        match round.hear(reply) {
+            Event::Prepared(value) => {
+                let known = value.map_or(Tenure::default(), |value| Tenure::read(&value).expect("a tenure"));
+                // Time is left out: whoever tries may have waited for long enough.
+                let next = match self.blind {
+                    true => Some(Tenure { epoch: 1, owner: Some(id(to)), beat: 0, wanted: None }),
+                    false => proposal(Purpose::Take, id(to), &known, Some(&known)),
+                };
+                if let Some(next) = next {
+                    round.propose(next.write());
+                    let calls = round.calls();
+                    Self::post(state, to, calls);
+                }
+            }
+            Event::Chosen(value) => {
+                let tenure = Tenure::read(&value).expect("a tenure");
+                contender.round = None;
+                if let Some(owner) = tenure.owner {
+                    state.owners.entry(tenure.epoch).or_default().insert(owner);
+                }
+            }
+            Event::Outbid(by) => (contender.round, contender.highest) = (None, by.round),
+            Event::Newer(view) => (contender.round, contender.view) = (None, contender.view.join(&view)),
+            Event::Blank(slot, generation) if contender.admission.is_none() => {
+                let nonce = 100 + u64::from(slot.0) + 10 * to as u64;
+                let admission =
+                    Admission::begin(slot, generation, &contender.view, nonce, VOTERS, Stamps::default());
+                let calls = admission.calls();
+                contender.admission = Some(admission);
+                Self::post(state, to, calls);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Model for Agreement {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let contender =
+            Contender { round: None, begun: 0, view: View::default(), admission: None, highest: 0 };
+        vec![State {
+            voters: (0..VOTERS).map(|slot| Voter::founding(Slot(slot))).collect(),
+            contenders: vec![contender; self.rounds.len()],
+            links: BTreeSet::new(),
+            doubled: 0,
+            owners: BTreeMap::new(),
+            crashes: 0,
+        }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        for (index, contender) in state.contenders.iter().enumerate() {
+            if contender.begun < self.rounds[index] {
+                actions.push(Action::Begin(index));
+            }
+        }
+        actions.extend(state.links.iter().cloned().map(Action::Deliver));
+        if state.doubled < self.doubles {
+            actions.extend(state.links.iter().cloned().map(Action::Double));
+        }
+        if state.crashes < self.crashes {
+            let crash = |slot| Action::Crash { slot, loses_file: self.loses_file };
+            actions.extend((0..VOTERS).map(crash));
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        match &action {
+            Action::Deliver(letter) => drop(state.links.remove(letter)),
+            Action::Double(_) => state.doubled += 1,
+            _ => {}
+        }
+        match action {
+            Action::Begin(index) => {
+                let contender = &mut state.contenders[index];
+                contender.begun += 1;
+                contender.highest += 1;
+                let ballot = Ballot { round: contender.highest, by: id(index) };
+                let nonce = u64::from(contender.begun);
+                let round = Round::begin(
+                    KEY.into(),
+                    ballot,
+                    contender.view.clone(),
+                    nonce,
+                    VOTERS,
+                    Stamps::default(),
+                );
+                let calls = round.calls();
+                contender.round = Some(round);
+                Self::post(&mut state, index, calls);
+            }
+            Action::Deliver(Letter::Ask { slot, from, call })
+            | Action::Double(Letter::Ask { slot, from, call }) => {
+                let reply = match state.voters[usize::from(slot)].ask(unpack(&call)) {
+                    Step::Reply(reply) => reply,
+                    Step::Store(pending) => pending.stored(),
+                };
+                state.links.insert(Letter::Reply { to: from, reply: pack(&reply) });
+            }
+            Action::Deliver(Letter::Reply { to, reply }) | Action::Double(Letter::Reply { to, reply }) => {
+                self.hear(&mut state, to, &unpack(&reply));
+            }
+            Action::Crash { slot, loses_file } => {
+                state.crashes += 1;
+                let voter = &mut state.voters[usize::from(slot)];
+                *voter = match voter.file() {
+                    _ if self.forgets => Voter::founding(Slot(slot)),
+                    Some(file) if !loses_file => Voter::resume(Slot(slot), &file).expect("a whole file"),
+                    _ => Voter::blank(Slot(slot), 7),
+                };
+            }
+        }
+        (state != *last).then_some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("an epoch has one owner", |_, state: &State| {
+                state.owners.values().all(|owners| owners.len() == 1)
+            }),
+            Property::sometimes("somebody holds the role", |_, state: &State| !state.owners.is_empty()),
+            Property::sometimes("it passes on", |_, state: &State| state.owners.len() > 1),
+        ]
+    }
+}
+
+/// Guards the agreement under every order of its messages, to the stated size: two contenders of one change each.
+#[test]
+fn two_contenders_and_every_order_of_messages() {
+    let model = Agreement {
+        rounds: vec![1, 1],
+        crashes: 0,
+        loses_file: false,
+        doubles: 0,
+        forgets: false,
+        blind: false,
+    };
+    let checked = model.checker().threads(4).spawn_bfs().join();
+    checked.assert_properties();
+    println!("states {}, depth {}", checked.unique_state_count(), checked.max_depth());
+}
+
+/// Guards the checks: a blind contender is found, and so is a voter that forgets.
+#[test]
+fn broken_variants_are_found() {
+    let blind = Agreement {
+        rounds: vec![1, 1],
+        crashes: 0,
+        loses_file: false,
+        doubles: 0,
+        forgets: false,
+        blind: true,
+    };
+    let failing = |model: Agreement| {
+        let checker = model.checker().finish_when(HasDiscoveries::AnyFailures).target_state_count(20_000_000);
+        let found = checker.spawn_simulation(7, UniformChooser).join();
+        found.discovery("an epoch has one owner").is_some()
+    };
+    assert!(failing(blind), "a contender that does not look at what it is told");
+    let forgets = Agreement {
+        rounds: vec![1, 1],
+        crashes: 1,
+        loses_file: false,
+        doubles: 0,
+        forgets: true,
+        blind: false,
+    };
+    assert!(failing(forgets), "a voter that forgets");
+}
