Membership of the fleet: SWIM on foca, names that last, datagrams that belong to one fleet

Need: who is there, alive, suspected, gone, before anything can be owned. frame: 1,400 bytes at most, form, kind, fleet's tag, checksum; every bit flipped and every length cut is dropped. member: foca 1.0 driven by bytes and a clock passed in; peers by name and start.

--- /dev/null
+++ b/crates/fleet/src/frame.rs
@@ -0,0 +1,139 @@
+//! The datagrams of a fleet: what stands before and behind every message, so that another fleet's, another version's
+//! and spoilt ones are dropped unread. Byte by byte in `docs/formats/fleet.md`.
+
+/// Longest datagram, in bytes: it crosses common networks in one piece.
+pub const LONGEST: usize = 1400;
+const MAGIC: [u8; 2] = *b"DF";
+/// The form that is written, and the oldest that is read.
+pub const FORM: u8 = 1;
+const OLDEST: u8 = 1;
+const HEAD: usize = 2 + 1 + 1 + 8;
+const TAIL: usize = 4;
+/// Room for a message.
+pub const ROOM: usize = LONGEST - HEAD - TAIL;
+
+/// What a message belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Membership.
+    Member,
+    /// A call to a voter.
+    Call,
+    /// A voter's reply.
+    Reply,
+    /// An owner's order or word.
+    Order,
+}
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Bad {
+    /// Too short for its frame, or too long.
+    Length,
+    /// No datagram of a fleet.
+    Magic,
+    /// Of a form that this program does not read.
+    Form,
+    /// Another fleet's.
+    Fleet,
+    /// Damaged on its way.
+    Checksum,
+    /// Of a kind that this form does not have.
+    Kind,
+}
+
+/// The tag of a fleet, from its name: the same on every machine.
+pub fn tag(fleet: &str) -> u64 {
+    // FNV-1a: no secret, it only tells fleets apart that share a network.
+    fleet
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// Puts a message into a datagram; none if it is too long.
+pub fn wrap(tag: u64, kind: Kind, message: &[u8]) -> Option<Vec<u8>> {
+    if message.len() > ROOM {
+        return None;
+    }
+    let mut datagram = Vec::with_capacity(HEAD + message.len() + TAIL);
+    datagram.extend_from_slice(&MAGIC);
+    datagram.push(FORM);
+    datagram.push(match kind {
+        Kind::Member => 1,
+        Kind::Call => 2,
+        Kind::Reply => 3,
+        Kind::Order => 4,
+    });
+    datagram.extend_from_slice(&tag.to_le_bytes());
+    datagram.extend_from_slice(message);
+    datagram.extend_from_slice(&crc32fast::hash(&datagram).to_le_bytes());
+    Some(datagram)
+}
+
+/// The message of a datagram.
+///
+/// # Errors
+/// Why it has to be dropped.
+pub fn open(tag: u64, datagram: &[u8]) -> Result<(Kind, &[u8]), Bad> {
+    if datagram.len() < HEAD + TAIL || datagram.len() > LONGEST {
+        return Err(Bad::Length);
+    }
+    let (framed, sum) = datagram.split_at(datagram.len() - TAIL);
+    let (head, message) = framed.split_at(HEAD);
+    if head[..2] != MAGIC {
+        return Err(Bad::Magic);
+    }
+    if !(OLDEST..=FORM).contains(&head[2]) {
+        return Err(Bad::Form);
+    }
+    if crc32fast::hash(framed).to_le_bytes() != sum {
+        return Err(Bad::Checksum);
+    }
+    if head[4..] != tag.to_le_bytes() {
+        return Err(Bad::Fleet);
+    }
+    let kind = match head[3] {
+        1 => Kind::Member,
+        2 => Kind::Call,
+        3 => Kind::Reply,
+        4 => Kind::Order,
+        _ => return Err(Bad::Kind),
+    };
+    Ok((kind, message))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the fleet against what is not its own: every byte changed, every length cut, another name.
+    #[test]
+    fn what_is_not_this_fleets_is_dropped() {
+        let (ours, theirs) = (tag("ours"), tag("theirs"));
+        let datagram = wrap(ours, Kind::Call, b"message").expect("short");
+        assert_eq!(open(ours, &datagram), Ok((Kind::Call, &b"message"[..])));
+        assert_eq!(open(theirs, &datagram), Err(Bad::Fleet));
+        for length in 0..datagram.len() {
+            assert!(open(ours, &datagram[..length]).is_err(), "cut to {length}");
+        }
+        for at in 0..datagram.len() {
+            for bit in 0..8 {
+                let mut changed = datagram.clone();
+                changed[at] ^= 1 << bit;
+                assert!(open(ours, &changed).is_err(), "bit {bit} of byte {at}");
+            }
+        }
+        assert_eq!(wrap(ours, Kind::Order, &[0; ROOM + 1]), None);
+        assert!(wrap(ours, Kind::Order, &[0; ROOM]).is_some_and(|d| open(ours, &d).is_ok()));
+    }
+
+    /// Guards the form: a datagram kept from the first version is still read.
+    #[test]
+    fn a_datagram_of_the_first_form_is_read() {
+        let kept = [0x44, 0x46, 0x01, 0x04, 0x2a, 0x5c, 0x4e, 0xfa, 0x50, 0x19, 0xe6, 0x12, 0x68, 0x69];
+        let sum = crc32fast::hash(&kept).to_le_bytes();
+        let datagram = [&kept[..], &sum].concat();
+        let tag = u64::from_le_bytes([0x2a, 0x5c, 0x4e, 0xfa, 0x50, 0x19, 0xe6, 0x12]);
+        assert_eq!(open(tag, &datagram), Ok((Kind::Order, &b"hi"[..])));
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,6 +1,7 @@
 //! Agreement and leases between the gateways of a fleet, without input, output, clock or threads: bytes, the time and
 //! a seeded generator are passed in, what is to be sent or stored is handed out.
 //!
+//! - [`frame`] and [`member`]: datagrams, and who is there (SWIM);
 //! - [`register`] and [`voter`]: a few registers, kept by a small, fixed number of voters; a change needs a majority
 //!   (compare-and-swap on ballots, one round of promises and one of acceptance, as in the published CASPaxos);
 //! - [`round`]: one change as its proposer drives it, and how a voter that has lost its file is let in again;
@@ -8,7 +9,9 @@
 //! - [`fence`]: what a receiver of orders keeps, so that an owner that wakes up late does no harm.
 
 pub mod fence;
+pub mod frame;
 pub mod lease;
+pub mod member;
 pub mod register;
 pub mod round;
 pub mod voter;
