[fleet] in the settings: a node of the fleet over UDP in a thread of its own, a voter's file

Need: the fleet's core had no socket, file or clock. src/fleet: the thread that carries a node (a voter waits for its disk at each promise, no client may wait for that), a voter's file written beside, synced and renamed, the folder synced too; [fleet] in the INI, each fault by line; dunemount fleet found for voters of a new fleet, never over a file that is there; log lines for members, roles and refused orders; roles given back before the process ends. Off as shipped: without a name no socket, thread or poller is made. During an upgrade the address is waited for.

--- a/src/check.rs
+++ b/src/check.rs
@@ -2,9 +2,12 @@
 
 use std::path::Path;
 
+use dunemount_fleet::register::Slot;
+
 use crate::cli::Files;
 use crate::config::{self, InForce, Taken};
 use crate::fault::Fault;
+use crate::fleet::file::VoterFile;
 use crate::options::Options;
 use crate::settings::Zones;
 
@@ -32,6 +35,24 @@
         address.map_err(|what| fault(Fault::at(config::line_of(&text, name), what)))?;
     }
     let options = options(files.settings.as_deref())?;
+    if let (Some(_), None) = (options.fleet.place(&file.name), &options.fleet.file) {
+        let settings = files.settings.as_deref().unwrap_or(path).display();
+        return Err(format!("{settings}: [fleet] file: missing, and {} is a voter", file.name));
+    }
     let (classes, hosts) = (site.classes.len(), file.known.len());
     Ok(format!("usable: {classes} classes, {hosts} hosts known, {} cores", options.cores))
 }
+
+/// Lays out the file of a voter of a new fleet.
+pub fn found(files: &Files) -> Result<String, String> {
+    let path = files.config.as_deref().ok_or("--config or GW_CONFIG must name the configuration")?;
+    let fault = |fault: Fault| fault.of(&path.display().to_string());
+    let taken = InForce::default().take(read(path)?, &mut Zones::default()).map_err(fault)?;
+    let name = std::env::var("GW_NAME").unwrap_or(taken.file.name);
+    let fleet = options(files.settings.as_deref())?.fleet;
+    let place = fleet.place(&name).ok_or(format!("{name} is none of the voters that [fleet] names"))?;
+    let file = fleet.file.ok_or("[fleet] file: missing")?;
+    let done = VoterFile::at(&file).found(Slot(place as u8));
+    done.map_err(|e| format!("cannot lay out {}: {e}", file.display()))?;
+    Ok(format!("{}: laid out for voter {place} of a new fleet", file.display()))
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -31,6 +31,17 @@
     Serve(Serve),
     /// Read both files, name the first fault with its file and line, and change nothing.
     Check(Files),
+    /// What concerns the fleet of gateways that `[fleet]` in the settings names.
+    #[command(subcommand)]
+    Fleet(Fleet),
+}
+
+/// What may be asked for of the fleet.
+#[derive(Debug, Subcommand)]
+pub enum Fleet {
+    /// Lay out this gateway's file as a voter of a NEW fleet. Never for a voter that has lost its file: the others let
+    /// it in again by themselves.
+    Found(Files),
 }
 
 /// How to serve.
--- /dev/null
+++ b/src/fleet/driver.rs
@@ -0,0 +1,255 @@
+//! The thread that carries one node of the fleet: its socket, its clock, its voter's file. It decides nothing.
+//!
+//! A thread of its own, since a voter waits for its disk at each promise and no client may wait for that.
+
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::UdpSocket;
+use std::os::unix::net::UnixStream;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use dunemount_fleet::frame;
+use dunemount_fleet::lease::{Change, Terms};
+use dunemount_fleet::member::{self, Pace, Peer};
+use dunemount_fleet::node::{Event, Node, Settings};
+use dunemount_fleet::register::Slot;
+use polling::{Event as Poll, PollMode, Poller};
+use slog::{info, warn, Logger};
+
+use super::file::VoterFile;
+use crate::options::{FleetOptions, Place};
+
+/// Most datagrams taken in one turn.
+const DATAGRAMS: usize = 256;
+/// Clocks are taken to run apart by no more than this part.
+const DRIFT: f64 = 0.05;
+/// Time between two tries to have the address, which the process before may still have.
+const BIND_PAUSE: Duration = Duration::from_millis(250);
+/// How long a node takes at most to give its roles back.
+const LEAVE: Duration = Duration::from_millis(600);
+const SOCKET: usize = 0;
+const END: usize = 1;
+
+/// A node that runs.
+#[derive(Debug)]
+pub struct Running {
+    end: UnixStream,
+    thread: JoinHandle<()>,
+}
+
+impl Running {
+    /// Lets the node leave its fleet in good order, and waits for it.
+    pub fn end(mut self) {
+        let _ = self.end.write_all(&[1]);
+        let _ = self.thread.join();
+    }
+}
+
+/// What a node is started with beside the options.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The gateway's name.
+    pub name: String,
+    /// Rises with each start: Unix time in milliseconds will do.
+    pub start: u64,
+    /// The roles that somebody is to hold.
+    pub roles: Vec<String>,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+/// Starts a node, if the options name a fleet.
+///
+/// # Errors
+/// What the system does not give: a thread, a pipe, a poller. An address that is taken is waited for.
+pub fn start(options: &FleetOptions, start: Start, log: &Logger) -> io::Result<Option<Running>> {
+    let (Some(fleet), Some(listen)) = (options.name.clone(), options.listen) else { return Ok(None) };
+    let (end, told) = UnixStream::pair()?;
+    told.set_nonblocking(true)?;
+    let peer = |place: &Place| Peer::at(&place.name, place.address);
+    let slot = options.place(&start.name);
+    // The address that the others know counts, where it is not the one that is listened at.
+    let address = slot.map_or(listen, |slot| options.voters[slot].address);
+    let voters: Vec<Peer> = options.voters.iter().map(peer).collect();
+    let seeds =
+        if options.seeds.is_empty() { voters.clone() } else { options.seeds.iter().map(peer).collect() };
+    let (lease, probe) = (Duration::from_millis(options.lease_ms), Duration::from_millis(options.probe_ms));
+    let settings = Settings {
+        fleet,
+        me: Peer { name: start.name, start: start.start, life: 0, address },
+        voters,
+        seeds,
+        size: options.size,
+        roles: start.roles,
+        terms: Terms { length: lease, drift: DRIFT, resend: lease / 20 },
+        pace: Pace { probe, answer: probe / 3, suspicion: probe * 3, remembered: probe * 120 },
+        seed: start.seed,
+    };
+    let file = slot.and(options.file.as_ref()).map(|path| VoterFile::at(path));
+    let driver = Driver::new(settings, slot, file, told, log.clone())?;
+    let thread = std::thread::Builder::new().name("fleet".into());
+    let thread = thread.spawn(move || driver.run(listen))?;
+    Ok(Some(Running { end, thread }))
+}
+
+struct Driver {
+    node: Node,
+    file: Option<VoterFile>,
+    end: UnixStream,
+    poller: Poller,
+    began: Instant,
+    refused: BTreeMap<frame::Bad, u64>,
+    log: Logger,
+}
+
+/// For a node that is no voter: it never stores.
+struct NoDisk;
+
+impl dunemount_fleet::node::Disk for NoDisk {
+    fn store(&mut self, _: &[u8]) -> bool {
+        false
+    }
+}
+
+impl Driver {
+    fn new(
+        settings: Settings,
+        slot: Option<usize>,
+        file: Option<VoterFile>,
+        end: UnixStream,
+        log: Logger,
+    ) -> io::Result<Driver> {
+        let salt = settings.seed as u32;
+        let found = slot.zip(file.as_ref()).map(|(slot, file)| file.voter(Slot(slot as u8), salt));
+        if let Some((_, Some(why))) = &found {
+            warn!(log, "fleet: the voter's file cannot be used, the others have to let it in"; "why" => why);
+        }
+        let poller = Poller::new()?;
+        poller.add_with_mode(&end, Poll::readable(END), PollMode::Level)?;
+        let node = Node::new(settings, found.map(|(voter, _)| voter));
+        Ok(Driver { node, file, end, poller, began: Instant::now(), refused: BTreeMap::new(), log })
+    }
+
+    fn run(mut self, listen: std::net::SocketAddr) {
+        let Some(socket) = self.bind(listen) else { return };
+        let added = self.poller.add_with_mode(&socket, Poll::readable(SOCKET), PollMode::Level);
+        if let Err(e) = added {
+            warn!(self.log, "fleet: cannot wait for datagrams, this gateway is not a member"; "error" => %e);
+            return;
+        }
+        info!(self.log, "fleet: joining"; "address" => %listen);
+        let mut until = None;
+        while until.is_none_or(|until| self.now() < until && !self.node.has_left()) {
+            self.wait(self.node.due());
+            let now = self.now();
+            self.take_in(now, &socket);
+            self.node.tick(now);
+            if until.is_none() && self.is_to_end() {
+                self.node.leave(now);
+                self.node.tick(now);
+                until = Some(now + LEAVE);
+            }
+            self.send(&socket);
+            self.tell();
+        }
+        info!(self.log, "fleet: left");
+    }
+
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Waits for the address: during an upgrade the process before has it until it ends.
+    fn bind(&mut self, listen: std::net::SocketAddr) -> Option<UdpSocket> {
+        let mut told = false;
+        loop {
+            match UdpSocket::bind(listen).and_then(|socket| socket.set_nonblocking(true).map(|()| socket)) {
+                Ok(socket) => return Some(socket),
+                Err(e) if !std::mem::replace(&mut told, true) => {
+                    warn!(self.log, "fleet: the address is not to be had yet"; "address" => %listen, "error" => %e);
+                }
+                Err(_) => {}
+            }
+            self.wait(self.now() + BIND_PAUSE);
+            if self.is_to_end() {
+                return None;
+            }
+        }
+    }
+
+    fn wait(&self, until: Duration) {
+        let left = until.saturating_sub(self.now());
+        // What comes of it is looked at whatever woke the thread.
+        let _ = self.poller.wait(&mut Vec::new(), Some(left));
+    }
+
+    fn is_to_end(&mut self) -> bool {
+        self.end.read(&mut [0]).is_ok()
+    }
+
+    fn take_in(&mut self, now: Duration, socket: &UdpSocket) {
+        let mut bytes = [0; frame::LONGEST + 1];
+        for _ in 0..DATAGRAMS {
+            // Errors of a socket without a connection are of datagrams sent before; they are not this one's.
+            let (count, from) = match socket.recv_from(&mut bytes) {
+                Ok(got) => got,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => continue,
+            };
+            let heard = match &mut self.file {
+                Some(file) => self.node.hear(now, from, &bytes[..count], file),
+                None => self.node.hear(now, from, &bytes[..count], &mut NoDisk),
+            };
+            if let Err(bad) = heard {
+                let count = self.refused.entry(bad).or_default();
+                *count += 1;
+                if count.is_power_of_two() {
+                    warn!(self.log, "fleet: datagram dropped"; "why" => ?bad, "from" => %from, "so_far" => *count);
+                }
+            }
+            if let Some(e) = self.file.as_mut().and_then(|file| file.failed.take()) {
+                warn!(self.log, "fleet: the voter cannot store and votes no more until it is started again"; "error" => %e);
+            }
+        }
+    }
+
+    fn send(&mut self, socket: &UdpSocket) {
+        while let Some((to, datagram)) = self.node.send() {
+            // One that cannot be sent now is lost like any other, and sent again by whoever needs it.
+            let _ = socket.send_to(&datagram, to);
+        }
+    }
+
+    fn tell(&mut self) {
+        while let Some(event) = self.node.event() {
+            match event {
+                Event::Member(member::Change::Came(peer)) => {
+                    info!(self.log, "fleet: member came"; "member" => &peer.name, "address" => %peer.address);
+                }
+                Event::Member(member::Change::Went(peer)) => {
+                    info!(self.log, "fleet: member went"; "member" => &peer.name, "address" => %peer.address);
+                }
+                Event::Member(member::Change::Superseded) => {
+                    warn!(
+                        self.log,
+                        "fleet: a process with this name has started later, this one is no member any more"
+                    );
+                }
+                Event::Role(role, Change::Took { epoch }) => {
+                    info!(self.log, "fleet: role taken"; "epoch" => epoch, "role" => role);
+                }
+                Event::Role(role, Change::Ended { epoch, why }) => {
+                    info!(self.log, "fleet: role ended"; "why" => ?why, "epoch" => epoch, "role" => role);
+                }
+                Event::Order(order, first) => {
+                    info!(self.log, "fleet: order"; "first" => first, "epoch" => order.epoch, "role" => order.role);
+                }
+                Event::Refused(order, why) => {
+                    warn!(self.log, "fleet: order refused"; "why" => ?why, "epoch" => order.epoch, "role" => order.role);
+                }
+                Event::VoterIn => info!(self.log, "fleet: the voter is let in"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,5 @@
+//! What a gateway does as one of a fleet: the thread that carries `dunemount-fleet` over UDP, and a voter's file.
+//! Without `[fleet]` in the settings nothing of it is started.
+
+pub mod driver;
+pub mod file;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod cli;
 pub mod config;
 pub mod fault;
+pub mod fleet;
 pub mod http;
 pub mod logging;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,16 +1,19 @@
 //! The dunemount gateway: reads its configuration, opens its log and runs the loop.
 
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
 use std::io::ErrorKind;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::Parser;
 use dunemount::check;
-use dunemount::cli::{Cli, Command, Serve};
+use dunemount::cli::{Cli, Command, Fleet, Serve};
 use dunemount::config::{self, File, InForce, Taken};
 use dunemount::fault::Fault;
+use dunemount::fleet::driver;
 use dunemount::logging;
 use dunemount::net::event_loop::{Config, Gateway, Signals};
 use dunemount::settings::Zones;
@@ -26,6 +29,7 @@
         None => serve(cli.serve),
         Some(Command::Serve(how)) => serve(how),
         Some(Command::Check(files)) => check::check(&files).map(|found| println!("{found}")),
+        Some(Command::Fleet(Fleet::Found(files))) => check::found(&files).map(|done| println!("{done}")),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -96,16 +100,32 @@
     };
     // `GW_LOG=debug` adds a line for each attempt that broke.
     let level = if said("GW_LOG").as_deref() == Some("debug") { Level::Debug } else { Level::Info };
+    let fleet_name = name.clone().unwrap_or_else(|| file.name.clone());
     let (log, _flushed_at_end) = logging::open(name.unwrap_or(file.name), how.log, level);
     if let Some(e) = missed {
         warn!(log, "the process before did not hand over, starting alone"; "error" => %e);
     }
     let listen = config.listen;
+    let mut groups: Vec<u32> = config.known.groups().collect();
+    groups.sort_unstable();
+    groups.dedup();
+    let start = driver::Start {
+        name: fleet_name,
+        start: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64),
+        roles: groups.into_iter().map(|group| format!("survey/{group}")).collect(),
+        seed: RandomState::new().hash_one(std::process::id()),
+    };
+    let fleet =
+        driver::start(&options.fleet, start, &log).map_err(|e| format!("cannot join the fleet: {e}"))?;
     let workers = Gateway::open_all(config, signals, log.clone(), options.cores)
         .map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     info!(log, "listening"; "address" => %listen, "version" => env!("CARGO_PKG_VERSION"),
         "cores" => options.cores);
-    Gateway::run_all(workers).map_err(|e| format!("cannot wait for events: {e}"))
+    let ended = Gateway::run_all(workers).map_err(|e| format!("cannot wait for events: {e}"));
+    if let Some(fleet) = fleet {
+        fleet.end();
+    }
+    ended
 }
 
 /// Where processes of this gateway meet: in `TMPDIR`, where one is named.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -71,6 +71,12 @@
         self.targets.len()
     }
 
+    /// Groups of its hosts, one for each line that names one.
+    pub fn groups(&self) -> impl Iterator<Item = u32> + '_ {
+        let group = |target: &Value| target.get("pod_group")?.as_u64()?.try_into().ok();
+        self.targets.iter().filter_map(group)
+    }
+
     /// Whether it names no host.
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
--- a/src/options.rs
+++ b/src/options.rs
@@ -1,6 +1,9 @@
 //! The project's own settings: an INI file beside the platform's JSON. What is not set has the value
 //! that the platform's deployment needs; what is not known is an error and never passed over.
 
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
 use ini::Ini;
 
 use crate::fault::Fault;
@@ -9,28 +12,146 @@
 pub const MOST_CORES: u64 = 64;
 
 /// Everything that the file may set.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
     /// `[cores] count`: worker threads for the traffic, 1 to [`MOST_CORES`].
     pub cores: usize,
+    /// `[fleet]`: talk between gateways, none unless it is named.
+    pub fleet: FleetOptions,
+}
+
+/// A gateway's name and where it hears the others of its fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The name, as in the gateway's configuration.
+    pub name: String,
+    /// Its datagrams' address.
+    pub address: SocketAddr,
+}
+
+/// `[fleet]`: what a gateway is told of the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetOptions {
+    /// `name`: unless it is set there is no fleet, no socket and no thread for it.
+    pub name: Option<String>,
+    /// `listen`: where datagrams are heard.
+    pub listen: Option<SocketAddr>,
+    /// `voters`: those that keep the registers, in the same order at all gateways.
+    pub voters: Vec<Place>,
+    /// `seeds`: whom to call first; the voters if none are named.
+    pub seeds: Vec<Place>,
+    /// `size`: about how many gateways there are.
+    pub size: u32,
+    /// `lease_ms`: how long a role is held without a renewal, in milliseconds.
+    pub lease_ms: u64,
+    /// `probe_ms`: time between two probes of other members, in milliseconds.
+    pub probe_ms: u64,
+    /// `file`: where a voter keeps what it has promised.
+    pub file: Option<PathBuf>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { cores: 1 }
+        let fleet = FleetOptions {
+            name: None,
+            listen: None,
+            voters: Vec::new(),
+            seeds: Vec::new(),
+            size: 3,
+            lease_ms: 3_000,
+            probe_ms: 500,
+            file: None,
+        };
+        Options { cores: 1, fleet }
     }
 }
 
-/// A key that may be set, the range of its values and where they go.
+/// What a value may be, and where it goes.
+enum Value {
+    Number { range: (u64, u64), set: fn(&mut Options, u64) },
+    Text(fn(&mut Options, &str) -> Result<(), String>),
+}
+
+/// A key that may be set.
 struct Key {
+    section: &'static str,
+    name: &'static str,
+    value: Value,
+}
+
+const fn number(
     section: &'static str,
     name: &'static str,
     range: (u64, u64),
     set: fn(&mut Options, u64),
+) -> Key {
+    Key { section, name, value: Value::Number { range, set } }
+}
+
+const fn text(
+    section: &'static str,
+    name: &'static str,
+    set: fn(&mut Options, &str) -> Result<(), String>,
+) -> Key {
+    Key { section, name, value: Value::Text(set) }
+}
+
+const KEYS: &[Key] = &[
+    number("cores", "count", (1, MOST_CORES), |o, n| o.cores = n as usize),
+    text("fleet", "name", |o, text| {
+        o.fleet.name = Some(word(text, "a fleet's name")?);
+        Ok(())
+    }),
+    text("fleet", "listen", |o, text| {
+        o.fleet.listen = Some(address(text)?);
+        Ok(())
+    }),
+    text("fleet", "voters", |o, text| {
+        o.fleet.voters = places(text)?;
+        if !matches!(o.fleet.voters.len(), 1 | 3 | 5 | 7) {
+            return Err(format!("{} voters: 1, 3, 5 or 7 keep a majority", o.fleet.voters.len()));
+        }
+        Ok(())
+    }),
+    text("fleet", "seeds", |o, text| {
+        o.fleet.seeds = places(text)?;
+        Ok(())
+    }),
+    number("fleet", "size", (1, 1_000), |o, n| o.fleet.size = n as u32),
+    number("fleet", "lease_ms", (300, 600_000), |o, n| o.fleet.lease_ms = n),
+    number("fleet", "probe_ms", (50, 60_000), |o, n| o.fleet.probe_ms = n),
+    text("fleet", "file", |o, text| {
+        o.fleet.file = Some(PathBuf::from(text));
+        Ok(())
+    }),
+];
+
+/// A name that goes over the wire.
+fn word(text: &str, what: &str) -> Result<String, String> {
+    match text.len() {
+        0 => Err(format!("{what} is empty")),
+        1..=64 => Ok(text.to_string()),
+        length => Err(format!("{what} of {length} bytes, 64 at most")),
+    }
 }
 
-const KEYS: &[Key] =
-    &[Key { section: "cores", name: "count", range: (1, MOST_CORES), set: |o, n| o.cores = n as usize }];
+fn address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{text:?} is no address with a port"))
+}
+
+/// `NAME@ADDRESS:PORT`, separated by commas.
+fn places(text: &str) -> Result<Vec<Place>, String> {
+    let mut places: Vec<Place> = Vec::new();
+    for part in text.split(',').map(str::trim) {
+        let (name, at) = part.rsplit_once('@').ok_or(format!("{part:?} is not NAME@ADDRESS:PORT"))?;
+        let place = Place { name: word(name, "a gateway's name")?, address: address(at)? };
+        if places.iter().any(|known| known.name == place.name || known.address == place.address) {
+            return Err(format!("{part:?}: a name or an address that stands there already"));
+        }
+        places.push(place);
+    }
+    Ok(places)
+}
 
 impl Options {
     /// Reads a file's text, or names the first line of it that cannot be used.
@@ -61,25 +182,54 @@
                 }
             }
         }
-        match faults.into_iter().min_by_key(|fault| fault.line) {
-            Some(first) => Err(first),
-            None => Ok(options),
+        if let Some(first) = faults.into_iter().min_by_key(|fault| fault.line) {
+            return Err(first);
         }
+        options.fleet.whole().map_err(|what| Fault::at(line_of(text, "fleet", None, 0), what))?;
+        Ok(options)
     }
 
     fn set(&mut self, section: &str, name: &str, value: &str) -> Result<(), String> {
         let key = KEYS.iter().find(|key| key.section == section && key.name == name);
-        let Some(key) = key else { return Err("no such key".into()) };
+        let (range, set) = match key.ok_or("no such key")?.value {
+            Value::Number { range, set } => (range, set),
+            Value::Text(set) => return set(self, value.trim()),
+        };
         let number: u64 = value.parse().map_err(|_| format!("{value:?} is no whole number"))?;
-        let (least, most) = key.range;
+        let (least, most) = range;
         if number < least || number > most {
             return Err(format!("{number} is out of range ({least} to {most})"));
         }
-        (key.set)(self, number);
+        set(self, number);
         Ok(())
     }
 }
 
+impl FleetOptions {
+    /// Whether what belongs together is there.
+    fn whole(&self) -> Result<(), String> {
+        if self.name.is_none() {
+            // Nothing of it counts, and nothing else of the section is asked for.
+            return Ok(());
+        }
+        if self.listen.is_none() {
+            return Err("[fleet] listen: missing".into());
+        }
+        if self.voters.is_empty() {
+            return Err("[fleet] voters: missing".into());
+        }
+        if self.lease_ms < self.probe_ms {
+            return Err("[fleet] lease_ms: shorter than probe_ms".into());
+        }
+        Ok(())
+    }
+
+    /// The place among the voters of the gateway with this name.
+    pub fn place(&self, name: &str) -> Option<usize> {
+        self.voters.iter().position(|voter| voter.name == name)
+    }
+}
+
 /// Whether a line by itself is a comment, a section's head or a key with a value.
 fn is_ini(line: &str) -> bool {
     let line = line.trim();
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -31,6 +31,17 @@
         ("[cores]\ncount = 1\n[cores]\ncount = 1", 4, "set twice"),
         ("[cores]\ncount\n[cores]", 2, "neither"),
         ("[cores\ncount = 1", 1, "neither"),
+        ("[fleet]\nname =", 2, "empty"),
+        ("[fleet]\nname = shop", 1, "listen: missing"),
+        ("[fleet]\nname = shop\nlisten = 127.0.0.1:7400", 1, "voters: missing"),
+        ("[fleet]\nlisten = 7400", 2, "no address with a port"),
+        ("[fleet]\nvoters = a@127.0.0.1:1, b@127.0.0.1:2", 2, "1, 3, 5 or 7"),
+        ("[fleet]\nvoters = 127.0.0.1:1", 2, "is not NAME@ADDRESS:PORT"),
+        ("[fleet]\nvoters = a@127.0.0.1:1, a@127.0.0.1:2, c@127.0.0.1:3", 2, "stands there already"),
+        ("[fleet]\n\nlease_ms = 299", 3, "out of range (300 to"),
+        ("[fleet]\nsize = many", 2, "no whole number"),
+        ("[fleet]\nname = shop\nlisten = 127.0.0.1:1\nvoters = a@127.0.0.1:1\nlease_ms = 400\nprobe_ms = 500", 1,
+            "shorter than probe_ms"),
     ] {
         let fault = Options::read(text).expect_err(text);
         assert_eq!(fault.line, line, "{text:?}: {fault}");
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,204 @@
+//! A fleet of real processes on loopback: roles pass on when their owner is killed or stopped, and voters come back.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader};
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+use rustix::process::{kill_process, Pid, Signal};
+
+/// However busy the machine, what is waited for comes within this.
+const LONG: Duration = Duration::from_secs(60);
+
+struct Fleet {
+    folder: PathBuf,
+    voters: String,
+    processes: Vec<Option<Child>>,
+    said: Sender<(usize, String)>,
+    heard: Receiver<(usize, String)>,
+    /// Who took the role under each epoch, by the logs.
+    owners: BTreeMap<u64, BTreeSet<usize>>,
+    ended: bool,
+}
+
+impl Fleet {
+    fn of(count: usize, test: &str) -> Fleet {
+        let folder = std::env::temp_dir().join(format!("dunemount-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        // All are held until each has its own.
+        let sockets: Vec<UdpSocket> =
+            (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a free port")).collect();
+        let address = |index: usize| sockets[index].local_addr().expect("bound").to_string();
+        let places: Vec<String> = (0..count).map(|index| format!("gw-{index}@{}", address(index))).collect();
+        let voters = places[..count.min(3)].join(", ");
+        for index in 0..count {
+            let file = folder.join(format!("voter-{index}"));
+            let ini = format!(
+                "[fleet]\nname = {test}\nlisten = {}\nvoters = {voters}\nlease_ms = 900\nprobe_ms = 200\nfile = {}\n",
+                address(index),
+                file.display()
+            );
+            std::fs::write(folder.join(format!("{index}.ini")), ini).expect("written");
+            let example = include_str!("../examples/config.json");
+            let mut config: serde_json::Value = serde_json::from_str(example).expect("JSON");
+            config["name"] = format!("gw-{index}").into();
+            (config["listen"], config["discovery"]) = ("127.0.0.1:0".into(), "127.0.0.1:1".into());
+            config.as_object_mut().expect("an object").remove("admin_addr");
+            std::fs::write(folder.join(format!("{index}.json")), config.to_string()).expect("written");
+        }
+        let (said, heard) = channel();
+        let processes = (0..count).map(|_| None).collect();
+        let mut fleet =
+            Fleet { folder, voters, processes, said, heard, owners: BTreeMap::new(), ended: false };
+        drop(sockets);
+        for index in 0..count {
+            if index < 3 {
+                assert!(fleet.command(index, &["fleet", "found"]).status().expect("it runs").success());
+            }
+            fleet.start(index);
+        }
+        fleet
+    }
+
+    fn command(&self, index: usize, what: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dunemount"));
+        command.args(what).arg("--config").arg(self.folder.join(format!("{index}.json")));
+        command.arg("--settings").arg(self.folder.join(format!("{index}.ini")));
+        for variable in ["GW_CONFIG", "GW_SETTINGS", "GW_NAME", "GW_LISTEN", "GW_ADMIN_ADDR", "GW_DISCOVERY"]
+        {
+            command.env_remove(variable);
+        }
+        command.env_remove("TMPDIR").stdout(Stdio::piped()).stderr(Stdio::null());
+        command
+    }
+
+    fn start(&mut self, index: usize) {
+        let mut child = self.command(index, &["serve"]).spawn().expect("it starts");
+        let output = child.stdout.take().expect("piped");
+        let said = self.said.clone();
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                let _ = said.send((index, line));
+            }
+        });
+        self.processes[index] = Some(child);
+    }
+
+    /// Reads logs up to a line with these words; who wrote it, and the line.
+    fn until(&mut self, wanted: impl Fn(usize, &str) -> bool) -> (usize, String) {
+        loop {
+            let (index, line) = self.heard.recv_timeout(LONG).expect("a line that was waited for");
+            if let Some(epoch) = line.contains("fleet: role taken").then(|| epoch(&line)) {
+                self.owners.entry(epoch).or_default().insert(index);
+            }
+            if wanted(index, &line) {
+                return (index, line);
+            }
+        }
+    }
+
+    fn taken(&mut self, after: u64) -> (usize, u64) {
+        let taken = |_, line: &str| line.contains("fleet: role taken") && epoch(line) > after;
+        let (index, line) = self.until(taken);
+        (index, epoch(&line))
+    }
+
+    fn signal(&self, index: usize, signal: Signal) {
+        let child = self.processes[index].as_ref().expect("there");
+        kill_process(Pid::from_child(child), signal).expect("its own child");
+    }
+
+    fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.processes[index].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn end(mut self) {
+        for (epoch, owners) in &self.owners {
+            assert_eq!(owners.len(), 1, "epoch {epoch} was taken by {owners:?}");
+        }
+        self.ended = true;
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        (0..self.processes.len()).for_each(|index| self.kill(index));
+        if self.ended {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        } else {
+            eprintln!("voters: {}; logs and settings in {}", self.voters, self.folder.display());
+        }
+    }
+}
+
+fn epoch(line: &str) -> u64 {
+    let text = line.split("epoch: ").nth(1).expect("an epoch");
+    text.split(|c: char| !c.is_ascii_digit()).next().and_then(|text| text.parse().ok()).expect("a number")
+}
+
+/// Guards a role through the death of its owner: one of the others has it under a later epoch, and the one that was
+/// killed comes back as a member and takes no epoch twice.
+#[test]
+fn a_role_passes_on_when_its_owner_is_killed() {
+    let mut fleet = Fleet::of(3, "killed");
+    let (mut owner, mut last) = fleet.taken(0);
+    for _ in 0..4 {
+        fleet.kill(owner);
+        let (next, epoch) = fleet.taken(last);
+        assert_ne!(next, owner);
+        let back = owner;
+        fleet.start(back);
+        fleet.until(|index, line| index == back && line.contains("fleet: member came"));
+        (owner, last) = (next, epoch);
+    }
+    fleet.end();
+}
+
+/// Guards a role through the stop of its owner: somebody else has it meanwhile, and the owner that is woken knows
+/// that it has it no more.
+#[test]
+fn an_owner_that_was_stopped_has_its_role_no_more() {
+    let mut fleet = Fleet::of(4, "stopped");
+    let (owner, epoch) = fleet.taken(0);
+    fleet.signal(owner, Signal::STOP);
+    let (next, _) = fleet.taken(epoch);
+    assert_ne!(next, owner);
+    fleet.signal(owner, Signal::CONT);
+    fleet.until(|index, line| index == owner && line.contains("fleet: role ended"));
+    fleet.end();
+}
+
+/// Guards voters: one that has lost its file is let in by the others; all killed at once go on under later epochs.
+#[test]
+fn voters_come_back_without_their_file_and_all_at_once() {
+    let mut fleet = Fleet::of(3, "voters");
+    let (_, epoch) = fleet.taken(0);
+    fleet.kill(1);
+    std::fs::remove_file(fleet.folder.join("voter-1")).expect("it was there");
+    fleet.start(1);
+    fleet.until(|index, line| index == 1 && line.contains("fleet: the voter is let in"));
+    (0..3).for_each(|index| fleet.kill(index));
+    (0..3).for_each(|index| fleet.start(index));
+    let (_, later) = fleet.taken(epoch);
+    assert!(later > epoch);
+    fleet.end();
+}
+
+/// Guards a good end: the role is given back, so that nobody waits for a lease, and the program ends by itself.
+#[test]
+fn who_ends_in_good_order_gives_its_role_back() {
+    let mut fleet = Fleet::of(3, "leaves");
+    let (owner, epoch) = fleet.taken(0);
+    fleet.signal(owner, Signal::TERM);
+    fleet.until(|index, line| index == owner && line.contains("why: GivenBack"));
+    fleet.taken(epoch);
+    let mut child = fleet.processes[owner].take().expect("there");
+    assert!(child.wait().expect("it ends").success());
+    fleet.end();
+}
