dunemount fleet status and GET /ops/fleet: members, voters, roles with owners and epochs

Need: nobody could see who owns what but by the logs. The node's thread puts its state on a board each 200 ms, the operators' door gives it as JSON, the command asks the door and prints a table or the JSON; 404 in no fleet.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -42,6 +43,15 @@
     /// Lay out this gateway's file as a voter of a NEW fleet. Never for a voter that has lost its file: the others let
     /// it in again by themselves.
     Found(Files),
+    /// Tell what a gateway knows of its fleet: members, voters, roles with their owners and epochs.
+    Status {
+        /// The gateway's admin_addr.
+        #[arg(long, value_name = "ADDRESS:PORT", env = "GW_ADMIN_ADDR")]
+        admin: SocketAddr,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 /// How to serve.
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -18,6 +18,7 @@
 use slog::{info, warn, Logger};
 
 use super::file::VoterFile;
+use super::status::{Board, Status};
 use crate::options::{FleetOptions, Place};
 
 /// Most datagrams taken in one turn.
@@ -28,12 +29,16 @@
 const BIND_PAUSE: Duration = Duration::from_millis(250);
 /// How long a node takes at most to give its roles back.
 const LEAVE: Duration = Duration::from_millis(600);
+/// Time between two states put on the board.
+const BOARD: Duration = Duration::from_millis(200);
 const SOCKET: usize = 0;
 const END: usize = 1;
 
 /// A node that runs.
 #[derive(Debug)]
 pub struct Running {
+    /// Its state, for the operators' door.
+    pub board: Board,
     end: UnixStream,
     thread: JoinHandle<()>,
 }
@@ -87,10 +92,11 @@
         seed: start.seed,
     };
     let file = slot.and(options.file.as_ref()).map(|path| VoterFile::at(path));
-    let driver = Driver::new(settings, slot, file, told, log.clone())?;
+    let board = Board::default();
+    let driver = Driver::new(settings, slot, file, told, board.clone(), log.clone())?;
     let thread = std::thread::Builder::new().name("fleet".into());
     let thread = thread.spawn(move || driver.run(listen))?;
-    Ok(Some(Running { end, thread }))
+    Ok(Some(Running { board, end, thread }))
 }
 
 struct Driver {
@@ -100,6 +106,12 @@
     poller: Poller,
     began: Instant,
     refused: BTreeMap<frame::Bad, u64>,
+    board: Board,
+    /// When the board is renewed.
+    next_board: Duration,
+    fleet: String,
+    voters: Vec<String>,
+    roles: Vec<String>,
     log: Logger,
 }
 
@@ -118,6 +130,7 @@
         slot: Option<usize>,
         file: Option<VoterFile>,
         end: UnixStream,
+        board: Board,
         log: Logger,
     ) -> io::Result<Driver> {
         let salt = settings.seed as u32;
@@ -127,8 +140,12 @@
         }
         let poller = Poller::new()?;
         poller.add_with_mode(&end, Poll::readable(END), PollMode::Level)?;
+        let fleet = settings.fleet.clone();
+        let voters = settings.voters.iter().map(|voter| voter.name.clone()).collect();
+        let roles = settings.roles.clone();
         let node = Node::new(settings, found.map(|(voter, _)| voter));
-        Ok(Driver { node, file, end, poller, began: Instant::now(), refused: BTreeMap::new(), log })
+        let (began, next_board, refused) = (Instant::now(), Duration::ZERO, BTreeMap::new());
+        Ok(Driver { node, file, end, poller, began, refused, board, next_board, fleet, voters, roles, log })
     }
 
     fn run(mut self, listen: std::net::SocketAddr) {
@@ -141,7 +158,7 @@
         info!(self.log, "fleet: joining"; "address" => %listen);
         let mut until = None;
         while until.is_none_or(|until| self.now() < until && !self.node.has_left()) {
-            self.wait(self.node.due());
+            self.wait(self.node.due().min(self.next_board));
             let now = self.now();
             self.take_in(now, &socket);
             self.node.tick(now);
@@ -152,6 +169,10 @@
             }
             self.send(&socket);
             self.tell();
+            if now >= self.next_board {
+                self.next_board = now + BOARD;
+                self.board.put(Status::of(&self.node, &self.fleet, &self.voters, &self.roles, now));
+            }
         }
         info!(self.log, "fleet: left");
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod driver;
 pub mod file;
+pub mod status;
--- /dev/null
+++ b/src/fleet/status.rs
@@ -0,0 +1,195 @@
+//! What a node of the fleet tells of itself: put on a board by its thread, read at the operators' door, and printed by
+//! `dunemount fleet status`.
+
+use std::fmt;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dunemount_fleet::node::Node;
+use dunemount_fleet::register::{NodeId, Slot};
+use serde::{Deserialize, Serialize};
+
+/// How long the door may take to answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Longest answer taken: a thousand members and roles are a fifth of it.
+const LONGEST: u64 = 1024 * 1024;
+
+/// A member.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where it hears datagrams.
+    pub address: String,
+    /// The number of its start.
+    pub start: u64,
+}
+
+/// A role, as this node has seen it last.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Role {
+    /// Its name.
+    pub name: String,
+    /// Its epoch.
+    pub epoch: u64,
+    /// Who has it; unnamed if it is no member that this node knows.
+    pub owner: Option<String>,
+    /// This node may order in it.
+    pub held: bool,
+}
+
+/// A place among the voters.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Voter {
+    /// Who fills it.
+    pub name: String,
+    /// The number of the file that counts; 0 for that of the foundation.
+    pub generation: u64,
+    /// Whether its process is there, as far as this node knows.
+    pub present: bool,
+}
+
+/// The state of a node.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The fleet's name.
+    pub fleet: String,
+    /// This node.
+    pub me: Member,
+    /// The others that are there.
+    pub members: Vec<Member>,
+    /// The voters, by place.
+    pub voters: Vec<Voter>,
+    /// This node's own voter: whether it votes, and how many registers it keeps.
+    pub voting: Option<bool>,
+    /// Registers that this node's voter keeps.
+    pub registers: usize,
+    /// The roles that this node looks after.
+    pub roles: Vec<Role>,
+    /// Datagrams dropped: another fleet's, another version's, spoilt.
+    pub foreign: u64,
+    /// Messages that made no sense.
+    pub senseless: u64,
+    /// Orders refused, since their epoch had been succeeded.
+    pub refused: u64,
+}
+
+/// Where a node's thread puts its status, and the door finds it.
+#[derive(Clone, Debug, Default)]
+pub struct Board(Arc<Mutex<Status>>);
+
+impl Board {
+    /// Puts up a new status.
+    pub fn put(&self, status: Status) {
+        // A reader that panicked has changed nothing.
+        *self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = status;
+    }
+
+    /// The status as it stands.
+    pub fn get(&self) -> Status {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+    }
+}
+
+impl Status {
+    /// A node's status.
+    pub fn of(node: &Node, fleet: &str, voters: &[String], roles: &[String], now: Duration) -> Status {
+        let member = |peer: &dunemount_fleet::member::Peer| Member {
+            name: peer.name.clone(),
+            address: peer.address.to_string(),
+            start: peer.start,
+        };
+        let (members, me) = (node.members(), node.members().me());
+        let named = |id: NodeId| {
+            let mut all = members.present().chain([me]);
+            all.find(|peer| peer.node() == id).map(|peer| peer.name.clone())
+        };
+        let seat = |role: &String| {
+            let seat = node.seat(role)?;
+            let (seen, held) = (seat.seen(), seat.order(now));
+            let owner = seen.and_then(|tenure| tenure.owner).and_then(named);
+            let epoch = seen.map_or(0, |tenure| tenure.epoch);
+            Some(Role { name: role.clone(), epoch, owner, held: held.is_some() })
+        };
+        let voter = |(slot, name): (usize, &String)| Voter {
+            name: name.clone(),
+            generation: node.electorate().view.generation(Slot(slot as u8)),
+            present: members.present().chain([me]).any(|peer| peer.name == *name),
+        };
+        let dropped = node.dropped();
+        Status {
+            fleet: fleet.to_string(),
+            me: member(me),
+            members: members.present().map(member).collect(),
+            voters: voters.iter().enumerate().map(voter).collect(),
+            voting: node.voter().map(|voter| !voter.is_blank()),
+            registers: node.voter().map_or(0, |voter| voter.registers()),
+            roles: roles.iter().filter_map(seat).collect(),
+            foreign: dropped.foreign,
+            senseless: dropped.senseless + members.refused(),
+            refused: dropped.orders,
+        }
+    }
+
+    /// Asks a gateway's door.
+    ///
+    /// # Errors
+    /// What went wrong, in words for the operator.
+    pub fn ask(door: SocketAddr) -> Result<Status, String> {
+        let text = fetch(door).map_err(|e| format!("{door} does not answer: {e}"))?;
+        let (head, body) = text.split_once("\r\n\r\n").ok_or(format!("{door}: no answer of a door"))?;
+        match head.split(' ').nth(1) {
+            Some("200") => serde_json::from_str(body).map_err(|e| format!("{door}: {e}")),
+            Some("404") => Err(format!("{door}: this gateway is in no fleet")),
+            _ => Err(format!("{door}: {}", head.lines().next().unwrap_or_default())),
+        }
+    }
+}
+
+fn fetch(door: SocketAddr) -> io::Result<String> {
+    let mut socket = TcpStream::connect_timeout(&door, PATIENCE)?;
+    socket.set_read_timeout(Some(PATIENCE))?;
+    socket.write_all(format!("GET /ops/fleet HTTP/1.1\r\nHost: {door}\r\n\r\n").as_bytes())?;
+    let mut text = String::new();
+    socket.take(LONGEST).read_to_string(&mut text)?;
+    Ok(text)
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let voting = match self.voting {
+            None => "no voter".to_string(),
+            Some(true) => format!("votes, {} registers", self.registers),
+            Some(false) => "a voter without its file, to be let in".to_string(),
+        };
+        writeln!(f, "fleet {}, {} at {}: {voting}", self.fleet, self.me.name, self.me.address)?;
+        writeln!(
+            f,
+            "dropped: {} foreign, {} senseless; orders refused: {}",
+            self.foreign, self.senseless, self.refused
+        )?;
+        writeln!(f, "\n{:<24} {:<24} START", "MEMBER", "ADDRESS")?;
+        for member in std::iter::once(&self.me).chain(&self.members) {
+            writeln!(f, "{:<24} {:<24} {}", member.name, member.address, member.start)?;
+        }
+        writeln!(f, "\n{:<24} {:<24} PRESENT", "VOTER", "FILE")?;
+        for voter in &self.voters {
+            writeln!(
+                f,
+                "{:<24} {:<24} {}",
+                voter.name,
+                voter.generation,
+                if voter.present { "yes" } else { "no" }
+            )?;
+        }
+        writeln!(f, "\n{:<24} {:<24} EPOCH", "ROLE", "OWNER")?;
+        for role in &self.roles {
+            let owner = role.owner.as_deref().unwrap_or(if role.epoch == 0 { "-" } else { "?" });
+            let own = if role.held { " (here)" } else { "" };
+            writeln!(f, "{:<24} {:<24} {}", role.name, format!("{owner}{own}"), role.epoch)?;
+        }
+        Ok(())
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
 use dunemount::config::{self, File, InForce, Taken};
 use dunemount::fault::Fault;
 use dunemount::fleet::driver;
+use dunemount::fleet::status::Status;
 use dunemount::logging;
 use dunemount::net::event_loop::{Config, Gateway, Signals};
 use dunemount::settings::Zones;
@@ -29,6 +30,10 @@
         None => serve(cli.serve),
         Some(Command::Serve(how)) => serve(how),
         Some(Command::Check(files)) => check::check(&files).map(|found| println!("{found}")),
+        Some(Command::Fleet(Fleet::Status { admin, json })) => Status::ask(admin).map(|status| match json {
+            true => println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default()),
+            false => print!("{status}"),
+        }),
         Some(Command::Fleet(Fleet::Found(files))) => check::found(&files).map(|done| println!("{done}")),
     };
     match done {
@@ -73,7 +78,7 @@
     };
     let needed = |name: &str, or: &String| config::address(name, said(name).as_ref().unwrap_or(or));
     let admin = said("GW_ADMIN_ADDR").or(file.admin_addr);
-    let config = Config {
+    let mut config = Config {
         listen: needed("GW_LISTEN", &file.listen)?,
         admin: admin.map(|text| config::address("GW_ADMIN_ADDR", &text)).transpose()?,
         discovery: needed("GW_DISCOVERY", &file.discovery)?,
@@ -86,6 +91,7 @@
         text: in_force.text().to_string(),
         line,
         inherited,
+        fleet: None,
     };
     use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
     let signals = Signals {
@@ -117,6 +123,7 @@
     };
     let fleet =
         driver::start(&options.fleet, start, &log).map_err(|e| format!("cannot join the fleet: {e}"))?;
+    config.fleet = fleet.as_ref().map(|fleet| fleet.board.clone());
     let workers = Gateway::open_all(config, signals, log.clone(), options.cores)
         .map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     info!(log, "listening"; "address" => %listen, "version" => env!("CARGO_PKG_VERSION"),
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -39,6 +39,7 @@
 use crate::classes::Classes;
 use crate::config::Taken;
 use crate::fault::Fault;
+use crate::fleet::status::Board;
 use crate::ops::figures::Figures;
 use crate::pg::codec;
 use crate::pg::statement::Statement;
@@ -97,6 +98,8 @@
     pub line: Option<PathBuf>,
     /// What the process before hands over.
     pub inherited: Option<Inheritance>,
+    /// Where the state of the fleet is put, if the gateway is in one.
+    pub fleet: Option<Board>,
 }
 
 /// Reads the configuration anew, with the zones that are known.
@@ -218,7 +221,7 @@
                         most_known: (config.sockets / KNOWN_PART).clamp(2, budget - hosts),
                         longest_message: (memory / MESSAGE_PART).clamp(codec::MAX_MESSAGE, MOST_MESSAGE),
                     },
-                    door: Door { listener: None, down: BTreeSet::new() },
+                    door: Door { listener: None, down: BTreeSet::new(), fleet: None },
                     line: Succession::default(),
                     watching,
                     phase: Phase::Serving,
@@ -238,7 +241,7 @@
         if let Some(door) = &door {
             first.poller.add_with_mode(door, Event::readable(DOOR), PollMode::Level)?;
         }
-        (first.guests.listener, first.door.listener) = (Some(listener), door);
+        (first.guests.listener, first.door.listener, first.door.fleet) = (Some(listener), door, config.fleet);
         (first.signals, first.config, first.line.path) = (Some(signals), config.text, config.line);
         match (line, estate) {
             (Some(line), Some(estate)) => {
--- a/src/net/event_loop/door.rs
+++ b/src/net/event_loop/door.rs
@@ -10,6 +10,7 @@
 use super::crew::Letter;
 use super::slots::{Key, Link};
 use super::{Gateway, Phase};
+use crate::fleet::status::Board;
 use crate::ops::call::{Call, Order, Status};
 use crate::ops::figures::Figures;
 use crate::Micros;
@@ -24,6 +25,8 @@
 pub(super) struct Door {
     pub(super) listener: Option<TcpListener>,
     pub(super) down: BTreeSet<String>,
+    /// What is known of the fleet, if this gateway is in one.
+    pub(super) fleet: Option<Board>,
 }
 
 /// An operator's connection.
@@ -111,6 +114,11 @@
             Order::Stats => self.gather(key),
             Order::Down(name) => self.order(key, &name, true),
             Order::Up(name) => self.order(key, &name, false),
+            Order::Fleet => match self.door.fleet.as_ref().map(|board| serde_json::to_string(&board.get())) {
+                Some(Ok(text)) => self.reply(key, Status::Ok, &text),
+                Some(Err(_)) => self.reply(key, Status::Unavailable, "the fleet's state cannot be told\n"),
+                None => self.reply(key, Status::NotFound, "no fleet\n"),
+            },
         }
     }
 
--- a/src/ops/call.rs
+++ b/src/ops/call.rs
@@ -18,6 +18,8 @@
     Down(String),
     /// Put the host of this name back.
     Up(String),
+    /// What this gateway knows of its fleet.
+    Fleet,
 }
 
 /// A status with its reason.
@@ -101,6 +103,7 @@
         let (method, order): (_, fn(String) -> Order) = match path {
             "/ops/readiness" => ("GET", |_| Order::Readiness),
             "/ops/stats" => ("GET", |_| Order::Stats),
+            "/ops/fleet" => ("GET", |_| Order::Fleet),
             "/ops/database-hosts/down" => ("POST", Order::Down),
             "/ops/database-hosts/up" => ("POST", Order::Up),
             _ => return Err(Status::NotFound),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -21,6 +21,7 @@
     heard: Receiver<(usize, String)>,
     /// Who took the role under each epoch, by the logs.
     owners: BTreeMap<u64, BTreeSet<usize>>,
+    doors: Vec<SocketAddr>,
     ended: bool,
 }
 
@@ -31,10 +32,12 @@
         // All are held until each has its own.
         let sockets: Vec<UdpSocket> =
             (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a free port")).collect();
+        let doors: Vec<TcpListener> =
+            (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
         let address = |index: usize| sockets[index].local_addr().expect("bound").to_string();
         let places: Vec<String> = (0..count).map(|index| format!("gw-{index}@{}", address(index))).collect();
         let voters = places[..count.min(3)].join(", ");
-        for index in 0..count {
+        for (index, door) in doors.iter().enumerate() {
             let file = folder.join(format!("voter-{index}"));
             let ini = format!(
                 "[fleet]\nname = {test}\nlisten = {}\nvoters = {voters}\nlease_ms = 900\nprobe_ms = 200\nfile = {}\n",
@@ -46,14 +49,23 @@
             let mut config: serde_json::Value = serde_json::from_str(example).expect("JSON");
             config["name"] = format!("gw-{index}").into();
             (config["listen"], config["discovery"]) = ("127.0.0.1:0".into(), "127.0.0.1:1".into());
-            config.as_object_mut().expect("an object").remove("admin_addr");
+            config["admin_addr"] = door.local_addr().expect("bound").to_string().into();
             std::fs::write(folder.join(format!("{index}.json")), config.to_string()).expect("written");
         }
         let (said, heard) = channel();
         let processes = (0..count).map(|_| None).collect();
-        let mut fleet =
-            Fleet { folder, voters, processes, said, heard, owners: BTreeMap::new(), ended: false };
-        drop(sockets);
+        let mut fleet = Fleet {
+            folder,
+            voters,
+            processes,
+            said,
+            heard,
+            owners: BTreeMap::new(),
+            doors: Vec::new(),
+            ended: false,
+        };
+        fleet.doors = doors.iter().map(|door| door.local_addr().expect("bound")).collect();
+        drop((sockets, doors));
         for index in 0..count {
             if index < 3 {
                 assert!(fleet.command(index, &["fleet", "found"]).status().expect("it runs").success());
@@ -202,3 +214,35 @@
     assert!(child.wait().expect("it ends").success());
     fleet.end();
 }
+
+/// Guards the operators' view: the door tells of members, voters and the role's owner, and the command prints it; a
+/// gateway in no fleet says so.
+#[test]
+fn the_status_tells_who_is_there_and_who_owns_what() {
+    let mut fleet = Fleet::of(3, "status");
+    let (owner, epoch) = fleet.taken(0);
+    // Each has heard of the others before its board tells so.
+    let status = |fleet: &Fleet, index: usize, json: bool| {
+        let door = fleet.doors[index].to_string();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dunemount"));
+        command.args(["fleet", "status", "--admin", &door]).args(json.then_some("--json"));
+        String::from_utf8(command.output().expect("it runs").stdout).expect("text")
+    };
+    let told = loop {
+        let told: serde_json::Value = serde_json::from_str(&status(&fleet, owner, true)).unwrap_or_default();
+        if told["members"].as_array().is_some_and(|members| members.len() == 2)
+            && told["roles"][0]["held"] == true
+        {
+            break told;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    assert_eq!(told["roles"][0]["owner"], format!("gw-{owner}"));
+    assert_eq!(told["roles"][0]["epoch"], epoch);
+    assert_eq!(told["voting"], true);
+    let table = status(&fleet, owner, false);
+    for word in ["fleet status", "gw-0", "gw-1", "gw-2", "survey/1", "(here)", "votes"] {
+        assert!(table.contains(word), "{word} in {table}");
+    }
+    fleet.end();
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -241,6 +241,7 @@
             text: text.clone(),
             line,
             inherited,
+            fleet: None,
         };
         let reread = Box::new(move |zones: &mut Zones| {
             let text: String = read.recv().expect("a file");
