Read again: parts of two admissions no longer add up; roles go to their first candidate

Found on reading the change again, in crates/fleet: - Voter::collect put parts of two admissions under one view together; their number could reach that of one while registers of it were missing, among them a chosen value. Parts count for one admission now (its nonce). Test fails without it. - A view of any places joined the stored one for good, and could outgrow a datagram: places from 7 on are refused. - A node that left or was superseded looked after all roles again, since it saw nobody: it gives them back and takes none. One told to leave while it renewed gave back a third of a lease later; at once now. - Members that came later never got a role: Seat::want was there and nobody called it.

--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -22,7 +22,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Fence {
     highest: BTreeMap<String, u64>,
-    refused: u64,
 }
 
 impl Fence {
@@ -43,19 +42,8 @@
         };
         match verdict {
             Ok(true) => drop(self.highest.insert(role.to_string(), epoch)),
-            Ok(false) => {}
-            Err(_) => self.refused += 1,
+            Ok(false) | Err(_) => {}
         }
         verdict
     }
-
-    /// The highest epoch seen of a role.
-    pub fn highest(&self, role: &str) -> Option<u64> {
-        self.highest.get(role).copied()
-    }
-
-    /// Orders refused so far.
-    pub fn refused(&self) -> u64 {
-        self.refused
-    }
 }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -64,6 +64,9 @@
     }
 }
 
+/// For so many leases a process has to be the first candidate before it asks for a role that another has.
+const SETTLED: u32 = 4;
+
 /// What all seats of a process share about the voters.
 #[derive(Clone, Debug, Default)]
 pub struct Electorate {
@@ -173,18 +176,11 @@
     }
 }
 
-/// A look at the register without a promise.
-#[derive(Clone, Debug)]
-struct Look {
-    nonce: u64,
-    heard: Vec<(Slot, Ballot, Option<Value>)>,
-}
-
 #[derive(Clone, Debug)]
 enum Doing {
     Nothing,
-    Looking(Look),
-    Changing { round: Round, purpose: Purpose },
+    /// A change for a purpose, or a look for none.
+    Round(Round, Option<Purpose>),
 }
 
 /// One process's part in one role.
@@ -206,7 +202,8 @@
     next: Duration,
     /// It gives the role back at the next occasion.
     leaving: bool,
-    wants: bool,
+    /// Since when this process is the first candidate.
+    first: Option<Duration>,
 }
 
 impl Seat {
@@ -224,15 +221,10 @@
             held: None,
             next: Duration::ZERO,
             leaving: false,
-            wants: false,
+            first: None,
         }
     }
 
-    /// The role's name.
-    pub fn key(&self) -> &str {
-        &self.key
-    }
-
     /// The epoch under which this process may order at this moment. To be asked right before each order, and
     /// again after whatever may have taken time.
     pub fn order(&self, now: Duration) -> Option<u64> {
@@ -255,11 +247,6 @@
         self.next = Duration::ZERO;
     }
 
-    /// Asks the owner to hand the role over.
-    pub fn want(&mut self) {
-        self.wants = self.held.is_none();
-    }
-
     /// When [`Seat::tick`] has something to do next.
     pub fn due(&self) -> Duration {
         let round = match self.doing {
@@ -280,6 +267,7 @@
         out: &mut Vec<(Slot, Call)>,
     ) -> Option<Change> {
         let mut change = None;
+        self.first = self.first.or(Some(now)).filter(|_| rank == Some(0));
         if let Some((epoch, until)) = self.held {
             if now >= until {
                 (self.held, self.leaving) = (None, false);
@@ -292,7 +280,7 @@
         match &self.doing {
             Doing::Nothing if now >= self.next => self.begin(now, rank, electorate, dice, out),
             Doing::Nothing => {}
-            _ if now >= self.resend => self.send(now, electorate, out),
+            _ if now >= self.resend => self.send(now, out),
             _ => {}
         }
         change
@@ -319,26 +307,32 @@
             (None, Some((tenure, since)), Some(rank)) if self.may_take(now, tenure, *since, rank) => {
                 Some(Purpose::Take)
             }
-            (None, Some((tenure, _)), _)
-                if self.wants && tenure.owner.is_some() && tenure.wanted.is_none() =>
-            {
+            (None, Some((tenure, _)), Some(0)) if self.may_want(now, tenure) => {
+                self.first = Some(now);
                 Some(Purpose::Want)
             }
             _ => None,
         };
-        let nonce = electorate.nonce();
         self.asked = now;
-        self.doing = match purpose {
-            None => Doing::Looking(Look { nonce, heard: Vec::new() }),
-            Some(purpose) => {
+        let (key, nonce, voters) = (self.key.clone(), electorate.nonce(), electorate.voters);
+        let (view, stamps) = (electorate.view.clone(), electorate.stamps.clone());
+        let round = match purpose {
+            None => Round::look(key, view, nonce, voters, stamps),
+            Some(_) => {
                 self.highest += 1 + u64::from(dice.next_u32() % 2);
                 let ballot = Ballot { round: self.highest, by: self.me };
-                let (view, stamps) = (electorate.view.clone(), electorate.stamps.clone());
-                let round = Round::begin(self.key.clone(), ballot, view, nonce, electorate.voters, stamps);
-                Doing::Changing { round, purpose }
+                Round::begin(key, ballot, view, nonce, voters, stamps)
             }
         };
-        self.send(now, electorate, out);
+        self.doing = Doing::Round(round, purpose);
+        self.send(now, out);
+    }
+
+    /// Whether the owner is to be asked to hand over: this process has been the first candidate for long enough, so that
+    /// a member which comes and goes moves no roles.
+    fn may_want(&self, now: Duration, tenure: &Tenure) -> bool {
+        let settled = self.first.is_some_and(|since| now >= since + self.terms.length * SETTLED);
+        settled && tenure.owner.is_some() && tenure.wanted.is_none()
     }
 
     /// Whether a tenure is free, or has stood still for a lease's length.
@@ -353,18 +347,10 @@
         }
     }
 
-    fn send(&mut self, now: Duration, electorate: &Electorate, out: &mut Vec<(Slot, Call)>) {
+    fn send(&mut self, now: Duration, out: &mut Vec<(Slot, Call)>) {
         self.resend = now + self.terms.resend;
-        match &self.doing {
-            Doing::Nothing => {}
-            Doing::Changing { round, .. } => out.extend(round.calls()),
-            Doing::Looking(look) => {
-                let request = Request::Read { key: self.key.clone() };
-                let call = Call { view: electorate.view.clone(), nonce: look.nonce, request };
-                let silent = |slot: &Slot| look.heard.iter().all(|(at, ..)| at != slot);
-                let slots = (0..electorate.voters).map(Slot).filter(silent);
-                out.extend(slots.map(|slot| (slot, call.clone())));
-            }
+        if let Doing::Round(round, _) = &self.doing {
+            out.extend(round.calls());
         }
     }
 
@@ -377,71 +363,44 @@
         dice: &mut impl RngCore,
         out: &mut Vec<(Slot, Call)>,
     ) -> Option<Change> {
-        match &mut self.doing {
-            Doing::Nothing => None,
-            Doing::Looking(look) if reply.nonce == look.nonce => {
-                self.look(now, reply, electorate, dice);
+        let Doing::Round(round, purpose) = &mut self.doing else { return None };
+        if reply.nonce != round.nonce() {
+            return None;
+        }
+        let (event, purpose) = (round.hear(reply), *purpose);
+        electorate.note(&event);
+        electorate.stamps.book(&electorate.view, reply);
+        match (event, purpose) {
+            (Event::Read(ballot, value), _) => self.looked(now, ballot, value.as_deref()),
+            (Event::Prepared(value), Some(purpose)) => self.prepared(now, value, purpose, dice, out),
+            (Event::Chosen(value), Some(purpose)) => self.chosen(now, &value, purpose),
+            (Event::Outbid(by), _) => {
+                self.highest = self.highest.max(by.round);
+                self.stop(now, dice);
                 None
             }
-            Doing::Changing { round, purpose } if reply.nonce == round.nonce() => {
-                let (event, purpose) = (round.hear(reply), *purpose);
-                electorate.note(&event);
-                electorate.stamps.book(&electorate.view, reply);
-                match event {
-                    Event::Prepared(value) => self.prepared(now, value, purpose, electorate, dice, out),
-                    Event::Chosen(value) => self.chosen(now, &value, purpose),
-                    Event::Outbid(by) => {
-                        self.highest = self.highest.max(by.round);
-                        self.stop(now, dice);
-                        None
-                    }
-                    Event::Newer(_) => {
-                        self.stop(now, dice);
-                        None
-                    }
-                    Event::None | Event::Older(_) | Event::Blank(..) | Event::Unfit(_) => None,
-                }
+            (Event::Newer(_), _) => {
+                self.stop(now, dice);
+                None
             }
             _ => None,
         }
     }
 
-    /// One voter's word in a look. The latest that a majority has accepted need not be chosen; to see that nobody
-    /// renews, it does.
-    fn look(&mut self, now: Duration, reply: &Reply, electorate: &mut Electorate, dice: &mut impl RngCore) {
-        let Doing::Looking(look) = &mut self.doing else { return };
-        let view = electorate.view.clone();
-        if let Answer::Refused(Refusal::View(other)) = &reply.answer {
-            let event = match view.join(other) == view {
-                true => Event::Older(reply.slot),
-                false => Event::Newer(other.clone()),
-            };
-            return electorate.note(&event);
-        }
-        if reply.answer == Answer::Refused(Refusal::Blank) {
-            return electorate.note(&Event::Blank(reply.slot, reply.generation));
-        }
-        let counts = reply.generation == view.generation(reply.slot) && reply.slot.0 < electorate.voters;
-        let Answer::Promise { accepted, value } = &reply.answer else { return };
-        if !counts || look.heard.iter().any(|(at, ..)| *at == reply.slot) {
-            return;
-        }
-        electorate.stamps.book(&view, reply);
-        look.heard.push((reply.slot, *accepted, value.clone()));
-        if look.heard.len() <= usize::from(electorate.voters) / 2 {
-            return;
-        }
-        let latest = look.heard.iter().max_by_key(|(_, accepted, _)| *accepted);
-        let (round, value) = latest.map(|(_, at, value)| (at.round, value.clone())).unwrap_or_default();
-        self.highest = self.highest.max(round);
-        self.stop(now, dice);
-        match value.as_deref().map_or(Some(Tenure::default()), Tenure::read) {
-            Some(tenure) => {
-                self.next = if tenure.owner.is_none() { now } else { now + self.terms.length / 6 };
-                self.saw(now, tenure);
-            }
-            _ => self.next = now + self.terms.length / 6,
+    /// A look has ended. The latest that a majority has accepted need not be chosen; to see that nobody renews, it does.
+    fn looked(&mut self, now: Duration, ballot: Ballot, value: Option<&[u8]>) -> Option<Change> {
+        self.highest = self.highest.max(ballot.round);
+        self.doing = Doing::Nothing;
+        self.next = now + self.terms.length / 6;
+        let tenure = value.map_or(Some(Tenure::default()), Tenure::read)?;
+        if tenure.owner.is_none() {
+            self.next = now + self.terms.resend / 4;
+        } else if tenure.wanted == Some(self.me) {
+            // Its owner hands it over at its next renewal, and nobody has it until this process takes it.
+            self.next = now + self.terms.resend / 2;
         }
+        self.saw(now, tenure);
+        None
     }
 
     /// Books a tenure that was seen. Only a later one begins the wait anew.
@@ -460,7 +419,6 @@
         now: Duration,
         value: Option<Value>,
         purpose: Purpose,
-        electorate: &Electorate,
         dice: &mut impl RngCore,
         out: &mut Vec<(Slot, Call)>,
     ) -> Option<Change> {
@@ -478,10 +436,10 @@
         self.leaving |= purpose == Purpose::Renew && next.as_ref().is_some_and(|next| next.owner.is_none());
         match next {
             Some(tenure) => {
-                if let Doing::Changing { round, .. } = &mut self.doing {
+                if let Doing::Round(round, _) = &mut self.doing {
                     round.propose(tenure.write());
                 }
-                self.send(now, electorate, out);
+                self.send(now, out);
                 None
             }
             None => {
@@ -501,15 +459,15 @@
         let tenure = Tenure::read(value)?;
         let mine = tenure.owner == Some(self.me);
         let epoch = tenure.epoch;
-        self.seen = Some((tenure, now));
+        self.saw(now, tenure);
         if mine {
             let before = self.held.replace((epoch, self.asked + self.terms.held()));
-            self.next = self.asked + self.terms.length / 3;
-            (self.leaving, self.wants) = (self.leaving && purpose != Purpose::Take, false);
+            self.leaving &= purpose != Purpose::Take;
+            // Whoever was told to give the role back while it was renewed does so at once.
+            self.next = if self.leaving { now } else { self.asked + self.terms.length / 3 };
             return before.is_none().then_some(Change::Took { epoch });
         }
-        self.next = now + self.terms.length / 6;
-        self.wants &= purpose != Purpose::Want;
+        self.next = now + self.terms.resend;
         let over = self.held.take();
         self.leaving = false;
         over.map(|(epoch, _)| Change::Ended { epoch, why: Ended::GivenBack })
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -107,6 +107,8 @@
     events: VecDeque<Event>,
     dropped: Dropped,
     was_blank: bool,
+    /// It gives its roles back and takes no other.
+    leaving: bool,
 }
 
 impl Node {
@@ -130,6 +132,7 @@
             out: VecDeque::new(),
             events: VecDeque::new(),
             dropped: Dropped::default(),
+            leaving: false,
             settings,
         }
     }
@@ -154,9 +157,9 @@
         self.dropped
     }
 
-    /// The highest epochs seen.
-    pub fn fence(&self) -> &Fence {
-        &self.fence
+    /// What it was told at its start.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
     }
 
     /// The role's seat, if this process looks after it.
@@ -202,11 +205,17 @@
     /// Leaves in good order: roles are given back, and the others are told. The datagrams have to be sent, and time
     /// given to [`Node::tick`] until [`Node::has_left`].
     pub fn leave(&mut self, now: Duration) {
-        self.seats.values_mut().for_each(Seat::give_back);
+        self.retire();
         self.members.leave(now);
         self.carry_members();
     }
 
+    /// Gives all roles back, and takes none any more: a process that is no member looks after nothing.
+    fn retire(&mut self) {
+        self.leaving = true;
+        self.seats.values_mut().for_each(Seat::give_back);
+    }
+
     /// Whether no role is held any more.
     pub fn has_left(&self) -> bool {
         self.seats.values().all(|seat| !seat.is_held())
@@ -228,6 +237,9 @@
             }
         }
         while let Some(change) = self.members.change() {
+            if change == member::Change::Superseded {
+                self.retire();
+            }
             self.events.push_back(Event::Member(change));
         }
     }
@@ -355,7 +367,7 @@
         let weight = |name: &str| frame::tag(&format!("{name}/{role}")).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let mine = (weight(&self.settings.me.name), &self.settings.me.name);
         let before = self.members.present().filter(|peer| (weight(&peer.name), &peer.name) > mine).count();
-        (before < CANDIDATES).then_some(before as u32)
+        (before < CANDIDATES && !self.leaving).then_some(before as u32)
     }
 
     /// Voters that lag are told of the view, one that has lost its file is let in: by whoever notices.
@@ -369,19 +381,14 @@
                 *at = now + self.settings.terms.resend;
                 calls.extend(admission.calls());
             }
-            (None, Some((slot, generation))) if generation > self.electorate.view.generation(slot) => {
-                let nonce = self.electorate.nonce();
-                let Electorate { view, stamps, voters, .. } = &self.electorate;
-                let admission = Admission::begin(slot, generation, view, nonce, *voters, stamps.clone());
-                calls.extend(admission.calls());
-                self.admission = Some((admission, now + self.settings.terms.resend));
-            }
-            // Somebody has begun to let this very file in; if nobody ends it, this process does.
-            (None, Some((slot, generation))) if generation == self.electorate.view.generation(slot) => {
+            (None, Some((slot, generation))) if generation >= self.electorate.view.generation(slot) => {
+                // If somebody has begun to let this very file in, this process does only if nobody ends it.
+                let begun = generation == self.electorate.view.generation(slot);
+                let wait = if begun { self.settings.terms.length } else { Duration::ZERO };
                 let nonce = self.electorate.nonce();
                 let Electorate { view, stamps, voters, .. } = &self.electorate;
                 let admission = Admission::begin(slot, generation, view, nonce, *voters, stamps.clone());
-                self.admission = Some((admission, now + self.settings.terms.length));
+                self.admission = Some((admission, now + wait));
             }
             // It has an older number than one that was let in: it takes a higher one when it hears of the view.
             (None, Some(_)) => drop(self.electorate.blank.remove(0)),
--- a/crates/fleet/src/register.rs
+++ b/crates/fleet/src/register.rs
@@ -11,6 +11,9 @@
 /// Most registers that a voter keeps.
 pub const MOST_REGISTERS: usize = 1024;
 
+/// Most voters; a view of more places is nobody's.
+pub const MOST_VOTERS: u8 = 7;
+
 /// A process of a gateway: a new start has a new number, so that nobody takes it for the one before.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NodeId(pub u64);
@@ -61,6 +64,11 @@
         self.0.get(&slot).copied().unwrap_or_default()
     }
 
+    /// Whether it names no places that no fleet has: it is stored for good, and has to fit into every call.
+    pub fn is_sound(&self) -> bool {
+        self.0.keys().all(|slot| slot.0 < MOST_VOTERS)
+    }
+
     /// The first view that follows both.
     #[must_use]
     pub fn join(&self, other: &View) -> View {
--- a/crates/fleet/src/round.rs
+++ b/crates/fleet/src/round.rs
@@ -28,6 +28,8 @@
 /// How far a round has come.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Phase {
+    /// A look: what each has accepted, and no promise.
+    Reading(BTreeMap<Slot, (Ballot, Option<Value>)>),
     Preparing(BTreeMap<Slot, (Ballot, Option<Value>)>),
     /// A majority has promised; the owner is to say what the value becomes.
     Asking,
@@ -40,6 +42,8 @@
 pub enum Event {
     /// Nothing yet.
     None,
+    /// What a majority has accepted last, in a look. It need not be chosen.
+    Read(Ballot, Option<Value>),
     /// A majority has promised, and this is the register's value: call [`Round::propose`].
     Prepared(Option<Value>),
     /// The register holds the proposed value.
@@ -75,31 +79,30 @@
         Round { key, ballot, view, nonce, voters, stamps, phase: Phase::Preparing(BTreeMap::new()) }
     }
 
+    /// Begins a look, which promises and changes nothing.
+    pub fn look(key: Key, view: View, nonce: u64, voters: u8, stamps: Stamps) -> Round {
+        let ballot = Ballot::default();
+        Round { key, ballot, view, nonce, voters, stamps, phase: Phase::Reading(BTreeMap::new()) }
+    }
+
     /// The round's number.
     pub fn nonce(&self) -> u64 {
         self.nonce
     }
 
-    /// Its ballot.
-    pub fn ballot(&self) -> Ballot {
-        self.ballot
-    }
-
     fn majority(&self) -> usize {
         usize::from(self.voters) / 2 + 1
     }
 
     /// The calls that are not answered yet, to be sent now and from time to time again.
     pub fn calls(&self) -> Vec<(Slot, Call)> {
+        let (key, ballot) = (self.key.clone(), self.ballot);
         let (request, heard): (Request, BTreeSet<Slot>) = match &self.phase {
-            Phase::Preparing(promises) => (
-                Request::Prepare { key: self.key.clone(), ballot: self.ballot },
-                promises.keys().copied().collect(),
-            ),
-            Phase::Accepting(value, accepted) => (
-                Request::Accept { key: self.key.clone(), ballot: self.ballot, value: value.clone() },
-                accepted.clone(),
-            ),
+            Phase::Reading(told) => (Request::Read { key }, told.keys().copied().collect()),
+            Phase::Preparing(told) => (Request::Prepare { key, ballot }, told.keys().copied().collect()),
+            Phase::Accepting(value, accepted) => {
+                (Request::Accept { key, ballot, value: value.clone() }, accepted.clone())
+            }
             Phase::Asking | Phase::Over => return Vec::new(),
         };
         let call = Call { view: self.view.clone(), nonce: self.nonce, request };
@@ -140,15 +143,20 @@
         }
         let majority = self.majority();
         match (&mut self.phase, &reply.answer) {
-            (Phase::Preparing(promises), Answer::Promise { accepted, value }) => {
-                promises.insert(reply.slot, (*accepted, value.clone()));
-                if promises.len() < majority {
+            (Phase::Reading(told) | Phase::Preparing(told), Answer::Promise { accepted, value }) => {
+                told.insert(reply.slot, (*accepted, value.clone()));
+                if told.len() < majority {
                     return Event::None;
                 }
-                let latest = promises.values().max_by_key(|(accepted, _)| *accepted);
-                let value = latest.and_then(|(_, value)| value.clone());
-                self.phase = Phase::Asking;
-                Event::Prepared(value)
+                let latest = told.values().max_by_key(|(accepted, _)| *accepted).cloned();
+                let (ballot, value) = latest.unwrap_or_default();
+                match std::mem::replace(&mut self.phase, Phase::Asking) {
+                    Phase::Reading(_) => {
+                        self.phase = Phase::Over;
+                        Event::Read(ballot, value)
+                    }
+                    _ => Event::Prepared(value),
+                }
             }
             (Phase::Accepting(value, accepted), Answer::Accepted) => {
                 accepted.insert(reply.slot);
--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -55,11 +55,20 @@
     /// For the number of a file to be laid out.
     salt: u32,
     memory: Option<Memory>,
-    /// What has come of the registers that a blank voter takes over, and under which view.
-    arriving: (View, BTreeMap<Key, Cell>),
+    /// What has come of the registers that a blank voter takes over.
+    arriving: Arriving,
     broken: bool,
 }
 
+/// The registers that a blank voter takes over, as far as they have come: of one admission under one view. Parts of two
+/// would add up to the number of one and lack some of its registers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Arriving {
+    nonce: u64,
+    view: View,
+    registers: BTreeMap<Key, Cell>,
+}
+
 /// What comes of a call.
 #[must_use]
 pub enum Step<'a> {
@@ -202,12 +211,12 @@
 
     /// Takes a call.
     pub fn ask(&mut self, call: Call) -> Step<'_> {
-        if self.is_blank() && call.view.generation(self.slot) > self.generation {
+        if self.is_blank() && call.view.is_sound() && call.view.generation(self.slot) > self.generation {
             // A file of this place has been let in before, or was to be.
             self.generation = call.view.next_generation(self.slot, self.salt);
         }
         if let (Request::Install { registers, .. }, true) = (&call.request, self.is_blank()) {
-            self.collect(&call.view, registers);
+            self.collect(call.nonce, &call.view, registers);
         }
         match self.decide(call.view, call.request) {
             Ok((next, answer)) if self.memory.as_ref() == Some(&next) => {
@@ -226,6 +235,9 @@
         if self.broken {
             return Err(Refusal::Broken);
         }
+        if !view.is_sound() {
+            return Err(Refusal::Bounds);
+        }
         if let Request::Install { total, .. } = request {
             return self.install(view, total);
         }
@@ -275,15 +287,15 @@
     }
 
     /// Collects a part of what the others knew. Nothing of it counts before all has come.
-    fn collect(&mut self, view: &View, registers: &BTreeMap<Key, Cell>) {
-        if view.generation(self.slot) != self.generation {
+    fn collect(&mut self, nonce: u64, view: &View, registers: &BTreeMap<Key, Cell>) {
+        if view.generation(self.slot) != self.generation || !view.is_sound() {
             return;
         }
-        if self.arriving.0 != *view {
-            self.arriving = (view.clone(), BTreeMap::new());
+        if self.arriving.nonce != nonce || self.arriving.view != *view {
+            self.arriving = Arriving { nonce, view: view.clone(), registers: BTreeMap::new() };
         }
         for (key, cell) in registers {
-            let arrived = &mut self.arriving.1;
+            let arrived = &mut self.arriving.registers;
             if key.len() <= LONGEST_KEY && (arrived.len() < MOST_REGISTERS || arrived.contains_key(key)) {
                 arrived.insert(key.clone(), cell.clone());
             }
@@ -298,11 +310,11 @@
         match &self.memory {
             // It has taken over already, perhaps from somebody else.
             Some(memory) => Ok((memory.clone(), Answer::Installed)),
-            None if (self.arriving.1.len() as u32) < total => {
-                Err(Refusal::Arrived(self.arriving.1.len() as u32))
+            None if (self.arriving.registers.len() as u32) < total => {
+                Err(Refusal::Arrived(self.arriving.registers.len() as u32))
             }
             None => {
-                let registers = self.arriving.1.clone();
+                let registers = self.arriving.registers.clone();
                 let memory = Memory { generation: self.generation, stamp: 0, view, registers };
                 Ok((memory, Answer::Installed))
             }
@@ -317,3 +329,32 @@
     }
     Ok(registers.entry(key).or_default())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards a voter that is let in: parts of two admissions do not add up to one, and a view of places that no fleet
+    /// has is not stored.
+    #[test]
+    fn parts_of_two_admissions_do_not_add_up() {
+        let mut voter = Voter::blank(Slot(0), 5);
+        let view = View::default().with(Slot(0), voter.generation());
+        let mut install = |nonce, keys: &[&str]| {
+            let registers = keys.iter().map(|key| (key.to_string(), Cell::default())).collect();
+            let call = Call { view: view.clone(), nonce, request: Request::Install { registers, total: 3 } };
+            match voter.ask(call) {
+                Step::Reply(reply) => reply.answer,
+                Step::Store(pending) => pending.stored().answer,
+            }
+        };
+        assert_eq!(install(1, &["a", "b"]), Answer::Refused(Refusal::Arrived(2)));
+        assert_eq!(install(2, &["d"]), Answer::Refused(Refusal::Arrived(1)));
+        assert_eq!(install(2, &["a", "c"]), Answer::Installed);
+        let request = Request::Admit { after: Key::new() };
+        let call = Call { view: view.with(Slot(MOST_VOTERS), 9), nonce: 3, request };
+        assert!(
+            matches!(voter.ask(call), Step::Reply(reply) if reply.answer == Answer::Refused(Refusal::Bounds))
+        );
+    }
+}
