--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -40,9 +40,8 @@
             }
             None => Ok(true),
         };
-        match verdict {
-            Ok(true) => drop(self.highest.insert(role.to_string(), epoch)),
-            Ok(false) | Err(_) => {}
+        if verdict == Ok(true) {
+            self.highest.insert(role.to_string(), epoch);
         }
         verdict
     }
--- a/src/check.rs
+++ b/src/check.rs
@@ -35,10 +35,7 @@
         address.map_err(|what| fault(Fault::at(config::line_of(&text, name), what)))?;
     }
     let options = options(files.settings.as_deref())?;
-    if let (Some(_), None) = (options.fleet.place(&file.name), &options.fleet.file) {
-        let settings = files.settings.as_deref().unwrap_or(path).display();
-        return Err(format!("{settings}: [fleet] file: missing, and {} is a voter", file.name));
-    }
+    options.fleet.voter(&file.name)?;
     let (classes, hosts) = (site.classes.len(), file.known.len());
     Ok(format!("usable: {classes} classes, {hosts} hosts known, {} cores", options.cores))
 }
@@ -50,9 +47,9 @@
     let taken = InForce::default().take(read(path)?, &mut Zones::default()).map_err(fault)?;
     let name = std::env::var("GW_NAME").unwrap_or(taken.file.name);
     let fleet = options(files.settings.as_deref())?.fleet;
-    let place = fleet.place(&name).ok_or(format!("{name} is none of the voters that [fleet] names"))?;
-    let file = fleet.file.ok_or("[fleet] file: missing")?;
-    let done = VoterFile::at(&file).found(Slot(place as u8));
+    let voter = fleet.voter(&name)?;
+    let (place, file) = voter.ok_or(format!("{name} is none of the voters that [fleet] names"))?;
+    let done = VoterFile::at(file).found(Slot(place as u8));
     done.map_err(|e| format!("cannot lay out {}: {e}", file.display()))?;
     Ok(format!("{}: laid out for voter {place} of a new fleet", file.display()))
 }
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -6,6 +6,7 @@
 use std::io::{self, Read, Write};
 use std::net::UdpSocket;
 use std::os::unix::net::UnixStream;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -15,7 +16,7 @@
 use dunemount_fleet::node::{Event, Node, Settings};
 use dunemount_fleet::register::Slot;
 use polling::{Event as Poll, PollMode, Poller};
-use slog::{info, warn, Logger};
+use slog::{error, info, warn, Logger};
 
 use super::file::VoterFile;
 use super::status::{Board, Status};
@@ -67,13 +68,15 @@
 /// Starts a node, if the options name a fleet.
 ///
 /// # Errors
-/// What the system does not give: a thread, a pipe, a poller. An address that is taken is waited for.
+/// A voter without a file; what the system does not give: a thread, a pipe, a poller. An address that is taken is
+/// waited for.
 pub fn start(options: &FleetOptions, start: Start, log: &Logger) -> io::Result<Option<Running>> {
     let (Some(fleet), Some(listen)) = (options.name.clone(), options.listen) else { return Ok(None) };
     let (end, told) = UnixStream::pair()?;
     told.set_nonblocking(true)?;
     let peer = |place: &Place| Peer::at(&place.name, place.address);
-    let slot = options.place(&start.name);
+    let voter = options.voter(&start.name).map_err(io::Error::other)?;
+    let slot = voter.map(|(slot, _)| slot);
     // The address that the others know counts, where it is not the one that is listened at.
     let address = slot.map_or(listen, |slot| options.voters[slot].address);
     let voters: Vec<Peer> = options.voters.iter().map(peer).collect();
@@ -91,11 +94,17 @@
         pace: Pace { probe, answer: probe / 3, suspicion: probe * 3, remembered: probe * 120 },
         seed: start.seed,
     };
-    let file = slot.and(options.file.as_ref()).map(|path| VoterFile::at(path));
+    let file = voter.map(|(_, path)| VoterFile::at(path));
     let board = Board::default();
     let driver = Driver::new(settings, slot, file, told, board.clone(), log.clone())?;
     let thread = std::thread::Builder::new().name("fleet".into());
-    let thread = thread.spawn(move || driver.run(listen))?;
+    let log = log.clone();
+    let thread = thread.spawn(move || {
+        // A gateway serves without its fleet; the others see this member go.
+        if catch_unwind(AssertUnwindSafe(|| driver.run(listen))).is_err() {
+            error!(log, "fleet: its thread panicked, this gateway is no member any more");
+        }
+    })?;
     Ok(Some(Running { board, end, thread }))
 }
 
@@ -109,9 +118,6 @@
     board: Board,
     /// When the board is renewed.
     next_board: Duration,
-    fleet: String,
-    voters: Vec<String>,
-    roles: Vec<String>,
     log: Logger,
 }
 
@@ -140,12 +146,9 @@
         }
         let poller = Poller::new()?;
         poller.add_with_mode(&end, Poll::readable(END), PollMode::Level)?;
-        let fleet = settings.fleet.clone();
-        let voters = settings.voters.iter().map(|voter| voter.name.clone()).collect();
-        let roles = settings.roles.clone();
         let node = Node::new(settings, found.map(|(voter, _)| voter));
         let (began, next_board, refused) = (Instant::now(), Duration::ZERO, BTreeMap::new());
-        Ok(Driver { node, file, end, poller, began, refused, board, next_board, fleet, voters, roles, log })
+        Ok(Driver { node, file, end, poller, began, refused, board, next_board, log })
     }
 
     fn run(mut self, listen: std::net::SocketAddr) {
@@ -171,7 +174,7 @@
             self.tell();
             if now >= self.next_board {
                 self.next_board = now + BOARD;
-                self.board.put(Status::of(&self.node, &self.fleet, &self.voters, &self.roles, now));
+                self.board.put(Status::of(&self.node, now));
             }
         }
         info!(self.log, "fleet: left");
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use dunemount_fleet::member::Peer;
 use dunemount_fleet::node::Node;
 use dunemount_fleet::register::{NodeId, Slot};
 use serde::{Deserialize, Serialize};
@@ -74,6 +75,10 @@
     pub senseless: u64,
     /// Orders refused, since their epoch had been succeeded.
     pub refused: u64,
+    /// Messages too long to be sent.
+    pub too_long: u64,
+    /// Replies of voters that cannot store, or came back with an older copy of their file.
+    pub unfit: u64,
 }
 
 /// Where a node's thread puts its status, and the door finds it.
@@ -95,8 +100,9 @@
 
 impl Status {
     /// A node's status.
-    pub fn of(node: &Node, fleet: &str, voters: &[String], roles: &[String], now: Duration) -> Status {
-        let member = |peer: &dunemount_fleet::member::Peer| Member {
+    pub fn of(node: &Node, now: Duration) -> Status {
+        let settings = node.settings();
+        let member = |peer: &Peer| Member {
             name: peer.name.clone(),
             address: peer.address.to_string(),
             start: peer.start,
@@ -113,23 +119,25 @@
             let epoch = seen.map_or(0, |tenure| tenure.epoch);
             Some(Role { name: role.clone(), epoch, owner, held: held.is_some() })
         };
-        let voter = |(slot, name): (usize, &String)| Voter {
-            name: name.clone(),
+        let voter = |(slot, voter): (usize, &Peer)| Voter {
+            name: voter.name.clone(),
             generation: node.electorate().view.generation(Slot(slot as u8)),
-            present: members.present().chain([me]).any(|peer| peer.name == *name),
+            present: members.present().chain([me]).any(|peer| peer.name == voter.name),
         };
         let dropped = node.dropped();
         Status {
-            fleet: fleet.to_string(),
+            fleet: settings.fleet.clone(),
             me: member(me),
             members: members.present().map(member).collect(),
-            voters: voters.iter().enumerate().map(voter).collect(),
+            voters: settings.voters.iter().enumerate().map(voter).collect(),
             voting: node.voter().map(|voter| !voter.is_blank()),
             registers: node.voter().map_or(0, |voter| voter.registers()),
-            roles: roles.iter().filter_map(seat).collect(),
+            roles: settings.roles.iter().filter_map(seat).collect(),
             foreign: dropped.foreign,
             senseless: dropped.senseless + members.refused(),
             refused: dropped.orders,
+            too_long: dropped.too_long,
+            unfit: node.electorate().unfit,
         }
     }
 
@@ -165,11 +173,11 @@
             Some(false) => "a voter without its file, to be let in".to_string(),
         };
         writeln!(f, "fleet {}, {} at {}: {voting}", self.fleet, self.me.name, self.me.address)?;
-        writeln!(
-            f,
-            "dropped: {} foreign, {} senseless; orders refused: {}",
-            self.foreign, self.senseless, self.refused
-        )?;
+        let Status { foreign, senseless, too_long, refused, unfit, .. } = self;
+        writeln!(f, "dropped: {foreign} foreign, {senseless} senseless, {too_long} too long; orders refused: {refused}")?;
+        if *unfit > 0 {
+            writeln!(f, "replies of voters that cannot store or have an older copy of their file: {unfit}")?;
+        }
         writeln!(f, "\n{:<24} {:<24} START", "MEMBER", "ADDRESS")?;
         for member in std::iter::once(&self.me).chain(&self.members) {
             writeln!(f, "{:<24} {:<24} {}", member.name, member.address, member.start)?;
--- a/src/options.rs
+++ b/src/options.rs
@@ -2,7 +2,7 @@
 //! that the platform's deployment needs; what is not known is an error and never passed over.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use ini::Ini;
 
@@ -224,9 +224,14 @@
         Ok(())
     }
 
-    /// The place among the voters of the gateway with this name.
-    pub fn place(&self, name: &str) -> Option<usize> {
-        self.voters.iter().position(|voter| voter.name == name)
+    /// The place among the voters of the gateway with this name, and its file; none for one without a vote.
+    ///
+    /// # Errors
+    /// A voter without a file would have promised nothing after each start.
+    pub fn voter(&self, name: &str) -> Result<Option<(usize, &Path)>, String> {
+        let Some(place) = self.voters.iter().position(|voter| voter.name == name) else { return Ok(None) };
+        let file = self.file.as_deref().ok_or(format!("[fleet] file: missing, and {name} is a voter"))?;
+        Ok(Some((place, file)))
     }
 }
 
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -47,6 +47,10 @@
         assert_eq!(fault.line, line, "{text:?}: {fault}");
         assert!(fault.what.contains(word), "{text:?}: {fault}");
     }
+    let text = "[fleet]\nname = shop\nlisten = 127.0.0.1:1\nvoters = a@127.0.0.1:1";
+    let fleet = Options::read(text).expect("whole but for the file").fleet;
+    assert!(fleet.voter("a").is_err_and(|why| why.contains("file: missing")));
+    assert_eq!(fleet.voter("b"), Ok(None), "no vote, no file");
     for text in ["", "[cores]", "# a word\n[cores]\n  count : 1  \n"] {
         assert_eq!(Options::read(text), Ok(Options::default()), "{text:?}");
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -467,7 +467,8 @@
         host.write_all(&answer).expect("written");
         assert_eq!(client.answer().len(), 4, "served by the host that had begun to get it");
         // Whatever comes now goes elsewhere: this host's connection ends and none is dialled.
-        assert!(rig::next_frame(&mut host, &mut inbox).is_none(), "nothing new on the old connection");
+        host.set_read_timeout(Some(std::time::Duration::from_secs(20))).expect("a socket");
+        assert_eq!(host.read(&mut bytes).ok(), Some(0), "the connection ends, long before its idle limit");
         client.ask(&read("any"));
         client.answer();
         slow.set_nonblocking(true).expect("a listener");
