A session whose write lost its answer reads on from that moment; no stale read of it

A scratch copy that logs each send with what was believed showed no read behind what the router needed, so the need was too low.

Change: Router::outcome books a commit for every write that may have run: the one that was told, else this moment, which no commit that was answered before it can exceed. Also for answers served without a position. The group is that of the request, not what the member's line says by then. Another process of this gateway hears of it, also when the client has left. Test: a_session_whose_writes_answer_was_lost_reads_on_from_that_moment (fails with the old condition, seen: Timeout, left false, right true).

--- a/src/api.rs
+++ b/src/api.rs
@@ -336,6 +336,13 @@
     Miss,
 }
 
+impl Status {
+    /// Whether it proves that the attempt had no effect.
+    pub fn proves_unrun(self) -> bool {
+        matches!(self, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss)
+    }
+}
+
 /// What a member said of itself some time ago.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -657,10 +657,10 @@
         member.inflight += 1;
         member.load += cost;
         member.credit -= cost;
-        let session = open.req.session;
+        let (session, group) = (open.req.session, open.req.group);
         self.attempts.insert(
             (id, attempt),
-            Attempt { class, session, idle, needed, cost, load: member.load, flows: false },
+            Attempt { class, group, session, idle, needed, cost, load: member.load, flows: false },
         );
         // The member is told by when it is too late: it drops what it has not begun by then.
         let timeout = Some(open.give_up + self.period() - now);
@@ -678,15 +678,14 @@
             self.heard(now, o.member);
             self.members.entry(o.member).and_modify(|m| m.breaks = 0);
         }
-        let write = self.settings.classes[attempt.class.0].need == Need::Write;
         // A served write's position is its commit, which its primary has reached.
         self.learn(now, o.member, o.role, now, o.position);
         self.learn(now, o.member, o.report.role, o.report.position.unwrap_or_default(), o.report.position);
-        if o.status == Status::Ok && write {
-            let group = self.members.get(&o.member).map(|m| m.entry.group);
-            if let (Some(group), Some(key), Some(commit)) = (group, attempt.session, o.position) {
-                self.committed(group, key, commit);
-            }
+        let write = self.settings.classes[attempt.class.0].need == Need::Write;
+        if let Some(key) = attempt.session.filter(|_| write && !o.status.proves_unrun()) {
+            // What was lost on the way may have been a commit: its session reads on from this moment.
+            let told = o.position.filter(|_| o.status == Status::Ok);
+            self.committed(attempt.group, key, told.unwrap_or(now));
         }
         let Some(member) = self.members.get_mut(&o.member) else { return };
         let group = member.entry.group;
@@ -782,8 +781,7 @@
     fn after_failure(&mut self, now: Micros, o: &Outcome, actions: &mut Actions) {
         let Some(open) = self.open.get_mut(&o.request) else { return };
         open.out.retain(|(attempt, _)| *attempt != o.attempt);
-        let proved = matches!(o.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss);
-        open.unproven |= !proved;
+        open.unproven |= !o.status.proves_unrun();
         open.ran = open.ran.filter(|_| !open.unrun());
         open.avoid.push(o.member);
         // Errors that follow a read from member to member are its own.
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -131,6 +131,7 @@
 /// An attempt that is out.
 pub struct Attempt {
     pub class: ClassId,
+    pub group: GroupId,
     pub session: Option<SessionKey>,
     /// For how long the connection had been idle, as far as that matters.
     pub idle: Option<Micros>,
--- a/src/balance/upkeep.rs
+++ b/src/balance/upkeep.rs
@@ -75,6 +75,11 @@
         self.sessions.committed(group, key, commit);
     }
 
+    /// The latest commit known of a session in a family, or the moment up to which it may have committed.
+    pub fn commit(&self, group: GroupId, key: SessionKey) -> Option<Micros> {
+        self.sessions.commit(group, key).filter(|commit| *commit > Micros(0))
+    }
+
     /// An answer has begun to flow: the request belongs to its client, and the member has room again.
     pub(super) fn started(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
         let Some(Open { req, out, .. }) = self.open.get(&id) else { return };
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -233,6 +233,11 @@
         self.router.committed(group, session, commit);
     }
 
+    /// What a session's reads in a group must see, where that is held against it alone.
+    pub fn commit(&self, group: GroupId, session: SessionKey) -> Option<Micros> {
+        self.router.commit(group, session)
+    }
+
     /// Leaves a member out at the operators' word, whatever the list says, or puts it back.
     pub fn bar(&mut self, now: Micros, member: MemberId, out: bool) {
         self.drive(now, Event::Bar { member, out });
--- a/src/net/event_loop/crew.rs
+++ b/src/net/event_loop/crew.rs
@@ -74,8 +74,8 @@
     Figures(Key, Box<Figures>),
     /// To the line: a request whose way to its home leads past what the other process has told.
     Via { home: usize, owner: Owner, statement: Box<Statement>, until: Micros },
-    /// To the line: a commit that the other process hears of before this answer goes out.
-    Commit { commit: Commit, owner: Owner, answer: Final },
+    /// To the line: a commit that the other process hears of before its answer, if one is owed, goes out.
+    Commit { commit: Commit, answer: Option<(Owner, Final)> },
     /// To a home: a commit at the other process.
     Committed(Commit),
     /// To all: what is known is to be handed over.
@@ -96,9 +96,8 @@
     /// Who waits for what the letter brings.
     fn owner(&self, me: usize) -> Option<Owner> {
         match self {
-            Letter::Ask { owner, .. } | Letter::Via { owner, .. } | Letter::Commit { owner, .. } => {
-                Some(*owner)
-            }
+            Letter::Ask { owner, .. } | Letter::Via { owner, .. } => Some(*owner),
+            Letter::Commit { answer, .. } => answer.as_ref().map(|(owner, _)| *owner),
             Letter::Left(owner) | Letter::Drained(owner) => Some(*owner),
             Letter::Answer(key, _) | Letter::Piece { key, .. } => Some(Owner { worker: me, key: *key }),
             _ => None,
@@ -268,10 +267,7 @@
                     }
                 }
             },
-            Letter::Commit { commit, owner, answer } => {
-                self.share_commit(commit);
-                self.answer(owner, answer);
-            }
+            Letter::Commit { commit, answer } => self.tell_commit(commit, answer),
             Letter::Committed((group, session, commit)) => self.balancer.committed(group, session, commit),
             Letter::Part => {
                 let (known, open) = self.own_estate();
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -26,13 +26,9 @@
 }
 
 impl Gateway {
-    /// Gives the final answer, and counts it.
+    /// Gives the final answer, and counts it; another process of this gateway hears first of what a write may have
+    /// committed.
     pub(super) fn finish(&mut self, ticket: Ticket, answer: Final) {
-        self.finish_with(ticket, answer, None);
-    }
-
-    /// Gives the final answer; another process of this gateway hears of its commit first.
-    fn finish_with(&mut self, ticket: Ticket, answer: Final, commit: Option<Commit>) {
         self.drop_attempt(ticket);
         let Some(life) = self.conclude(ticket) else { return };
         let tally = self.figures.class(&life.work.class);
@@ -41,15 +37,29 @@
             Final::Refused(_) => tally.shed += 1,
             Final::Failed | Final::Unroutable(_) => tally.errors += 1,
         }
-        let owner = life.owner;
-        match commit.filter(|_| self.crew.linked.load(Ordering::SeqCst)) {
-            Some(commit) if self.me != 0 => {
-                return self.crew.deliver(0, Letter::Commit { commit, owner, answer });
-            }
-            Some(commit) => self.share_commit(commit),
-            None => {}
+        match self.commit_of(&life.work) {
+            Some(commit) => self.tell_commit(commit, Some((life.owner, answer))),
+            None => self.answer(life.owner, answer),
+        }
+    }
+
+    /// What another process, if there is one, has to hold against the session of a write that has ended here.
+    fn commit_of(&self, work: &Statement) -> Option<Commit> {
+        let (group, session) = (GroupId(work.cluster), work.session);
+        let told = work.writes && self.crew.linked.load(Ordering::SeqCst);
+        let commit = told.then(|| self.balancer.commit(group, session)).flatten()?;
+        Some((group, session, commit))
+    }
+
+    /// Tells the other process of a commit, by way of the worker that has the line; then the answer goes out.
+    pub(super) fn tell_commit(&mut self, commit: Commit, answer: Option<(Owner, Final)>) {
+        if self.me != 0 {
+            return self.crew.deliver(0, Letter::Commit { commit, answer });
+        }
+        self.share_commit(commit);
+        if let Some((owner, answer)) = answer {
+            self.answer(owner, answer);
         }
-        self.answer(owner, answer);
     }
 
     /// Takes a request out of the ledger: whoever gets it must answer.
@@ -65,8 +75,11 @@
     pub(super) fn abandon(&mut self, ticket: Ticket) {
         self.counts.left += 1;
         self.drop_attempt(ticket);
-        self.conclude(ticket);
+        let life = self.conclude(ticket);
         self.balancer.gone(self.now, ticket);
+        if let Some(commit) = life.and_then(|life| self.commit_of(&life.work)) {
+            self.tell_commit(commit, None);
+        }
     }
 
     /// Sends an answer to whoever asked.
@@ -225,10 +238,7 @@
         let verdict = self.balancer.report(self.now, ticket, ended);
         if answer.said == Said::Served {
             self.counts.served += 1;
-            let work = self.ledger.get(ticket).map(|life| &life.work).filter(|work| work.writes);
-            let told = work.map(|work| (GroupId(work.cluster), work.session));
-            let commit = told.zip(position).map(|((group, session), commit)| (group, session, commit));
-            self.finish_with(ticket, Final::Served(answer.rows), commit);
+            self.finish(ticket, Final::Served(answer.rows));
         } else {
             while self.do_due() {}
             match self.ledger.get(ticket).is_some_and(|life| life.flows()) {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -317,6 +317,32 @@
     assert_eq!(sends(&rig.request(SESSION, 5).1)[0].1, FAR);
 }
 
+/// Guards a clerk who was not told whether the write ran: until a replica has come past the moment at which its
+/// answer was lost, or came without a position, the session reads at the primary. What never ran binds nobody.
+#[test]
+fn a_session_whose_writes_answer_was_lost_reads_on_from_that_moment() {
+    let lost = [Status::Timeout, Status::Reset, Status::Spoilt, Status::Error, Status::Cancelled, Status::Ok];
+    let unrun = [Status::Full, Status::ConnectFailed, Status::Moot, Status::Miss];
+    for status in lost.into_iter().chain(unrun) {
+        let mut rig = Rig::new(settings());
+        for member in [NEAR, FAR] {
+            rig.probed(member, Micros::millis(99_990));
+        }
+        let (id, actions) = rig.request(UNSAFE, 7);
+        assert_eq!(sends(&actions), [(id, PRIMARY)]);
+        rig.now = rig.now + Micros::millis(30);
+        rig.end(id, 0, PRIMARY, status, None);
+        rig.event(Event::Gone(id));
+        let to = |rig: &mut Rig, session| sends(&rig.request(SESSION, session).1).first().map(|(_, to)| *to);
+        let binds = to(&mut rig, 7) == Some(PRIMARY);
+        assert_eq!(binds, lost.contains(&status), "{status:?}");
+        assert_ne!(to(&mut rig, 8), Some(PRIMARY), "{status:?}: another session is held to nothing");
+        let now = rig.now;
+        rig.probed(FAR, now);
+        assert!(!binds || to(&mut rig, 7) == Some(FAR), "{status:?}: it has come past");
+    }
+}
+
 /// Guards clients that come again by themselves: what finds no room is refused early, whatever an answer after the
 /// aim would be worth. Where room is seldom short it waits for a part of its aim; where half of what comes is
 /// refused, who waits is late all the same and is told within a tenth.
