The pin of a session follows its write's attempt, and holds where no primary can be used

Change: an attempt of a write pins its session from its send to its outcome, usable primary or not; a write that still waits to be sent pins nobody, since it can have committed nothing. Also ends the gap in which a long answer flows and its commit is not told yet. Tests: a_session_whose_write_is_out_reads_at_no_replica_though_the_primary_is_ejected (fails with the old condition, seen); the test of lost answers ends its attempts at the first.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -375,9 +375,6 @@
         let deadline = now + req.time_left;
         let aim = if class.late_worth > 0.0 { deadline } else { deadline.min(now + class.aim) };
         let give_up = aim - self.settings.tick;
-        if let (Need::Write, Some(key)) = (class.need, req.session) {
-            self.sessions.begin(req.group, key);
-        }
         let paid = PROBE_SPEND / self.settings.probe_price.max(f64::MIN_POSITIVE);
         self.probe_credit = (self.probe_credit + paid).min(PROBE_SAVED);
         let most = self.settings.max_attempts;
@@ -528,7 +525,7 @@
         let primary = self.primary(group);
         let needed = self.needed(now, open);
         let pinned = open.req.session.is_some_and(|key| self.sessions.is_pending(group, key));
-        let pin_holds = class.need == Need::Session && pinned && primary.is_some();
+        let pin_holds = class.need == Need::Session && pinned;
         let candidate = |id: MemberId, m: &Member| {
             let out = open.avoid.contains(&id) || open.out.iter().any(|(_, tried)| *tried == id);
             Some(id) != primary && !pin_holds && !out && m.has_room(now, &self.settings, cost, 1.0)
@@ -658,6 +655,9 @@
         member.load += cost;
         member.credit -= cost;
         let (session, group) = (open.req.session, open.req.group);
+        if let (Need::Write, Some(key)) = (self.settings.classes[class.0].need, session) {
+            self.sessions.begin(group, key);
+        }
         self.attempts.insert(
             (id, attempt),
             Attempt { class, group, session, idle, needed, cost, load: member.load, flows: false },
@@ -682,10 +682,12 @@
         self.learn(now, o.member, o.role, now, o.position);
         self.learn(now, o.member, o.report.role, o.report.position.unwrap_or_default(), o.report.position);
         let write = self.settings.classes[attempt.class.0].need == Need::Write;
-        if let Some(key) = attempt.session.filter(|_| write && !o.status.proves_unrun()) {
+        if let Some(key) = attempt.session.filter(|_| write) {
             // What was lost on the way may have been a commit: its session reads on from this moment.
             let told = o.position.filter(|_| o.status == Status::Ok);
-            self.committed(attempt.group, key, told.unwrap_or(now));
+            let commit = if o.status.proves_unrun() { Micros(0) } else { told.unwrap_or(now) };
+            self.committed(attempt.group, key, commit);
+            self.sessions.end(attempt.group, key);
         }
         let Some(member) = self.members.get_mut(&o.member) else { return };
         let group = member.entry.group;
--- a/src/balance/sessions.rs
+++ b/src/balance/sessions.rs
@@ -13,7 +13,7 @@
 pub struct Session {
     /// The family that it wrote to.
     group: GroupId,
-    /// Writes whose answers it awaits.
+    /// Attempts of its writes that are out: each may have committed unheard.
     #[serde(skip)]
     pending: u32,
     /// Its latest commit.
@@ -36,12 +36,12 @@
 }
 
 impl Sessions {
-    /// A session's write is on its way.
+    /// An attempt of a session's write is on its way.
     pub fn begin(&mut self, group: GroupId, key: SessionKey) {
         self.change(group, key, |session| session.pending += 1);
     }
 
-    /// A session's write has ended; one that has never committed anything is forgotten.
+    /// An attempt of a session's write has ended; a session that has never committed anything is forgotten.
     pub fn end(&mut self, group: GroupId, key: SessionKey) {
         self.change(group, key, |session| session.pending = session.pending.saturating_sub(1));
     }
--- a/src/balance/upkeep.rs
+++ b/src/balance/upkeep.rs
@@ -107,9 +107,6 @@
     pub(super) fn close(&mut self, id: RequestId) {
         let Some(open) = self.open.remove(&id) else { return };
         self.book.close(id, open.end, open.spot);
-        if self.settings.classes[open.req.class.0].need == Need::Write {
-            open.req.session.inspect(|key| self.sessions.end(open.req.group, *key));
-        }
     }
 
     pub(super) fn period(&self) -> Micros {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -317,6 +317,24 @@
     assert_eq!(sends(&rig.request(SESSION, 5).1)[0].1, FAR);
 }
 
+/// Guards a write that is out on a connection gone silent: its host may have committed it, so the session's reads go
+/// nowhere but to a primary, also while none can be used; other sessions' reads go on.
+#[test]
+fn a_session_whose_write_is_out_reads_at_no_replica_though_the_primary_is_ejected() {
+    let mut rig = Rig::new(settings());
+    for member in [NEAR, FAR] {
+        rig.probed(member, Micros::millis(99_990));
+    }
+    let (id, actions) = rig.request(WRITE, 7);
+    assert_eq!(sends(&actions), [(id, PRIMARY)]);
+    for _ in 0..3 {
+        let (status, report) = (Status::ConnectFailed, Report::default());
+        rig.event(Event::Probed { member: PRIMARY, status, report });
+    }
+    assert_eq!(sends(&rig.request(SESSION, 7).1), []);
+    assert_ne!(sends(&rig.request(SESSION, 8).1), []);
+}
+
 /// Guards a clerk who was not told whether the write ran: until a replica has come past the moment at which its
 /// answer was lost, or came without a position, the session reads at the primary. What never ran binds nobody.
 #[test]
@@ -324,7 +342,7 @@
     let lost = [Status::Timeout, Status::Reset, Status::Spoilt, Status::Error, Status::Cancelled, Status::Ok];
     let unrun = [Status::Full, Status::ConnectFailed, Status::Moot, Status::Miss];
     for status in lost.into_iter().chain(unrun) {
-        let mut rig = Rig::new(settings());
+        let mut rig = Rig::new(Settings { max_attempts: 1, ..settings() });
         for member in [NEAR, FAR] {
             rig.probed(member, Micros::millis(99_990));
         }
