A change is heard within 6 s of discovery having it, however two calls in a row fail

Need: the operators' stricter term, a change counts as told 6 s after discovery had it and could be reached. A watch waited for 20 s and was given up 1.5 s later; after calls that were turned away the pause was up to 5 s each.

Change: a call waits 1.5 s and is given up after 2.5 s; the next begins within 2.9 s of the start of one that was lost. After one that was turned away (until its end discovery could not be reached) the next begins within 3.6 s, waits for no news and is given up after 2.1 s. Both sums, with a failed call in between, are compile-time assertions, and what one gap has taken is taken off the next. Backoffs are drawn from the upper half of their range. The words are the field's: timeout, backoff. Test: a_change_is_heard_within_six_seconds_however_calls_fail (all rows of four calls lost or turned away, 0 to 3,000 gateways, graces of 0, 0.25 and 2 s); replaces a_drain_is_heard_in_time, which allowed 22 s.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,45 +13,48 @@
 use crate::{Entry, GroupId, Listed, MemberId, Micros};
 
 /// How long a call asks discovery to wait for news.
-pub const WAIT: Micros = Micros::millis(20_000);
-/// A call without an answer for so long after its wait, if it has one, is given up.
-pub const PATIENCE: Micros = Micros::millis(1_500);
-/// Pause before the next try after a call failed: within the 200 ms in which a watch continues.
+pub const WAIT: Micros = Micros::millis(1_500);
+/// A call without a whole answer for so long is given up: a watch a second after its wait, which an overbooked
+/// discovery may need.
+pub const TIMEOUT: Micros = Micros::millis(2_500);
+/// Backoff before the next try after a call failed: within the 200 ms in which a watch continues.
 pub const RETRY: Micros = Micros::millis(100);
-/// Pause after a first failure at the longest, for each gateway: a hundred repeat 100 times a second together,
-/// then 50 times. Beyond 250 gateways the longest pause binds and they repeat more often.
+/// What discovery has to tell counts as told after so long from when it had it and could be reached, heard or not.
+pub const TOLD_WITHIN: Micros = Micros::millis(6_000);
+/// Time in which the answer of a discovery that can be reached is here and taken in.
+pub const ANSWER: Micros = Micros::millis(200);
+/// Longest time from the start of a call that was lost to the start of the next. The worst case of a change: a watch
+/// falls silent as it begins and the change comes right after (one gap), the next call fails as well (one more), and
+/// the third is answered.
+pub const CALL_GAP: Micros = Micros::millis(2_900);
+/// The same after a call that was turned away, from its end: until then discovery could not be reached. Longer, since
+/// a fleet that calls an overbooked discovery too often keeps it so; the call behind it waits for no news, and is
+/// given up as soon as an answer that took as long as a refusal does is due.
+pub const REFUSED_GAP: Micros = Micros::millis(3_600);
+/// How long that call may take.
+pub const REFUSED_TIMEOUT: Micros = Micros::millis(2_100);
+const _: () = assert!(2 * CALL_GAP.0 + ANSWER.0 <= TOLD_WITHIN.0 && TIMEOUT.0 + RETRY.0 <= CALL_GAP.0);
+const _: () = assert!(REFUSED_GAP.0 + REFUSED_TIMEOUT.0 + RETRY.0 + ANSWER.0 <= TOLD_WITHIN.0);
+const _: () = assert!(WAIT.0 < TIMEOUT.0);
+/// Backoff after a first failure at the longest, for each gateway: a hundred repeat 100 times a second together,
+/// then 50 times. From some 150 gateways on the longest backoff binds and they repeat more often.
 const FLEET_GAP: Micros = Micros::millis(20);
-/// Doublings of the pause.
+/// Doublings of the backoff.
 const DOUBLINGS: u64 = 2;
-/// What discovery has to tell counts as told after so long, heard or not, while no call is out that may wait.
-const TOLD_WITHIN: Micros = Micros::millis(6_000);
-/// Of that the part left for the call after the pause.
-const CALL_TIME: Micros = Micros::millis(1_000);
 /// Most bytes of an answer's head and of its body.
 const MAX_HEAD: usize = 16 * 1024;
 const MAX_BODY: usize = 4 * 1024 * 1024;
 
-/// The longest pause between two calls after which a drain is still heard in time. A call that was turned away
-/// brought nothing: a change counts as told [`TOLD_WITHIN`] later, and only then the grace begins. An answer that
-/// was lost may have told of a drain already: the next one has to come within the grace itself.
-pub fn longest_pause(lost: bool, drain_grace: Micros) -> Micros {
-    if lost {
-        drain_grace.scale(0.5)
-    } else {
-        TOLD_WITHIN - CALL_TIME
-    }
-}
-
-/// Pause before the next try after so many failures in a row of one among so many gateways; `draw` is an even
-/// draw between 0 and 1. Few repeat at once. Many would keep discovery overbooked for as long as they did:
-/// they draw from a range that grows with their number and doubles, up to the longest pause.
-pub fn pause(fails: u64, gateways: u32, draw: f64, longest: Micros) -> Micros {
+/// Backoff before the next try after so many failures in a row of one among so many gateways; `draw` is an even
+/// draw between 0 and 1. Few repeat at once. Many would keep discovery overbooked for as long as they did: they draw
+/// from the upper half of a range that grows with their number and doubles, up to the longest backoff.
+pub fn backoff(fails: u64, gateways: u32, draw: f64, longest: Micros) -> Micros {
     let share = FLEET_GAP.scale(f64::from(gateways));
     if share <= RETRY {
         return RETRY;
     }
     let most = share.scale((1u64 << fails.saturating_sub(1).min(DOUBLINGS)) as f64);
-    RETRY + most.min(longest - RETRY).scale(draw)
+    RETRY + most.min(longest - RETRY).scale(0.5 + draw / 2.0)
 }
 
 /// A list, or a change to one, in discovery's form.
@@ -215,12 +218,14 @@
     bytes: Vec<u8>,
     fails: u64,
     lost: u64,
+    /// How the last call failed, and what it took of the time in which a change has to be heard.
+    last: Option<(Failed, Micros)>,
 }
 
 impl Watch {
     /// A watch that goes on from this version.
     pub fn from(rev: Option<u64>) -> Self {
-        Watch { known: rev, bytes: Vec::new(), fails: 0, lost: 0 }
+        Watch { known: rev, bytes: Vec::new(), fails: 0, lost: 0, last: None }
     }
 
     /// The version that is known.
@@ -231,28 +236,46 @@
     /// The text of the next call.
     pub fn call(&mut self, host: &str) -> String {
         self.bytes.clear();
-        let query = self.known.map(|rev| format!("?index={rev}&wait={}", WAIT.0 / 1000)).unwrap_or_default();
+        let wait = if self.was_refused() { 0 } else { WAIT.0 / 1000 };
+        let query = self.known.map(|rev| format!("?index={rev}&wait={wait}")).unwrap_or_default();
         format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
     }
 
-    /// How long the next call may take: one for the whole list is answered at once.
-    pub fn patience(&self) -> Micros {
-        self.known.map_or(PATIENCE, |_| WAIT + PATIENCE)
+    fn was_refused(&self) -> bool {
+        self.last.is_some_and(|(how, _)| how == Failed::Empty)
     }
 
-    /// Books that a call failed, and says how many have in a row. After two that were lost the version is
-    /// forgotten and the whole list asked for; whoever asks an overbooked discovery for it only makes it worse.
-    pub fn failed(&mut self, how: Failed) -> u64 {
-        self.fails += 1;
-        self.lost += u64::from(how == Failed::Lost);
-        self.known = self.known.filter(|_| self.lost < 2);
+    /// How long the next call may take.
+    pub fn timeout(&self) -> Micros {
+        if self.was_refused() {
+            REFUSED_TIMEOUT
+        } else {
+            TIMEOUT
+        }
+    }
+
+    /// Number of calls that have failed in a row.
+    pub fn fails(&self) -> u64 {
         self.fails
     }
 
-    /// Time until the next call of one among so many gateways; `draw` is an even draw between 0 and 1. What a lost
-    /// answer told is owed until a list has come, also while further calls are turned away.
-    pub fn pause(&self, gateways: u32, drain_grace: Micros, draw: f64) -> Micros {
-        pause(self.fails, gateways, draw, longest_pause(self.lost > 0, drain_grace))
+    /// Books that a call of one among so many gateways failed after it took `spent`, and gives the time until the next;
+    /// `draw` is an even draw between 0 and 1. After two that were lost the version is forgotten and the whole list
+    /// asked for; whoever asks an overbooked discovery for it only makes it worse. An answer that was lost may have
+    /// told of a drain already, whose grace then runs, also while further calls are turned away.
+    pub fn failed(&mut self, how: Failed, gateways: u32, grace: Micros, spent: Micros, draw: f64) -> Micros {
+        self.fails += 1;
+        self.lost += u64::from(how == Failed::Lost);
+        self.known = self.known.filter(|_| self.lost < 2);
+        let before = self.last.map_or(Micros(0), |(_, gap)| gap);
+        let left = match how {
+            Failed::Lost => CALL_GAP.min(TOLD_WITHIN - ANSWER - before) - spent,
+            Failed::Empty => REFUSED_GAP,
+        };
+        let left = if self.lost > 0 { left.min(grace.scale(0.5)) } else { left };
+        let backoff = backoff(self.fails, gateways, draw, left.max(RETRY));
+        self.last = Some((how, if how == Failed::Lost { spent + backoff } else { backoff }));
+        backoff
     }
 
     /// Takes bytes in; a listing once the answer is whole. `ended`: no more will come.
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -23,6 +23,8 @@
     pub(super) address: SocketAddr,
     pub(super) watch: Watch,
     calling: Option<Key>,
+    /// When the latest call began.
+    called: Micros,
     /// Number of gateways that call the same discovery.
     pub(super) gateways: u32,
     /// Time after word of a drain in which the last requests may still go there.
@@ -35,7 +37,7 @@
     pub(super) fn of(address: SocketAddr, rev: u64, settings: &Settings, seed: u64) -> Self {
         let (watch, rng) = (Watch::from(Some(rev)), Pcg64Mcg::seed_from_u64(seed));
         let (gateways, drain_grace) = (settings.drivers, settings.drain_grace);
-        Watching { address, watch, calling: None, gateways, drain_grace, rng }
+        Watching { address, watch, calling: None, called: Micros(0), gateways, drain_grace, rng }
     }
 }
 
@@ -45,7 +47,8 @@
         if self.watching.calling.is_some() {
             return;
         }
-        let patience = self.watching.watch.patience();
+        self.watching.called = self.now;
+        let timeout = self.watching.watch.timeout();
         let call = self.watching.watch.call(&self.watching.address.to_string()).into_bytes();
         let out = Outbox::with(call);
         let added =
@@ -53,7 +56,7 @@
         match added {
             Ok(key) => {
                 self.watching.calling = Some(key);
-                self.set_timer(patience, Timer::Call(key));
+                self.set_timer(timeout, Timer::Call(key));
             }
             Err(e) => self.call_again(&e.to_string(), Failed::Empty),
         }
@@ -83,16 +86,17 @@
         self.call_again(why, Failed::Lost);
     }
 
-    /// Another call follows after a pause.
+    /// Another call follows after a backoff.
     fn call_again(&mut self, why: &str, how: Failed) {
-        let fails = self.watching.watch.failed(how);
+        let spent = self.now - self.watching.called;
+        let Watching { watch, gateways, drain_grace, rng, .. } = &mut self.watching;
+        let backoff = watch.failed(how, *gateways, *drain_grace, spent, unit(rng));
+        let fails = watch.fails();
         // The first failure and every hundredth after it: one line in ten seconds at the most.
         if fails % 100 == 1 {
             warn!(self.log, "discovery failed"; "why" => why, "in a row" => fails);
         }
-        let Watching { watch, gateways, drain_grace, rng, .. } = &mut self.watching;
-        let pause = watch.pause(*gateways, *drain_grace, unit(rng));
-        self.set_timer(pause, Timer::Discovery);
+        self.set_timer(backoff, Timer::Discovery);
     }
 
     fn end_call(&mut self, key: Key) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -10,6 +10,7 @@
 use dunemount::net::discovery::{self, BadAnswer, Directory, Failed, Listing, Watch};
 use dunemount::pg::codec;
 use dunemount::settings::Zones;
+use dunemount::Micros;
 use rig::{figure, listing, local, read, settings, write, Rig, Talk};
 use serde_json::{json, Value};
 
@@ -326,7 +327,7 @@
         let mut directory = Directory::new(Zones::default());
         let (entries, unread) = directory.take(listing, &dunemount::net::clock::Clock::start());
         assert_eq!((entries.len(), unread), (1, 1));
-        assert!(watch.call("h").starts_with("GET /catalog/members?index=4&wait=20000 "));
+        assert!(watch.call("h").starts_with("GET /catalog/members?index=4&wait=1500 "));
     }
     let receive = |text: &str| Watch::from(None).receive(text.as_bytes(), true).err();
     assert_eq!(receive("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), Some(BadAnswer::Status(503)));
@@ -536,50 +537,68 @@
         }
         late + calls.len() as u64
     };
-    let longest = discovery::longest_pause(false, dunemount::Micros::millis(2_000));
-    let fleet = |fails, draw| discovery::pause(fails, 100, draw, longest).0 / 1_000;
+    let longest = discovery::REFUSED_GAP;
+    let fleet = |fails, draw| discovery::backoff(fails, 100, draw, longest).0 / 1_000;
     assert_eq!(late(&fleet), 0);
     assert!(late(&|_, _| discovery::RETRY.0 / 1_000) > 20);
     for (gateways, draw) in [(0, 0.9), (1, 0.5), (3, 1.0)] {
-        assert_eq!(discovery::pause(9, gateways, draw, longest), discovery::RETRY);
+        assert_eq!(discovery::backoff(9, gateways, draw, longest), discovery::RETRY);
     }
 }
 
-/// Guards drains of which discovery has told while a call failed: whatever the fleet's size, the call after the
-/// pause brings word within the grace, which begins at once where an answer was lost, and 6 s after the change
-/// where the call was turned away. A pause of up to 8 s after either was too long for both.
+/// Guards drains of which discovery has told while calls failed, whatever the fleet's size and the grace: a change
+/// counts as told 6 s after discovery had it and could be reached. Until a call has been turned away it could not. From
+/// there, or from the start of a watch that falls silent, two calls fail one way or another and the third is answered.
+/// A watch that waited for 20 s and pauses of up to 5 s after calls that were turned away broke it.
 #[test]
-fn a_drain_is_heard_in_time_however_the_last_call_failed() {
-    let second = dunemount::Micros::millis(1_000);
+fn a_change_is_heard_within_six_seconds_however_calls_fail() {
+    use discovery::{ANSWER, REFUSED_GAP, RETRY, TOLD_WITHIN, WAIT};
+    let second = Micros::millis(1_000);
+    let ways = [Failed::Empty, Failed::Lost];
     for gateways in [0, 1, 3, 10, 100, 300, 3_000] {
-        for fails in [1, 2, 3, 99] {
-            for grace in [second, second.scale(2.0)] {
-                let pause =
-                    |lost| discovery::pause(fails, gateways, 1.0, discovery::longest_pause(lost, grace));
-                // The call takes its time too: half of the grace, or a second beside it.
-                assert!(pause(true) <= grace.scale(0.5), "{gateways} gateways, {fails} failures");
-                assert!(pause(false) + second <= second.scale(6.0), "{gateways} gateways, {fails} failures");
+        for grace in [Micros(0), second.scale(0.25), second.scale(2.0)] {
+            for rows in 0..16 {
+                for part in [0.0, 0.3, 0.9, 1.0] {
+                    let mut watch = Watch::from(Some(4));
+                    assert!(WAIT < watch.timeout());
+                    // Since when a change may be owed: the start of the call before the one that failed, or the end
+                    // of one that was turned away.
+                    let (mut now, mut owed) = (Micros(0), vec![Micros(0)]);
+                    for call in 0..4 {
+                        let how = ways[rows >> call & 1];
+                        let (began, spent) = (now, watch.timeout().scale(part));
+                        now = now + spent;
+                        let backoff = watch.failed(how, gateways, grace, spent, part);
+                        now = now + backoff;
+                        match how {
+                            Failed::Lost => owed.push(began),
+                            Failed::Empty => owed = vec![now - backoff],
+                        }
+                        let from = owed[owed.len().saturating_sub(2)];
+                        assert!(
+                            now + ANSWER - from <= TOLD_WITHIN,
+                            "{gateways}, {grace:?}, {rows:b}, {part}, {call}"
+                        );
+                        assert!(backoff >= RETRY);
+                        // An answer that was lost may have told already: the next call comes within the grace.
+                        let lost = (0..=call).any(|call| ways[rows >> call & 1] == Failed::Lost);
+                        assert!(!lost || backoff <= grace.scale(0.5).max(RETRY));
+                    }
+                }
             }
         }
     }
     // An answer that was lost is owed until a list has come, however many calls are turned away meanwhile.
-    let grace = second.scale(2.0);
-    let mut watch = Watch::from(Some(4));
-    watch.failed(Failed::Empty);
-    assert!(watch.pause(300, grace, 1.0) > second.scale(4.0));
+    let (grace, mut watch) = (second.scale(2.0), Watch::from(Some(4)));
     for how in [Failed::Lost, Failed::Empty, Failed::Empty] {
-        watch.failed(how);
-        assert_eq!(watch.pause(300, grace, 1.0), second);
+        assert_eq!(watch.failed(how, 300, grace, Micros(0), 1.0), second);
     }
     assert_eq!(watch.known(), Some(4));
-    watch.failed(Failed::Lost);
+    watch.failed(Failed::Lost, 300, grace, Micros(0), 1.0);
     assert_eq!(watch.known(), None);
     let body = r#"{"rev":9,"all":true,"targets":[]}"#;
     let list = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     assert!(matches!(watch.receive(list.as_bytes(), true), Ok(Some(_))));
-    assert_eq!((watch.known(), watch.failed(Failed::Empty)), (Some(9), 1));
-    assert!(watch.pause(300, grace, 1.0) > second.scale(4.0));
-    // No grace at all is no reason to call without a pause.
-    let none = discovery::longest_pause(true, dunemount::Micros(0));
-    assert_eq!(discovery::pause(1, 300, 0.5, none), discovery::RETRY);
+    assert_eq!((watch.known(), watch.fails()), (Some(9), 0));
+    assert_eq!(watch.failed(Failed::Empty, 300, grace, second, 1.0), REFUSED_GAP);
 }
