--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -27,7 +27,7 @@
 
 use self::crew::{Crew, Letter, Owner};
 use self::door::Door;
-use self::guests::Guests;
+use self::guests::{Guests, Keys};
 use self::slots::{Key, Link, Slot};
 use self::succession::Succession;
 use self::timers::{Counts, Timer, Timers, ROUND};
@@ -55,9 +55,9 @@
 const HEIRS: usize = usize::MAX - 5;
 /// From here on: the lines to other processes of this gateway.
 const PEERS: usize = usize::MAX / 2;
-/// Descriptors kept back: standard streams, poller, signals, listeners, discovery, callers, and some to
-/// spare.
-const RESERVE: usize = 40;
+/// Descriptors kept back: standard streams, poller, signals, listeners, discovery, callers, connections that are
+/// shut, and some to spare.
+const RESERVE: usize = 44;
 /// And for each worker after the first: its poller.
 const WORKER_RESERVE: usize = 4;
 /// Part of the others that connections to hosts may take.
@@ -220,6 +220,8 @@
                         most: budget - hosts,
                         most_known: (config.sockets / KNOWN_PART).clamp(2, budget - hosts),
                         longest_message: (memory / MESSAGE_PART).clamp(codec::MAX_MESSAGE, MOST_MESSAGE),
+                        lingering: 0,
+                        keys: Keys::default(),
                     },
                     door: Door { listener: None, down: BTreeSet::new(), fleet: None },
                     line: Succession::default(),
@@ -275,7 +277,10 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
         info!(self.log, "ready"; "clients" => self.guests.most, "hosts" => self.pool.most());
-        while self.phase != Phase::Closing || self.crew.clients() > 0 || self.is_telling() {
+        while self.phase != Phase::Closing
+            || self.crew.clients() + self.guests.lingering > 0
+            || self.is_telling()
+        {
             if self.crew.is_lost() {
                 return Err(io::Error::other("another worker has died"));
             }
@@ -353,7 +358,7 @@
 
     fn on_event(&mut self, event: Event) {
         match event.key {
-            LISTENER => self.accept(),
+            LISTENER => drop(self.accept()),
             DOOR => self.answer_door(),
             HEIRS => self.on_heir(),
             SIGNALS => self.on_signal(),
@@ -414,7 +419,8 @@
     /// The hand-over is done: takes what has arrived, then closes the listener and idle clients.
     fn close_doors(&mut self) {
         if self.line.heir.is_none() && self.me == 0 {
-            self.accept();
+            // To the end of the queue, as far as there is room: what is left in it is reset.
+            while self.accept() {}
         }
         if let Some(listener) = self.guests.listener.take() {
             let _ = self.poller.delete(&listener);
--- a/src/net/event_loop/crew.rs
+++ b/src/net/event_loop/crew.rs
@@ -11,10 +11,12 @@
 
 use super::requests::Final;
 use super::slots::Key;
+use super::succession::Passed;
 use super::{Gateway, Phase};
 use crate::balancer::{self, Ticket};
 use crate::net::discovery::Listing;
 use crate::ops::figures::Figures;
+use crate::pg::codec::CancelKey;
 use crate::pg::statement::Statement;
 use crate::settings::{Site, Zones};
 use crate::{GroupId, Micros, SessionKey};
@@ -39,6 +41,15 @@
     At(usize),
 }
 
+/// How a client parts from its open request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Parting {
+    /// It has closed its connection: nobody waits for an answer.
+    Gone,
+    /// It has cancelled the request, and waits to hear so.
+    Cancelled,
+}
+
 /// A session's commit: its family, the session, the position.
 pub(super) type Commit = (GroupId, SessionKey, Micros);
 
@@ -48,10 +59,12 @@
     Guest(TcpStream),
     /// To a home: a request, and when its client gives up.
     Ask { owner: Owner, statement: Box<Statement>, until: Micros },
-    /// To a home: the client of an open request has left.
-    Left(Owner),
-    /// To the line: the client of a request that may have gone past it has left.
-    Leave { home: usize, owner: Owner },
+    /// To a home: the client of an open request has left, or has cancelled it.
+    Left(Owner, Parting),
+    /// To the line: the same of a request that may have gone past it.
+    Leave { home: usize, owner: Owner, how: Parting },
+    /// To all: the query of the client with this key is to be cancelled, wherever that client is.
+    Cancel(CancelKey),
     /// To a home: the client of a long value has read on.
     Drained(Owner),
     /// To a front: the final answer.
@@ -83,7 +96,7 @@
     /// To the line: what one worker knows, and the names of its open requests.
     Estate(Box<balancer::Estate>, Vec<(String, Micros)>),
     /// To the line: a client for the process that follows.
-    Pass { socket: TcpStream, greeted: bool, asked: bool, bytes: Vec<u8> },
+    Pass(Box<Passed>),
     /// To all: connections to hosts are shared with so many processes.
     Share(usize),
     /// To a front: a client is to make room for a new one.
@@ -98,7 +111,7 @@
         match self {
             Letter::Ask { owner, .. } | Letter::Via { owner, .. } => Some(*owner),
             Letter::Commit { answer, .. } => answer.as_ref().map(|(owner, _)| *owner),
-            Letter::Left(owner) | Letter::Drained(owner) => Some(*owner),
+            Letter::Left(owner, _) | Letter::Drained(owner) => Some(*owner),
             Letter::Answer(key, _) | Letter::Piece { key, .. } => Some(Owner { worker: me, key: *key }),
             _ => None,
         }
@@ -226,13 +239,20 @@
         match letter {
             Letter::Guest(socket) => self.welcome(socket),
             Letter::Ask { owner, statement, until } => self.take_on(owner, *statement, until),
-            Letter::Left(owner) => {
+            Letter::Left(owner, how) => {
                 if let Some(ticket) = self.errands.get(&owner).copied() {
-                    self.abandon(ticket);
+                    self.abandon(ticket, how);
+                }
+            }
+            Letter::Leave { home, owner, how } if home == self.me => {
+                self.heed_letter(Letter::Left(owner, how));
+            }
+            Letter::Leave { home, owner, how } => self.crew.deliver(home, Letter::Left(owner, how)),
+            Letter::Cancel(key) => {
+                if !self.cancel_own(key) && self.me == 0 {
+                    self.share_cancel(key);
                 }
             }
-            Letter::Leave { home, owner } if home == self.me => self.heed_letter(Letter::Left(owner)),
-            Letter::Leave { home, owner } => self.crew.deliver(home, Letter::Left(owner)),
             Letter::Drained(owner) => {
                 if let Some(ticket) = self.errands.get(&owner).copied() {
                     self.let_flow(ticket);
@@ -274,9 +294,7 @@
                 self.crew.deliver(0, Letter::Estate(Box::new(known), open));
             }
             Letter::Estate(known, open) => self.gather_estate(*known, open),
-            Letter::Pass { socket, greeted, asked, bytes } => {
-                self.pass_further(socket, greeted, asked, bytes)
-            }
+            Letter::Pass(client) => self.pass_further(*client),
             Letter::Share(parts) => self.share_hosts(parts),
             Letter::MakeRoom => drop(self.make_room()),
             Letter::Close => {
@@ -292,12 +310,12 @@
         home == self.me && (self.me == 0 || !self.crew.linked.load(Ordering::SeqCst))
     }
 
-    /// Tells a home that a client has left, by the way that its request took: it must not overtake that.
-    pub(super) fn take_leave(&self, home: usize, key: Key) {
+    /// Tells a home that a client parts from its request, by the way that this took: it must not be overtaken.
+    pub(super) fn take_leave(&self, home: usize, key: Key, how: Parting) {
         let owner = Owner { worker: self.me, key };
         match self.me != 0 && self.crew.linked.load(Ordering::SeqCst) {
-            true => self.crew.deliver(0, Letter::Leave { home, owner }),
-            false => self.crew.deliver(home, Letter::Left(owner)),
+            true => self.crew.deliver(0, Letter::Leave { home, owner, how }),
+            false => self.crew.deliver(home, Letter::Left(owner, how)),
         }
     }
 
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -2,6 +2,8 @@
 //! owes its startup, its first query or the rest of a command is told so and closed; one that has been
 //! idle makes room, so that clients that come and never come back leave nothing behind.
 
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
@@ -16,6 +18,7 @@
 use super::{Gateway, Phase, LISTENER};
 use crate::balancer::Ask;
 use crate::pg::client::{Client, Demand};
+use crate::pg::codec::CancelKey;
 use crate::pg::statement::Statement;
 use crate::{ClassId, GroupId, Micros};
 
@@ -44,6 +47,8 @@
     pub(super) errand: Option<Errand>,
     /// The home of its long value waits for word that it has read on.
     pub(super) choked: bool,
+    /// Its bytes are not read, and it is looked at now and then whether it has left.
+    pub(super) unread: bool,
     /// When it connected.
     pub(super) since: Micros,
     /// When bytes last came or went.
@@ -66,6 +71,26 @@
     /// Most clients that are kept open though they have asked before.
     pub(super) most_known: usize,
     pub(super) longest_message: usize,
+    /// Connections that are shut and wait for their clients' end.
+    pub(super) lingering: usize,
+    /// Makes the keys with which clients may cancel their queries.
+    pub(super) keys: Keys,
+}
+
+/// Keys that nobody can guess: numbers in order under a keyed hash, whose key the system draws.
+#[derive(Default)]
+pub(super) struct Keys {
+    hasher: RandomState,
+    given: u64,
+}
+
+impl Keys {
+    fn next(&mut self) -> CancelKey {
+        self.given += 1;
+        let bits = self.hasher.hash_one(self.given);
+        // Some clients read the number as signed and take none below one.
+        CancelKey { process: ((bits >> 32) as u32 & 0x7fff_ffff).max(1), secret: bits as u32 }
+    }
 }
 
 /// Why a client has to leave.
@@ -73,8 +98,10 @@
 enum Overstay {
     /// It owes the rest of a command, or its first one.
     Late,
-    /// It has been idle, or does not read.
+    /// It has been idle.
     Idle,
+    /// It does not read.
+    Deaf,
 }
 
 impl ClientLink {
@@ -84,6 +111,7 @@
             protocol,
             errand: None,
             choked: false,
+            unread: false,
             since: now,
             used: now,
             half: None,
@@ -95,7 +123,7 @@
     /// Whether the client has to leave now.
     fn overstays(&self, now: Micros, crowded: bool) -> Option<Overstay> {
         if !self.protocol.out.is_empty() && now - self.used >= UNREAD {
-            return Some(Overstay::Idle);
+            return Some(Overstay::Deaf);
         }
         if self.errand.is_some() || self.protocol.is_busy() {
             return None;
@@ -115,11 +143,16 @@
 }
 
 impl Gateway {
-    /// Accepts connections, as far as there is room for clients.
-    pub(super) fn accept(&mut self) {
-        for _ in 0..ACCEPTS {
+    /// Accepts connections, as far as there is room for clients. True if more may wait.
+    pub(super) fn accept(&mut self) -> bool {
+        for accepted in 0..ACCEPTS {
             let (fewest, most) = self.crew.extremes();
-            if self.crew.clients() + self.lent() >= self.guests.most && !self.make_room() {
+            let full = self.crew.clients() + self.lent() >= self.guests.most;
+            // Whether anybody waits is known of the first alone: no client makes room for nobody.
+            if full && accepted > 0 {
+                return true;
+            }
+            if full && !self.make_room() {
                 if self.crew.size() > 1 {
                     // Perhaps another worker has a client that would not be missed.
                     self.crew.deliver(most, Letter::MakeRoom);
@@ -128,9 +161,9 @@
                     warn!(self.log, "no descriptors left for clients"; "open" => self.guests.open);
                 }
                 self.set_accepting(false);
-                return;
+                return false;
             }
-            let Some(listener) = &self.guests.listener else { return };
+            let Some(listener) = &self.guests.listener else { return false };
             match listener.accept() {
                 Ok((socket, _)) => {
                     self.crew.count(fewest).fetch_add(1, Ordering::Relaxed);
@@ -139,22 +172,24 @@
                         false => self.crew.deliver(fewest, Letter::Guest(socket)),
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     warn!(self.log, "cannot accept"; "error" => %e);
                     self.set_accepting(false);
                     self.set_timer(ACCEPT_PAUSE, Timer::Accept);
-                    return;
+                    return false;
                 }
             }
         }
+        true
     }
 
     /// Serves a client that is counted as this worker's.
     pub(super) fn welcome(&mut self, socket: TcpStream) {
-        let client = ClientLink::new(Client::taking(self.guests.longest_message), self.now);
+        let protocol = Client::taking(self.guests.longest_message, self.guests.keys.next());
+        let client = ClientLink::new(protocol, self.now);
         let set = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
         match set.and_then(|()| self.insert(socket, Link::Client(client), false)) {
             Ok(key) => {
@@ -186,11 +221,9 @@
             Link::Client(c) => c.missed(now).map(|rank| (rank, Key { place, serial: slot.serial })),
             _ => None,
         };
-        let found = self.slots.iter().filter_map(idle).min_by_key(|(rank, _)| *rank);
-        if let Some((_, key)) = found {
-            self.close(key);
-        }
-        found.is_some()
+        let mut found: Vec<_> = self.slots.iter().filter_map(idle).collect();
+        found.sort_unstable();
+        found.into_iter().any(|(_, key)| self.let_go(key))
     }
 
     /// Closes the client that has been idle longest where too many that have asked are open: clients
@@ -208,10 +241,9 @@
         };
         let known: Vec<(bool, Micros, Key)> = self.slots.iter().filter_map(known).collect();
         if known.len() > most {
-            let idle = known.into_iter().filter(|(idle, ..)| *idle).min_by_key(|(_, used, _)| *used);
-            if let Some((_, _, key)) = idle {
-                self.close(key);
-            }
+            let mut idle: Vec<_> = known.into_iter().filter(|(idle, ..)| *idle).collect();
+            idle.sort_unstable();
+            idle.into_iter().any(|(_, _, key)| self.let_go(key));
         }
     }
 
@@ -232,6 +264,7 @@
                     client.closing = true;
                     self.write(key);
                 }
+                (Overstay::Idle, _) => drop(self.let_go(key)),
                 _ => self.lose(key),
             }
         }
@@ -248,11 +281,11 @@
         while let Some(demand) = self.client(key).and_then(|client| client.protocol.demand()) {
             match demand {
                 Demand::Query(text) => self.query(key, text),
-                Demand::Close => {
-                    if let Some(client) = self.client(key) {
-                        client.closing = true;
-                    }
+                Demand::Cancel(other) => {
+                    self.client(key).into_iter().for_each(|client| client.closing = true);
+                    self.cancel(other);
                 }
+                Demand::Close => self.client(key).into_iter().for_each(|client| client.closing = true),
             }
         }
         let (now, closing) = (self.now, self.phase == Phase::Closing);
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -5,12 +5,13 @@
 
 use slog::debug;
 
-use super::crew::{Commit, Letter, Owner};
+use super::crew::{Commit, Errand, Letter, Owner, Parting};
 use super::hosts::Task;
-use super::slots::Key;
+use super::slots::{hung_up, Key, Link, Slot};
 use super::timers::Timer;
 use super::Gateway;
 use crate::balancer::{Ended, Said, Ticket, Verdict};
+use crate::pg::codec::CancelKey;
 use crate::pg::host::Answer;
 use crate::pg::statement::Statement;
 use crate::request::{Broken, Cause, Life, Reach};
@@ -21,6 +22,8 @@
     Served(Vec<u8>),
     Refused(Option<Micros>),
     Failed,
+    /// Its client has cancelled it.
+    Cancelled,
     /// It was never taken on: what is wrong with it.
     Unroutable(String),
 }
@@ -35,7 +38,7 @@
         match answer {
             Final::Served(_) => tally.ok += 1,
             Final::Refused(_) => tally.shed += 1,
-            Final::Failed | Final::Unroutable(_) => tally.errors += 1,
+            Final::Failed | Final::Cancelled | Final::Unroutable(_) => tally.errors += 1,
         }
         match self.commit_of(&life.work) {
             Some(commit) => self.tell_commit(commit, Some((life.owner, answer))),
@@ -71,15 +74,70 @@
         Some(life)
     }
 
-    /// The client of an open request has left.
-    pub(super) fn abandon(&mut self, ticket: Ticket) {
-        self.counts.left += 1;
-        self.drop_attempt(ticket);
-        let life = self.conclude(ticket);
+    /// The client of an open request has left or cancelled it: its attempt ends and no other follows. One whose
+    /// answer flows already cannot be cancelled any more.
+    pub(super) fn abandon(&mut self, ticket: Ticket, how: Parting) {
+        if how == Parting::Cancelled && self.ledger.get(ticket).is_none_or(|life| life.flows()) {
+            return;
+        }
+        // Booked first: what a write may have committed is known before its answer goes out.
+        if let Some(key) = self.ledger.end(ticket) {
+            self.free(key);
+        }
         self.balancer.gone(self.now, ticket);
-        if let Some(commit) = life.and_then(|life| self.commit_of(&life.work)) {
-            self.tell_commit(commit, None);
+        match how {
+            Parting::Cancelled => {
+                self.counts.cancelled += 1;
+                self.finish(ticket, Final::Cancelled);
+            }
+            Parting::Gone => {
+                self.counts.left += 1;
+                let life = self.conclude(ticket);
+                if let Some(commit) = life.and_then(|life| self.commit_of(&life.work)) {
+                    self.tell_commit(commit, None);
+                }
+            }
+        }
+    }
+
+    /// Cancels the query of the client with this key, if it is this worker's and one is open.
+    pub(super) fn cancel_own(&mut self, key: CancelKey) -> bool {
+        let named = |(place, slot): (usize, &Slot)| match &slot.link {
+            Link::Client(c) if c.protocol.key() == Some(key) => {
+                Some((Key { place, serial: slot.serial }, c.errand))
+            }
+            _ => None,
+        };
+        let Some((client, errand)) = self.slots.iter().find_map(named) else { return false };
+        match errand {
+            Some(Errand::Here(ticket)) => self.abandon(ticket, Parting::Cancelled),
+            Some(Errand::At(home)) => self.take_leave(home, client, Parting::Cancelled),
+            None => {}
         }
+        true
+    }
+
+    /// A cancel has come from a client of this worker: its key may fit a client of any worker or process.
+    pub(super) fn cancel(&mut self, key: CancelKey) {
+        if self.cancel_own(key) {
+            return;
+        }
+        self.crew.deliver_others(self.me, || Letter::Cancel(key));
+        if self.me == 0 {
+            self.share_cancel(key);
+        }
+    }
+
+    /// Whether the client of a request has left though its end has not been read yet: it lies in the socket, perhaps
+    /// behind bytes that wait. Asked before each attempt, since in a turn events of hosts and timers come first.
+    fn has_left(&mut self, ticket: Ticket) -> bool {
+        let owner = self.ledger.get(ticket).map(|life| life.owner);
+        let Some(Owner { key, .. }) = owner.filter(|owner| owner.worker == self.me) else { return false };
+        let left = self.slot(key).is_some_and(|slot| hung_up(&slot.socket));
+        if left {
+            self.lose(key);
+        }
+        left
     }
 
     /// Sends an answer to whoever asked.
@@ -100,6 +158,7 @@
             Final::Served(rows) => client.protocol.serve(&rows),
             Final::Refused(come_back) => client.protocol.refuse(come_back),
             Final::Failed => client.protocol.fail("58000", "no answer in time, it may have run"),
+            Final::Cancelled => client.protocol.fail("57014", "canceling statement due to user request"),
             Final::Unroutable(why) => client.protocol.fail("08P01", &why),
         }
         self.write(key);
@@ -126,7 +185,7 @@
     }
 
     pub(super) fn send(&mut self, ticket: Ticket, member: MemberId, timeout: Micros) {
-        if self.ledger.get(ticket).is_none_or(|life| life.attempt().is_some()) {
+        if self.ledger.get(ticket).is_none_or(|life| life.attempt().is_some()) || self.has_left(ticket) {
             return;
         }
         let key = match self.take_idle(member) {
@@ -155,6 +214,9 @@
         let now = self.now;
         let Some(host) = self.host(key).filter(|host| host.welcome) else { return };
         let (member, task, until) = (host.member, host.task, host.until);
+        if matches!(task, Task::Attempt(ticket) if self.has_left(ticket)) {
+            return;
+        }
         let text = match task {
             Task::None => return self.free(key),
             Task::Probe if !self.balancer.admits(member) => {
--- a/src/net/event_loop/slots.rs
+++ b/src/net/event_loop/slots.rs
@@ -1,21 +1,30 @@
 //! The loop's table of connections: their places, what the poller is asked for, and bytes in and out.
 
 use std::io::{self, Read};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::Ordering;
 
 use polling::{Event, PollMode};
 
-use super::crew::{Errand, Letter, Owner};
+use super::crew::{Errand, Letter, Owner, Parting};
 use super::door::CallerLink;
 use super::guests::ClientLink;
 use super::hosts::HostLink;
-use super::{flowing, Gateway};
+use super::timers::Timer;
+use super::{flowing, Gateway, Phase};
 use crate::pg::codec::Outbox;
 use crate::request::Cause;
+use crate::Micros;
 
 /// Most reads of one connection in one turn.
 const READS: usize = 4;
+/// How long a connection that has been shut waits for its client's end, and for how many bytes of it.
+const LINGER: Micros = Micros::millis(300);
+const LINGER_BYTES: usize = 256 * 1024;
+/// Most such connections at a time while clients come: their descriptors are among those kept back.
+const LINGERERS: usize = 6;
+/// Time between looks at a client whose bytes are not read.
+const UNREAD: Micros = Micros::millis(50);
 
 /// A connection's place and a number that tells it from others that had the place before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -36,6 +45,21 @@
     Host(HostLink),
     Discovery(Outbox),
     Caller(CallerLink),
+    /// A client whose connection is shut for writing: what it still sends is thrown away, so many bytes at most.
+    Lingering(usize),
+}
+
+/// Whether the other side has closed, though bytes before its end may still wait to be read.
+pub(super) fn hung_up(socket: &TcpStream) -> bool {
+    use rustix::event::{poll, PollFd, PollFlags, Timespec};
+    match socket.peek(&mut [0]) {
+        Ok(0) => true,
+        Ok(_) => {
+            let mut end = [PollFd::new(socket, PollFlags::RDHUP)];
+            poll(&mut end, Some(&Timespec::default())).is_ok_and(|count| count > 0)
+        }
+        Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+    }
 }
 
 impl Gateway {
@@ -69,6 +93,7 @@
         match link {
             Link::Client(_) => self.guests.open += 1,
             Link::Host(_) => self.pool.opened(),
+            Link::Lingering(_) => self.guests.lingering += 1,
             Link::Discovery(_) | Link::Caller(_) => {}
         }
         self.slots.insert(Slot { serial: key.serial, socket, interest: (true, writable), link });
@@ -79,6 +104,58 @@
         drop(self.remove(key));
     }
 
+    /// Closes a client's connection so that its last answer arrives: a close over bytes that nobody has read resets
+    /// the connection, and what the system still held back goes with it. So it is shut for writing, and closed once
+    /// the client has closed as well, or has had its time. A request that crosses the shutdown was not taken.
+    pub(super) fn hang_up(&mut self, key: Key) {
+        let Some(Slot { socket, .. }) = self.remove(key) else { return };
+        let lingers = |(place, slot): (usize, &Slot)| match slot.link {
+            Link::Lingering(_) => Some(Key { place, serial: slot.serial }),
+            _ => None,
+        };
+        if self.phase != Phase::Closing && self.guests.lingering >= LINGERERS {
+            let oldest = self.slots.iter().filter_map(lingers).min_by_key(|key| key.serial);
+            oldest.into_iter().for_each(|key| self.close(key));
+        }
+        if socket.shutdown(Shutdown::Write).is_ok() {
+            if let Ok(key) = self.insert(socket, Link::Lingering(LINGER_BYTES), false) {
+                self.set_timer(LINGER, Timer::Lingered(key));
+            }
+        }
+    }
+
+    /// Lets an idle client go, unless bytes of it have come that were not read yet: those are looked at first.
+    pub(super) fn let_go(&mut self, key: Key) -> bool {
+        let Some(slot) = self.slot(key) else { return false };
+        if slot.socket.peek(&mut [0]).is_ok_and(|count| count > 0) {
+            self.read(key);
+            return false;
+        }
+        self.hang_up(key);
+        true
+    }
+
+    /// A client that is owed an answer and whose bytes are not read: its end would not be seen among them.
+    pub(super) fn look_at_unread(&mut self, key: Key) {
+        let Some(Slot { interest, socket, link: Link::Client(client), .. }) = self.slot(key) else { return };
+        client.unread = false;
+        if interest.0 || client.errand.is_none() {
+            return;
+        }
+        match hung_up(socket) {
+            true => self.lose(key),
+            false => self.watch_unread(key),
+        }
+    }
+
+    fn watch_unread(&mut self, key: Key) {
+        if let Some(client) = self.client(key).filter(|client| client.errand.is_some()) {
+            if !std::mem::replace(&mut client.unread, true) {
+                self.set_timer(UNREAD, Timer::Unread(key));
+            }
+        }
+    }
+
     /// Takes a connection out of the loop.
     pub(super) fn remove(&mut self, key: Key) -> Option<Slot> {
         self.slot(key)?;
@@ -90,6 +167,7 @@
                 self.crew.count(self.me).fetch_sub(1, Ordering::Relaxed);
             }
             Link::Host(host) => self.pool.closed(host.member, key),
+            Link::Lingering(_) => self.guests.lingering -= 1,
             Link::Discovery(_) | Link::Caller(_) => {}
         }
         if !self.guests.accepting {
@@ -100,17 +178,23 @@
 
     /// Asks the poller for what the connection needs now.
     pub(super) fn arm(&mut self, key: Key) {
+        // What a client sends once the listener is closed is not read: it was not taken, and goes elsewhere.
+        let open = self.phase != Phase::Closing;
         let Some(slot) = self.slot(key) else { return };
         let wants = match &slot.link {
-            Link::Client(client) => (client.protocol.wants_more(), !client.protocol.out.is_empty()),
+            Link::Client(client) => (open && client.protocol.wants_more(), !client.protocol.out.is_empty()),
             Link::Host(host) => (!host.held, !host.protocol.out.is_empty()),
             Link::Discovery(out) => (true, !out.is_empty()),
             Link::Caller(caller) => (true, !caller.call.out.is_empty()),
+            Link::Lingering(_) => (true, false),
         };
-        if wants == slot.interest {
+        let before = std::mem::replace(&mut slot.interest, wants);
+        if !wants.0 {
+            self.watch_unread(key);
+        }
+        if wants == before {
             return;
         }
-        slot.interest = wants;
         let interest = Event { key: key.place, readable: wants.0, writable: wants.1 };
         let slot = &self.slots[key.place];
         if self.poller.modify_with_mode(&slot.socket, interest, PollMode::Level).is_err() {
@@ -127,6 +211,7 @@
             Link::Host(host) => &mut host.protocol.out,
             Link::Discovery(out) => out,
             Link::Caller(caller) => &mut caller.call.out,
+            Link::Lingering(_) => return,
         };
         let before = out.len();
         let flushed = out.flush(&mut slot.socket);
@@ -147,7 +232,7 @@
         match flushed {
             Ok(true) => {
                 match &slot.link {
-                    Link::Client(ClientLink { closing: true, .. }) => return self.close(key),
+                    Link::Client(ClientLink { closing: true, .. }) => return self.hang_up(key),
                     Link::Caller(caller) if caller.call.is_answered() => self.caller_served(key),
                     Link::Host(_) => self.count_try(key),
                     _ => {}
@@ -181,8 +266,9 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                // A reset is no end: what had come before it may be a part.
                 Err(_) => {
-                    self.take_in(key, &[], true);
+                    self.lose(key);
                     break;
                 }
             }
@@ -211,6 +297,7 @@
             }
             Link::Discovery(_) => self.discovery_says(key, bytes, ended),
             Link::Caller(_) => self.caller_says(key, bytes, ended),
+            Link::Lingering(left) if !ended && bytes.len() < *left => *left -= bytes.len(),
             _ => self.lose(key),
         }
     }
@@ -221,15 +308,15 @@
         match &mut slot.link {
             Link::Client(client) => {
                 match client.errand.take() {
-                    Some(Errand::Here(ticket)) => self.abandon(ticket),
-                    Some(Errand::At(home)) => self.take_leave(home, key),
+                    Some(Errand::Here(ticket)) => self.abandon(ticket, Parting::Gone),
+                    Some(Errand::At(home)) => self.take_leave(home, key, Parting::Gone),
                     None => {}
                 }
                 self.close(key);
             }
             Link::Host(_) => self.host_lost(key, Cause::Lost),
             Link::Discovery(_) => self.discovery_failed(key, "connection broke"),
-            Link::Caller(_) => self.close(key),
+            Link::Caller(_) | Link::Lingering(_) => self.close(key),
         }
     }
 }
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -17,6 +17,7 @@
 use crate::balancer;
 use crate::net::discovery::Watch;
 use crate::pg::client::Client;
+use crate::pg::codec::CancelKey;
 use crate::upgrade::line::{self, Line};
 use crate::upgrade::message::{Estate, Message};
 use crate::Micros;
@@ -24,6 +25,15 @@
 /// Descriptors that the other process takes for itself while there are two.
 const OTHERS: usize = 24;
 
+/// A client on its way to the process that follows.
+pub(super) struct Passed {
+    socket: TcpStream,
+    key: CancelKey,
+    greeted: bool,
+    asked: bool,
+    bytes: Vec<u8>,
+}
+
 /// Another process of this gateway.
 pub(super) struct Peer {
     line: Line,
@@ -276,16 +286,12 @@
                 self.share_budget();
                 self.pass_clients();
             }
-            Message::Client { greeted, asked, bytes } => {
+            Message::Client { greeted, asked, bytes, key } => {
                 if let Some(peer) = self.line.peers.get_mut(index) {
                     peer.holding = peer.holding.saturating_sub(1);
                 }
                 if let Some(socket) = with {
-                    self.adopt(
-                        socket.into(),
-                        Client::resume(self.guests.longest_message, greeted, &bytes),
-                        asked,
-                    );
+                    self.adopt(Passed { socket: socket.into(), key, greeted, asked, bytes });
                 }
             }
             Message::Holding { clients } => {
@@ -307,12 +313,18 @@
                 self.remember_ban(&host, out);
                 self.tell_others(Some(index), &Message::Bar { host, out });
             }
+            Message::Cancel(key) => {
+                if !self.cancel_own(key) {
+                    self.crew.deliver_others(self.me, || Letter::Cancel(key));
+                }
+            }
             Message::Estate(_) => warn!(self.log, "upgrade: an estate out of place"),
         }
     }
 
     /// A client that the process before has passed on.
-    fn adopt(&mut self, socket: TcpStream, protocol: Client, asked: bool) {
+    fn adopt(&mut self, Passed { socket, key, greeted, asked, bytes }: Passed) {
+        let protocol = Client::resume(self.guests.longest_message, key, greeted, &bytes);
         let client = ClientLink { asked, ..ClientLink::new(protocol, self.now) };
         if let Ok(key) = self.insert(socket, Link::Client(client), false) {
             self.crew.count(self.me).fetch_add(1, Ordering::Relaxed);
@@ -330,13 +342,16 @@
             return false;
         };
         let asked = client.asked;
-        let Some((greeted, bytes)) = client.protocol.part() else { return false };
+        let Some((cancel, greeted, bytes)) = client.protocol.part() else { return false };
         // Counted until it is on the line: the first worker does not end before.
         self.crew.count(0).fetch_add(1, Ordering::Relaxed);
         match self.remove(key) {
-            Some(Slot { socket, .. }) if self.me == 0 => self.pass_further(socket, greeted, asked, bytes),
             Some(Slot { socket, .. }) => {
-                self.crew.deliver(0, Letter::Pass { socket, greeted, asked, bytes });
+                let client = Passed { socket, key: cancel, greeted, asked, bytes };
+                match self.me {
+                    0 => self.pass_further(client),
+                    _ => self.crew.deliver(0, Letter::Pass(Box::new(client))),
+                }
             }
             None => drop(self.crew.count(0).fetch_sub(1, Ordering::Relaxed)),
         }
@@ -344,10 +359,13 @@
     }
 
     /// Puts a client on the line to the process that follows; if that has died it stays here.
-    pub(super) fn pass_further(&mut self, socket: TcpStream, greeted: bool, asked: bool, bytes: Vec<u8>) {
+    pub(super) fn pass_further(&mut self, client: Passed) {
         match self.line.heir {
-            Some(heir) => self.tell(heir, &Message::Client { greeted, asked, bytes }, Some(socket.into())),
-            None => self.adopt(socket, Client::resume(self.guests.longest_message, greeted, &bytes), asked),
+            Some(heir) => {
+                let Passed { socket, key, greeted, asked, bytes } = client;
+                self.tell(heir, &Message::Client { greeted, asked, bytes, key }, Some(socket.into()));
+            }
+            None => self.adopt(client),
         }
         self.crew.count(0).fetch_sub(1, Ordering::Relaxed);
     }
@@ -372,6 +390,11 @@
         }
     }
 
+    /// Tells the other process of a cancel that fits nobody here.
+    pub(super) fn share_cancel(&mut self, key: CancelKey) {
+        self.tell_others(None, &Message::Cancel(key));
+    }
+
     /// Tells the other process what operators have said of a host, before they hear yes.
     pub(super) fn share_bar(&mut self, host: &str, out: bool) {
         self.tell_others(None, &Message::Bar { host: host.to_string(), out });
--- a/src/net/event_loop/timers.rs
+++ b/src/net/event_loop/timers.rs
@@ -39,6 +39,10 @@
     Accept,
     /// The round over idle connections.
     Round,
+    /// A client that is not read, since it has sent more than is held, may have left.
+    Unread(Key),
+    /// A client whose connection is shut has had its time.
+    Lingered(Key),
     /// After SIGTERM: the hand-over is done.
     HandedOver,
 }
@@ -79,6 +83,7 @@
     pub(super) refused: u64,
     pub(super) failed: u64,
     pub(super) left: u64,
+    pub(super) cancelled: u64,
     pub(super) attempts: u64,
     pub(super) broken: u64,
     pub(super) connects: u64,
@@ -130,6 +135,8 @@
             Timer::Discovery => self.call_discovery(),
             Timer::Accept => self.set_accepting(true),
             Timer::Round => self.round(),
+            Timer::Unread(key) => self.look_at_unread(key),
+            Timer::Lingered(key) => self.close(key),
             Timer::HandedOver => self.close_doors(),
         }
     }
@@ -159,7 +166,7 @@
         if self.timers.rounds % ROUNDS_A_LINE == 0 {
             let counts = std::mem::take(&mut self.counts);
             info!(self.log, "traffic"; "taken" => counts.taken, "served" => counts.served,
-                "refused" => counts.refused, "failed" => counts.failed, "left" => counts.left,
+                "refused" => counts.refused, "failed" => counts.failed, "left" => counts.left, "cancelled" => counts.cancelled,
                 "attempts" => counts.attempts, "broken" => counts.broken, "connects" => counts.connects,
                 "probes" => counts.probes, "spoilt" => counts.spoilt, "open" => self.ledger.len(), "clients" => self.guests.open,
                 "hosts" => self.pool.len());
--- a/src/pg/client.rs
+++ b/src/pg/client.rs
@@ -1,6 +1,6 @@
 //! A client's connection, driven by bytes: from startup through one query at a time.
 
-use super::codec::{self, FrameError, Inbox, Outbox, Startup, MAX_MESSAGE};
+use super::codec::{self, CancelKey, FrameError, Inbox, Outbox, Startup, MAX_MESSAGE};
 use crate::Micros;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +19,8 @@
 pub enum Demand {
     /// An answer to this query.
     Query(String),
+    /// The query of the connection with this key called off; this one then closes without a word.
+    Cancel(CancelKey),
     /// The connection closed, once what is to be written has been.
     Close,
 }
@@ -31,23 +33,29 @@
     pub out: Outbox,
     state: State,
     longest: usize,
+    key: CancelKey,
 }
 
 impl Default for Client {
     fn default() -> Self {
-        Client::taking(MAX_MESSAGE)
+        Client::taking(MAX_MESSAGE, CancelKey::default())
     }
 }
 
 impl Client {
-    /// A client whose messages may be so long.
-    pub fn taking(longest: usize) -> Self {
-        Client { inbox: Inbox::default(), out: Outbox::default(), state: State::Startup, longest }
+    /// A client whose messages may be so long, and whose query may be cancelled with this key.
+    pub fn taking(longest: usize, key: CancelKey) -> Self {
+        Client { inbox: Inbox::default(), out: Outbox::default(), state: State::Startup, longest, key }
     }
 
-    /// A client that another process has greeted or not, with the bytes that it had not understood.
-    pub fn resume(longest: usize, greeted: bool, bytes: &[u8]) -> Self {
-        let mut client = Client::taking(longest);
+    /// The key with which its query may be cancelled, if it has been told.
+    pub fn key(&self) -> Option<CancelKey> {
+        (self.state != State::Startup).then_some(self.key)
+    }
+
+    /// A client that another process has greeted, with its key, or not, and the bytes that it had not understood.
+    pub fn resume(longest: usize, key: CancelKey, greeted: bool, bytes: &[u8]) -> Self {
+        let mut client = Client::taking(longest, key);
         if greeted {
             client.state = State::Idle;
         }
@@ -56,9 +64,9 @@
     }
 
     /// What [`Client::resume`] needs, unless the client is owed something or is about to end.
-    pub fn part(&self) -> Option<(bool, Vec<u8>)> {
+    pub fn part(&self) -> Option<(CancelKey, bool, Vec<u8>)> {
         let free = matches!(self.state, State::Startup | State::Idle) && self.out.is_empty();
-        free.then(|| (self.state == State::Idle, self.inbox.rest().to_vec()))
+        free.then(|| (self.key, self.state == State::Idle, self.inbox.rest().to_vec()))
     }
 
     /// Takes bytes in.
@@ -112,9 +120,9 @@
         let out = &mut self.out.bytes;
         match startup {
             Startup::Encryption => out.push(b'N'),
-            Startup::Cancel => {
+            Startup::Cancel(key) => {
                 self.state = State::Closed;
-                return Ok(Step::Do(Demand::Close));
+                return Ok(Step::Do(Demand::Cancel(key)));
             }
             Startup::Session(3, minor) => {
                 if minor > 0 {
@@ -129,7 +137,7 @@
                 ] {
                     codec::parameter(out, name, value);
                 }
-                codec::frame(out, b'K', &[0; 8]);
+                codec::key_data(out, self.key);
                 codec::ready(out);
                 self.state = State::Idle;
             }
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -23,6 +23,15 @@
     BadLength,
 }
 
+/// What names a connection to those that may cancel its query: a process number and a secret.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct CancelKey {
+    /// The number that PostgreSQL gives a server process.
+    pub process: u32,
+    /// Known to this connection's client alone.
+    pub secret: u32,
+}
+
 /// The first packet of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Startup {
@@ -30,8 +39,8 @@
     Session(u16, u16),
     /// The client asks for encryption first.
     Encryption,
-    /// The client wants a query of another connection cancelled.
-    Cancel,
+    /// The client wants the query of another connection cancelled, which got this key.
+    Cancel(CancelKey),
 }
 
 /// A message: its type and what follows the length.
@@ -83,7 +92,12 @@
         };
         Ok(Some(match code {
             SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
-            CANCEL_REQUEST => Startup::Cancel,
+            CANCEL_REQUEST => {
+                let key: &[u8; 8] = body[4..].try_into().map_err(|_| FrameError::BadLength)?;
+                let [a, b, c, d, e, f, g, h] = *key;
+                let process = u32::from_be_bytes([a, b, c, d]);
+                Startup::Cancel(CancelKey { process, secret: u32::from_be_bytes([e, f, g, h]) })
+            }
             _ => Startup::Session((code >> 16) as u16, code as u16),
         }))
     }
@@ -224,6 +238,18 @@
     frame(out, b'E', body.as_bytes());
 }
 
+/// Writes the key with which the connection's query may be cancelled.
+pub fn key_data(out: &mut Vec<u8>, key: CancelKey) {
+    frame(out, b'K', &[key.process.to_be_bytes(), key.secret.to_be_bytes()].concat());
+}
+
+/// Writes a request to cancel the query of the connection with this key.
+pub fn cancel(out: &mut Vec<u8>, key: CancelKey) {
+    for word in [16, CANCEL_REQUEST, key.process, key.secret] {
+        out.extend_from_slice(&word.to_be_bytes());
+    }
+}
+
 /// Writes that the next query is welcome.
 pub fn ready(out: &mut Vec<u8>) {
     frame(out, b'Z', b"I");
--- a/src/upgrade/message.rs
+++ b/src/upgrade/message.rs
@@ -7,6 +7,7 @@
 
 use crate::balancer;
 use crate::net::discovery::Directory;
+use crate::pg::codec::CancelKey;
 use crate::{ClassId, GroupId, Micros, SessionKey};
 
 /// All that the process which follows needs before it takes clients.
@@ -49,7 +50,12 @@
         asked: bool,
         /// Bytes that came and are not understood yet.
         bytes: Vec<u8>,
+        /// The key with which its query may be cancelled; a process of an earlier version gave none.
+        #[serde(default)]
+        key: CancelKey,
     },
+    /// A client's query is to be cancelled, if it is the receiver's.
+    Cancel(CancelKey),
     /// How many clients the sender still holds.
     Holding {
         /// Their number.
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,383 @@
+//! Pairs of events that may cross, in both orders, over loopback sockets. Each order is forced by what a stand-in
+//! holds back: a byte, an accept, a greeting, an answer. `docs/design/crossings.md` names the owner of each outcome.
+
+mod rig;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+
+use dunemount::pg::codec::{self, CancelKey, Inbox};
+use rig::stage::{answer, call, Host, Link};
+use rig::{figure, listing, read, tell, write, Rig, Talk};
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+
+/// A gateway with these hosts, the first of them the primary.
+fn gateway(hosts: &[&Host], cores: usize) -> Rig {
+    let endpoints: Vec<SocketAddr> = hosts.iter().map(|host| host.address()).collect();
+    Rig::with_list(200, cores, listing(&endpoints))
+}
+
+/// Whether the client's end has reached the gateway's machine: it acknowledges it, whoever reads it.
+fn leave(talk: Talk) {
+    talk.socket.shutdown(Shutdown::Both).expect("a socket");
+}
+
+/// Guards hosts against work for nobody: a client whose end lies in its socket begins no attempt, whether it left
+/// right behind its request, in the middle of one, or behind far more bytes than are read. The gateway is shown to
+/// be through with it by another client that is served after it.
+#[test]
+fn a_client_that_is_gone_when_its_request_is_read_begins_no_attempt() {
+    let host = Host::new();
+    let rig = gateway(&[&host], 1);
+    let mut whole = Vec::new();
+    codec::query(&mut whole, &read("gone"));
+    let half = whole[..whole.len() - 1].to_vec();
+    let mut flood = whole.clone();
+    // More than a turn reads, less than a message may have: the end lies behind it.
+    codec::query(&mut flood, &"x".repeat(100_000));
+    for bytes in [whole, half, flood] {
+        let mut hello = Vec::new();
+        codec::startup(&mut hello, "app", "shop");
+        hello.extend_from_slice(&bytes);
+        let mut socket = TcpStream::connect(rig.address).expect("accepted by the system");
+        // All in one go with the end behind it, before the gateway has greeted.
+        socket.write_all(&hello).expect("written");
+        socket.shutdown(Shutdown::Write).expect("a socket");
+        let _ = socket.read_to_end(&mut Vec::new());
+    }
+    let mut other = rig.client();
+    other.ask(&read("here"));
+    let mut link = host.welcomed();
+    let asked = link.asked().expect("an attempt");
+    assert!(asked.contains("'here'"), "{asked}");
+    link.say(&answer("master", None));
+    assert_eq!(other.answer().len(), 4);
+    drop(link);
+    assert_eq!(figure(rig.admin, "responses.look.tries"), 1);
+    rig.end();
+}
+
+/// Guards the same where the client leaves while its attempt's connection comes up: the greeting and the end are both
+/// there when the gateway looks, and nothing is written.
+#[test]
+fn a_client_that_leaves_while_its_connection_comes_up_is_not_sent_on() {
+    for cores in [1, 2] {
+        let host = Host::new();
+        let rig = gateway(&[&host], cores);
+        let mut client = rig.client();
+        client.ask(&read("gone"));
+        let mut link = host.dialled();
+        leave(client);
+        // Another worker has to be told; this one sees for itself, with the greeting in the same turn.
+        while cores > 1 && figure(rig.admin, "active") > 0 {}
+        link.greet();
+        let mut other = rig.client();
+        other.ask(&read("here"));
+        let mut next = link;
+        let mut asked = next.asked();
+        if asked.is_none() {
+            next = host.welcomed();
+            asked = next.asked();
+        }
+        assert!(asked.as_ref().is_some_and(|text| text.contains("'here'")), "{asked:?}, {cores} cores");
+        next.say(&answer("master", None));
+        assert_eq!(other.answer().len(), 4);
+        rig.end();
+    }
+}
+
+/// Guards the same between two attempts, with so many bytes behind the request that they are not read: the first
+/// attempt's connection is reset only once the client has left, and no second attempt follows.
+#[test]
+fn a_client_that_leaves_behind_unread_bytes_is_not_tried_again() {
+    let host = Host::new();
+    let rig = gateway(&[&host], 1);
+    let mut client = rig.client();
+    client.ask(&read("gone"));
+    let mut link = host.welcomed();
+    assert!(link.asked().expect("an attempt").contains("'gone'"));
+    // More than is held, so that the rest is not read; the end lies behind it in the gateway's socket.
+    let mut flood = Vec::new();
+    codec::query(&mut flood, &"y".repeat(80_000));
+    client.socket.write_all(&flood.repeat(3)).expect("written");
+    leave(client);
+    // The attempt is called off at the sight of the end: the host sees its connection end before it has said a word.
+    assert_eq!(link.asked(), None);
+    let mut other = rig.client();
+    other.ask(&read("here"));
+    let mut next = host.welcomed();
+    assert!(next.asked().expect("an attempt").contains("'here'"));
+    next.say(&answer("master", None));
+    assert_eq!(other.answer().len(), 4);
+    // It was the client's end, not that of its time, that ended the request: nobody is told of it.
+    assert_eq!(figure(rig.admin, "responses.look.errors") + figure(rig.admin, "responses.look.shed"), 0);
+    rig.end();
+}
+
+/// Reads the greeting of a new client and gives its key.
+fn with_key(rig: &Rig) -> (Talk, CancelKey) {
+    let mut socket = TcpStream::connect(rig.address).expect("accepted");
+    let mut hello = Vec::new();
+    codec::startup(&mut hello, "app", "shop");
+    socket.write_all(&hello).expect("written");
+    let mut talk = Talk { socket, inbox: Inbox::default() };
+    let greeting = talk.answer();
+    let key = greeting.iter().find(|frame| frame.tag == b'K').expect("a key");
+    let word = |at: usize| u32::from_be_bytes(key.body[at..at + 4].try_into().expect("four bytes"));
+    (talk, CancelKey { process: word(0), secret: word(4) })
+}
+
+/// Sends a cancel and waits until the gateway has closed its connection: it says nothing, whatever the key.
+fn cancel(address: SocketAddr, key: CancelKey) {
+    let mut socket = TcpStream::connect(address).expect("accepted");
+    let mut bytes = Vec::new();
+    codec::cancel(&mut bytes, key);
+    socket.write_all(&bytes).expect("written");
+    let mut said = Vec::new();
+    socket.read_to_end(&mut said).expect("closed in order");
+    assert!(said.is_empty(), "{said:?}");
+}
+
+/// Guards a cancel: the attempt ends, no other follows, the client hears 57014 once and its connection goes on. One
+/// with a key that fits nobody, and one after the answer, change nothing. Also where client and family have different
+/// workers.
+#[test]
+fn a_cancel_ends_the_request_that_it_names_and_no_other() {
+    for cores in [1, 2, 3] {
+        let host = Host::new();
+        let rig = gateway(&[&host], cores);
+        let ((mut client, key), (mut other, second)) = (with_key(&rig), with_key(&rig));
+        assert_ne!(key, second);
+        client.ask(&read("cancelled"));
+        let mut link = host.welcomed();
+        assert!(link.asked().expect("an attempt").contains("'cancelled'"));
+        for wrong in [CancelKey { secret: !key.secret, ..key }, CancelKey::default(), second] {
+            cancel(rig.address, wrong);
+        }
+        cancel(rig.address, key);
+        assert_eq!(client.code(), "57014", "{cores} cores");
+        assert_eq!(link.asked(), None, "the host sees the end of the attempt");
+        // After the answer it names nothing any more: the next request is served.
+        cancel(rig.address, key);
+        for talk in [&mut client, &mut other] {
+            talk.ask(&read("next"));
+            let mut link = host.welcomed();
+            assert!(link.asked().expect("an attempt").contains("'next'"));
+            link.say(&answer("master", None));
+            assert_eq!(talk.answer().len(), 4);
+        }
+        assert_eq!(figure(rig.admin, "responses.look.errors"), 1);
+        assert_eq!(figure(rig.admin, "responses.look.ok"), 2);
+        rig.end();
+    }
+}
+
+/// Guards a cancel that comes while the request waits for its connection: nothing is written, and a cancel that is cut
+/// off or too long closes its own connection only.
+#[test]
+fn a_cancel_while_the_connection_comes_up_leaves_nothing_to_write() {
+    let host = Host::new();
+    let rig = gateway(&[&host], 1);
+    let (mut client, key) = with_key(&rig);
+    client.ask(&write("cancelled"));
+    let mut link = host.dialled();
+    for bytes in [
+        &[0, 0, 0, 8, 4, 210, 22, 46][..],
+        &[0, 0, 0, 20, 4, 210, 22, 46, 1, 1, 1, 1, 2, 2, 2, 2, 3, 3, 3, 3],
+    ] {
+        let mut bad = TcpStream::connect(rig.address).expect("accepted");
+        bad.write_all(bytes).expect("written");
+        let _ = bad.read_to_end(&mut Vec::new());
+    }
+    cancel(rig.address, key);
+    assert_eq!(client.code(), "57014");
+    link.greet();
+    client.ask(&read("next"));
+    let asked = link.asked().or_else(|| host.welcomed().asked()).expect("an attempt");
+    assert!(asked.contains("'next'"), "{asked}");
+    drop(link);
+    drop(rig);
+}
+
+/// Guards the last answer before a close over unread bytes: the client hears all of it, though it has sent more than
+/// the gateway ever read. A system that resets the connection takes the answer along.
+#[test]
+fn the_last_answer_arrives_whole_though_the_client_sent_on() {
+    let host = Host::new();
+    let mut rig = gateway(&[&host], 1);
+    // A client that holds little and reads late: most of the answer is still with the gateway's system at the close.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a socket");
+    socket.connect(&rig.address.into()).expect("accepted");
+    let mut client = Talk { socket: socket.into(), inbox: Inbox::default() };
+    let mut hello = Vec::new();
+    codec::startup(&mut hello, "app", "shop");
+    client.socket.write_all(&hello).expect("written");
+    assert_eq!(client.answer().pop().map(|frame| frame.tag), Some(b'Z'));
+    client.ask(&read("large"));
+    let mut link = host.welcomed();
+    link.asked().expect("an attempt");
+    rig.stop.write_all(&[1]).expect("told");
+    // Once the listener is closed nothing more is read of clients.
+    while TcpStream::connect(rig.address).is_ok() {}
+    for _ in 0..50 {
+        client.ask(&read("too-late"));
+    }
+    let value = vec![7; 60_000];
+    let mut out = Vec::new();
+    codec::frame(&mut out, b'T', b"\0\x01doc\0\0\0\0\0\0\0\0\0\0\x11\0\0\0\0\0\0\0\x01");
+    codec::frame(&mut out, b'D', &[&[0, 1][..], &(value.len() as u32).to_be_bytes(), &value].concat());
+    codec::frame(&mut out, b'C', b"SELECT 1\0");
+    codec::ready(&mut out);
+    link.say(&out);
+    rig.gateway.join().expect("it ends by itself");
+    let answer = client.answer();
+    assert_eq!(answer.iter().map(|frame| frame.tag).collect::<Vec<_>>(), b"TDCZ");
+    assert_eq!(codec::only_column(&answer[1].body), Some(&value[..]));
+    // What crossed the close was not taken: the end comes in order, and no attempt was made of it.
+    assert_eq!(client.answer().len(), 0);
+    assert!(link.asked().is_none_or(|text| !text.contains("too-late")));
+}
+
+/// Guards against a process that serves until it is killed: a client that has its next request always there is
+/// answered what was read before the listener closed, and then let go.
+#[test]
+fn a_client_that_keeps_sending_does_not_hold_the_end_up() {
+    let host = Host::new();
+    let mut rig = gateway(&[&host], 1);
+    let mut client = rig.client();
+    client.ask(&read("first"));
+    let mut link = host.welcomed();
+    link.asked().expect("an attempt");
+    rig.stop.write_all(&[1]).expect("told");
+    rig.stop.write_all(&[1]).expect("twice");
+    while TcpStream::connect(rig.address).is_ok() {}
+    let mut sender = client.socket.try_clone().expect("a socket");
+    let more = std::thread::spawn(move || {
+        let mut bytes = Vec::new();
+        codec::query(
+            &mut bytes,
+            "SELECT doc FROM items WHERE id = 'more' /* id=more,c=look,d=30000,cluster=1 */",
+        );
+        while sender.write_all(&bytes).is_ok() {}
+    });
+    link.say(&answer("master", None));
+    rig.gateway.join().expect("it ends by itself");
+    assert_eq!(client.answer().len(), 4);
+    more.join().expect("its connection has ended");
+}
+
+/// Guards a clerk against a write that was answered into silence: the host has committed, its answer never arrives,
+/// and the session's next read goes to the primary, not to a replica that is behind.
+#[test]
+fn a_session_whose_writes_answer_is_reset_reads_at_the_primary() {
+    let (primary, replica) = (Host::new(), Host::new());
+    let rig = gateway(&[&primary, &replica], 1);
+    let mut client = rig.client();
+    client.ask(&write("clerk").replace("c=store", "c=once"));
+    let mut link = primary.welcomed();
+    link.asked().expect("the write");
+    // It has committed; the answer is lost with the connection.
+    link.reset();
+    assert_eq!(client.code(), "58000");
+    client.ask(&read("clerk").replace("c=look", "c=own"));
+    let mut link = primary.welcomed();
+    assert!(link.asked().expect("the read").contains("'clerk'"));
+    link.say(&answer("master", None));
+    assert_eq!(client.answer().len(), 4);
+    rig.end();
+}
+
+/// Guards answers that break off at each byte, by an end and by a reset: what is not whole is not served, the client
+/// gets one answer, from the second attempt.
+#[test]
+fn an_answer_that_breaks_off_at_any_byte_is_not_served() {
+    let whole = answer("master", None);
+    // The last word on the request is CommandComplete: what comes behind it says nothing of the answer.
+    let told = whole.len() - 6 - (5 + "part\0master\0".len());
+    let cuts: Vec<(usize, bool)> = (0..told).flat_map(|at| [(at, false), (at, true)]).collect();
+    let break_off = |at: usize, reset: bool| {
+        let (primary, replica) = (Host::new(), Host::new());
+        let rig = gateway(&[&primary, &replica], 1);
+        let mut client = rig.client();
+        client.ask(&read("broken"));
+        let mut link = replica.welcomed();
+        link.asked().expect("an attempt");
+        link.say(&whole[..at]);
+        match reset {
+            true => link.reset(),
+            false => drop(link),
+        }
+        let mut link = primary.welcomed();
+        link.asked().expect("a second attempt");
+        link.say(&whole);
+        let answer: Vec<u8> = client.answer().iter().map(|frame| frame.tag).collect();
+        assert_eq!(answer, b"TDCZ", "{at} {reset}");
+        assert_eq!(figure(rig.admin, "responses.look.ok"), 1);
+        rig.end();
+    };
+    // A gateway each, and some side by side: each takes its time to hand over at its end.
+    std::thread::scope(|scope| {
+        for few in cuts.chunks(cuts.len().div_ceil(24)) {
+            scope.spawn(|| few.iter().for_each(|(at, reset)| break_off(*at, *reset)));
+        }
+    });
+}
+
+/// A list of these hosts in which the second one drains.
+fn draining(hosts: &[SocketAddr], rev: u64) -> Value {
+    let mut list = listing(hosts);
+    list["rev"] = json!(rev);
+    list["targets"][1]["state"] = json!("Terminating");
+    list
+}
+
+/// Guards drains that come right behind a watch that fails, whichever way: silent until it is given up, reset, cut off
+/// within its answer, an answer without a length that is reset, turned away, or answered only once it was given up.
+/// The next call hears of the drain, and nothing is sent there after it.
+#[test]
+fn a_drain_right_behind_a_watch_that_fails_is_heard() {
+    let body = |list: &Value| format!("HTTP/1.1 200 OK\r\n\r\n{list}");
+    for way in ["silent", "late", "reset", "cut", "unsaid", "refused"] {
+        let (primary, replica) = (Host::new(), Host::new());
+        let rig = gateway(&[&primary, &replica], 1);
+        let list = draining(&[primary.address(), replica.address()], 9);
+        let (mut watch, asked) = call(&rig.discovery);
+        assert!(asked.contains("index=4&wait="), "{asked}");
+        match way {
+            "silent" | "late" => {}
+            "reset" => Link { socket: watch.try_clone().expect("a socket"), inbox: Inbox::default() }.reset(),
+            "cut" => watch
+                .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"rev\":9,")
+                .expect("written"),
+            "unsaid" => {
+                let text = body(&list);
+                watch.write_all(&text.as_bytes()[..text.len() - 1]).expect("written");
+                Link { socket: watch.try_clone().expect("a socket"), inbox: Inbox::default() }.reset();
+            }
+            _ => watch.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").expect("written"),
+        }
+        let kept = ["silent", "late"].contains(&way).then(|| watch.try_clone().expect("a socket"));
+        drop(watch);
+        let (mut next, asked) = call(&rig.discovery);
+        assert!(asked.starts_with("GET /catalog/members"), "{way}: {asked}");
+        if let Some(mut late) = kept.filter(|_| way == "late") {
+            // An answer to the call that was given up, with an older list, is nobody's.
+            let _ = late.write_all(body(&listing(&[primary.address(), replica.address()])).as_bytes());
+        }
+        tell(&mut next, &list);
+        // The call after it goes on from there: the list has been taken in.
+        let (_watch, asked) = call(&rig.discovery);
+        assert!(asked.contains("index=9&wait="), "{way}: {asked}");
+        let mut client = rig.client();
+        client.ask(&read("k"));
+        let mut link = primary.welcomed();
+        assert!(link.asked().expect("an attempt").contains("'k'"), "{way}");
+        link.say(&answer("master", None));
+        assert_eq!(client.answer().len(), 4, "{way}");
+        replica.listener.set_nonblocking(true).expect("a socket");
+        assert!(replica.listener.accept().is_err(), "{way}: nothing goes to the host that drains");
+        rig.end();
+    }
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,184 @@
+//! The built program as a process of its own, under its limit of descriptors, stopped and continued: what lies in its
+//! sockets meanwhile is there all at once when it looks.
+
+mod rig;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use dunemount::pg::codec::{self, Inbox};
+use dunemount::upgrade::line;
+use rig::stage::{answer, call, Host};
+use rig::{figure, listing, local, read, settings, tell, Talk};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+
+/// A running gateway.
+struct Process {
+    child: Child,
+    address: SocketAddr,
+    admin: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Process {
+    /// Starts one that may hold so many descriptors, by its settings and by the system.
+    fn start(name: &str, sockets: usize, discovery: SocketAddr, known: Value) -> Process {
+        let folder = std::env::temp_dir().join(format!("dunemount-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        // Both ports are held until both are known.
+        let (listen, door) = (local(), local());
+        let (address, admin) = (listen.local_addr().expect("bound"), door.local_addr().expect("bound"));
+        let config = json!({"name": name, "listen": address.to_string(), "admin_addr": admin.to_string(),
+            "discovery": discovery.to_string(), "seed": "1f", "limits": {"sockets": sockets, "memory_mb": 48},
+            "known": known, "settings": settings()});
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("written");
+        drop((listen, door));
+        let limited = format!("ulimit -n {sockets} && exec \"$0\"");
+        let child = Command::new("sh")
+            .args(["-c", &limited, env!("CARGO_BIN_EXE_dunemount")])
+            .env("GW_CONFIG", folder.join("config.json"))
+            .env("TMPDIR", &folder)
+            .stdout(Stdio::from(std::fs::File::create(folder.join("log")).expect("a file")))
+            .spawn()
+            .expect("it starts");
+        Process { child, address, admin, folder }
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("its own child");
+    }
+
+    /// A client that has been greeted.
+    fn client(&self) -> Talk {
+        loop {
+            // Refused until the process listens.
+            if let Ok(socket) = TcpStream::connect(self.address) {
+                let mut talk = Talk { socket, inbox: Inbox::default() };
+                let mut hello = Vec::new();
+                codec::startup(&mut hello, "app", "shop");
+                talk.socket.write_all(&hello).expect("written");
+                if talk.answer().pop().is_some_and(|frame| frame.tag == b'Z') {
+                    return talk;
+                }
+            }
+        }
+    }
+
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).expect("a log")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Guards a discovery that is down while idle clients fill all descriptors that clients may have: when it returns the
+/// list is taken in, the host that it names can be dialled, and a new client gets in and is served.
+#[test]
+fn idle_clients_that_fill_the_descriptors_leave_discovery_and_hosts_theirs() {
+    let (old, new, door) = (Host::new(), Host::new(), local());
+    let place = door.local_addr().expect("bound");
+    drop(door);
+    let gateway = Process::start("filled", 80, place, listing(&[old.address()]));
+    let first = gateway.client();
+    // More than there are descriptors: some are let in, some wait in the system's queue.
+    let idle: Vec<TcpStream> =
+        (0..120).map(|_| TcpStream::connect(gateway.address).expect("accepted by the system")).collect();
+    assert!(figure(gateway.admin, "pool_size") == 1, "the door answers beside them");
+    let discovery = TcpListener::bind(place).expect("its old address");
+    let (mut watch, _) = call(&discovery);
+    let mut list = listing(&[new.address()]);
+    (list["rev"], list["targets"][0]["uid"]) = (json!(9), json!("s-new"));
+    tell(&mut watch, &list);
+    let (_watch, asked) = call(&discovery);
+    assert!(asked.contains("index=9&wait="), "{asked}");
+    let mut client = gateway.client();
+    client.ask(&read("k"));
+    let mut link = new.welcomed();
+    assert!(link.asked().expect("an attempt").contains("'k'"));
+    link.say(&answer("master", None));
+    assert_eq!(client.answer().len(), 4);
+    let log = gateway.log();
+    assert!(!log.contains("cannot accept") && !log.contains("no descriptors left for hosts"), "{log}");
+    drop((first, idle));
+}
+
+/// Guards restarts: many processes that start at once, discovery silent, and before each a process that has its line
+/// and says nothing on it, answer their first empty query all the same.
+#[test]
+fn processes_that_start_at_once_are_ready_whatever_is_silent() {
+    let (host, discovery) = (Host::new(), local());
+    let place = discovery.local_addr().expect("bound");
+    let silent: Vec<_> = (0..12)
+        .map(|index| {
+            let name = format!("start{index}");
+            let folder = std::env::temp_dir().join(format!("dunemount-{name}-{}", std::process::id()));
+            std::fs::create_dir_all(&folder).expect("a folder");
+            line::listen(&folder.join(format!("dunemount-{name}.line"))).expect("a line")
+        })
+        .collect();
+    let gateways: Vec<Process> = (0..12)
+        .map(|index| Process::start(&format!("start{index}"), 200, place, listing(&[host.address()])))
+        .collect();
+    for (gateway, line) in gateways.iter().zip(&silent) {
+        let mut client = gateway.client();
+        client.ask("");
+        assert_eq!(client.answer()[0].tag, b'I');
+        assert!(line::Line::accept(line).is_ok(), "it has called the process before it");
+    }
+    drop(discovery);
+}
+
+/// Guards hosts against work for nobody where the request and its client's end are both there at the first look, and
+/// a connection to the host is open already: nothing is written on it.
+#[test]
+fn a_request_with_its_clients_end_behind_it_is_not_written_on_an_open_connection() {
+    let (host, discovery) = (Host::new(), local());
+    let place = discovery.local_addr().expect("bound");
+    let gateway = Process::start("gone", 200, place, listing(&[host.address()]));
+    let mut gone = gateway.client();
+    gone.ask(&read("before"));
+    let mut link = host.welcomed();
+    link.asked().expect("an attempt");
+    link.say(&answer("master", None));
+    assert_eq!(gone.answer().len(), 4);
+    gateway.signal(Signal::STOP);
+    gone.ask(&read("gone"));
+    gone.socket.shutdown(Shutdown::Write).expect("a socket");
+    gateway.signal(Signal::CONT);
+    assert_eq!(gone.socket.read(&mut [0; 64]).unwrap_or(0), 0, "it is through with it");
+    let mut client = gateway.client();
+    client.ask(&read("here"));
+    assert!(link.asked().expect("an attempt").contains("'here'"));
+    link.say(&answer("master", None));
+    assert_eq!(client.answer().len(), 4);
+    assert_eq!(figure(gateway.admin, "responses.look.tries"), 2);
+}
+
+/// Guards requests that cross the making of room: they lie unread in the sockets of idle clients when a new one comes,
+/// and each of them is answered.
+#[test]
+fn a_request_that_crosses_the_making_of_room_is_served() {
+    let (host, discovery) = (Host::new(), local());
+    let place = discovery.local_addr().expect("bound");
+    let gateway = Process::start("room", 60, place, listing(&[host.address()]));
+    // As many as there is room for: 60 less those kept back, less a third of the rest for hosts.
+    let mut held: Vec<Talk> = (0..11).map(|_| gateway.client()).collect();
+    gateway.signal(Signal::STOP);
+    let newcomer = TcpStream::connect(gateway.address).expect("accepted by the system");
+    for talk in &mut held {
+        talk.ask("");
+    }
+    gateway.signal(Signal::CONT);
+    let answers: Vec<usize> = held.iter_mut().map(|talk| talk.answer().len()).collect();
+    assert_eq!(answers, [2; 11], "{}", gateway.log());
+    drop(newcomer);
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -2,6 +2,8 @@
 //! discovery in threads of the test. Each test file uses its part of it.
 #![allow(dead_code)]
 
+pub mod stage;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
@@ -25,8 +27,10 @@
             {"Name": "look", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 1.0, "Effect": "read_like"},
             {"Name": "store", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 2.0, "LateWorth": 0.5,
              "Effect": "idempotency_key", "Group": "cell", "RepeatWindowMs": 30000.0},
-            {"Name": "own", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 1.0, "Effect": "read_like"}],
-        "Specifics": {"CountedFromMs": 0.0, "NeedsByClass": ["loose", "update", "own_writes"], "ServerChecks": "none",
+            {"Name": "own", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 1.0, "Effect": "read_like"},
+            {"Name": "once", "AimMs": 30000.0, "DeadlineMs": 30000.0, "Value": 2.0, "Effect": "non_idempotent"}],
+        "Specifics": {"CountedFromMs": 0.0, "NeedsByClass": ["loose", "update", "own_writes", "update"],
+                      "ServerChecks": "none",
                       "SessionMarks": "router"},
         "Permissions": {"Cancelling": true, "RetryAfter": true, "MaxRetryAfterMs": 500.0,
                         "ConnIdleMs": 60000.0, "ConnectTimeoutMs": 10000.0, "SendCap": 4},
@@ -216,16 +220,33 @@
         cores: usize,
     ) -> Rig {
         let (sender, heard) = channel();
-        let discovery = local();
         let mood = Arc::new(Mood::default());
         let hosts: Vec<_> = (0..3).map(|index| toy_host(index, sender.clone(), mood.clone())).collect();
+        Rig::open(limit, line, inherited, cores, listing(&hosts), heard, mood)
+    }
+
+    /// A gateway of so many workers that knows the hosts of this list, which are the test's own.
+    pub fn with_list(limit: usize, cores: usize, known: Value) -> Rig {
+        Rig::open(limit, None, None, cores, known, channel().1, Arc::default())
+    }
+
+    fn open(
+        limit: usize,
+        line: Option<PathBuf>,
+        inherited: Option<Inheritance>,
+        cores: usize,
+        known: Value,
+        heard: Receiver<String>,
+        mood: Arc<Mood>,
+    ) -> Rig {
+        let discovery = local();
         let (stop, end) = UnixStream::pair().expect("a pair");
         let (reload, anew) = UnixStream::pair().expect("a pair");
         let (file, read) = sync_channel(0);
         let (mut in_force, mut zones) = (InForce::default(), Zones::default());
         let text = json!({"name": "n", "listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0",
             "discovery": discovery.local_addr().expect("bound").to_string(), "seed": "1f",
-            "limits": {"sockets": limit, "memory_mb": 48}, "known": listing(&hosts), "settings": settings()})
+            "limits": {"sockets": limit, "memory_mb": 48}, "known": known, "settings": settings()})
         .to_string();
         let taken = in_force.take(text.clone(), &mut zones).expect("a configuration");
         let config = Config {
--- /dev/null
+++ b/tests/rig/stage.rs
@@ -0,0 +1,93 @@
+//! Stand-ins whose every step a test decides: hosts that dial, greet and answer when they are told to, and calls to
+//! discovery.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+use dunemount::pg::codec::{self, Inbox};
+use socket2::SockRef;
+
+use super::{local, next_frame};
+
+/// A host whose every step the test decides.
+pub struct Host {
+    pub listener: TcpListener,
+}
+
+/// A connection of the gateway to such a host.
+pub struct Link {
+    pub socket: TcpStream,
+    pub inbox: Inbox,
+}
+
+impl Host {
+    pub fn new() -> Host {
+        Host { listener: local() }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+
+    /// The gateway's next connection, not greeted yet.
+    pub fn dialled(&self) -> Link {
+        let (mut socket, _) = self.listener.accept().expect("dialled");
+        let (mut inbox, mut bytes) = (Inbox::default(), [0; 4096]);
+        while inbox.startup().expect("a startup").is_none() {
+            let count = socket.read(&mut bytes).expect("a startup");
+            inbox.push(&bytes[..count]);
+        }
+        Link { socket, inbox }
+    }
+
+    pub fn welcomed(&self) -> Link {
+        let mut link = self.dialled();
+        link.greet();
+        link
+    }
+}
+
+/// An answer in one row, with role and position; `None` for a row that is cut off.
+pub fn answer(role: &str, position: Option<u64>) -> Vec<u8> {
+    let mut out = Vec::new();
+    codec::frame(&mut out, b'T', b"\0\x01doc\0\0\0\0\0\0\0\0\0\0\x11\0\0\0\0\0\0\0\x01");
+    codec::frame(&mut out, b'D', &[0, 1, 0, 0, 0, 2, b'o', b'k']);
+    codec::frame(&mut out, b'C', b"SELECT 1\0");
+    codec::parameter(&mut out, "part", role);
+    if let Some(position) = position {
+        codec::parameter(&mut out, "caught_up_to", &position.to_string());
+    }
+    codec::ready(&mut out);
+    out
+}
+
+impl Link {
+    pub fn greet(&mut self) {
+        let mut out = Vec::new();
+        codec::frame(&mut out, b'R', &[0; 4]);
+        codec::ready(&mut out);
+        self.socket.write_all(&out).expect("written");
+    }
+
+    /// The next statement, or `None` if the gateway has ended the connection.
+    pub fn asked(&mut self) -> Option<String> {
+        let frame = next_frame(&mut self.socket, &mut self.inbox)?;
+        Some(String::from_utf8_lossy(&frame.body).trim_end_matches('\0').to_string())
+    }
+
+    pub fn say(&mut self, bytes: &[u8]) {
+        self.socket.write_all(bytes).expect("written");
+    }
+
+    pub fn reset(self) {
+        SockRef::from(&self.socket).set_linger(Some(std::time::Duration::ZERO)).expect("a socket");
+    }
+}
+
+/// The next call to discovery, and its text.
+pub fn call(discovery: &TcpListener) -> (TcpStream, String) {
+    let (mut socket, _) = discovery.accept().expect("a call");
+    let mut bytes = [0; 4096];
+    let count = socket.read(&mut bytes).expect("a request");
+    (socket, String::from_utf8_lossy(&bytes[..count]).to_string())
+}
