--- /dev/null
+++ b/crates/rig/tests/cold_hosts.rs
@@ -0,0 +1,264 @@
+//! A cold host under the sum of a whole fleet: what all routers send it in the fall window against what it bears then.
+//! Routers share nothing; their traffic is uneven, some have just started, some have not been told yet.
+
+use std::collections::BTreeMap;
+
+use dunemount::*;
+use dunemount_rig::deployment::Dice;
+
+const HOSTS: u64 = 4;
+const CORES: f64 = 3.0;
+const COLD: MemberId = MemberId(3);
+/// Mean work of a request, in milliseconds of one core.
+const WORK: f64 = 60.0;
+/// When the host starts anew, and when the world ends.
+const BORN: Micros = Micros::millis(10_000);
+const END: Micros = Micros::millis(26_000);
+
+/// A fleet and its day.
+#[derive(Clone, Copy)]
+struct Fleet {
+    routers: u32,
+    /// Part of the capacity of all hosts that is asked for.
+    load: f64,
+    /// Routers that start together with the host and know nothing but the list.
+    fresh: bool,
+    /// How long some routers wait for word of the start.
+    late: Micros,
+    fall_time: Micros,
+    seed: u64,
+}
+
+fn settings(fleet: &Fleet) -> Settings {
+    let (aim, deadline) = (Micros::millis(300), Micros::millis(1_000));
+    let class = Class { aim, deadline, worth: 1.0, late_worth: 0.0, effect: Effect::Safe, need: Need::Any };
+    Settings {
+        classes: vec![class],
+        tenants: vec![],
+        over_share_worth: 1.0,
+        worth_by: Default::default(),
+        zone: ZoneId(0),
+        drivers: fleet.routers,
+        tick: Micros::millis(5),
+        must_watch: false,
+        checks: Checks::None,
+        tokens: Tokens::Remembered,
+        probes: true,
+        cancels: true,
+        peers: false,
+        second_copies: false,
+        retry_after: true,
+        max_retry_after: Micros::millis(500),
+        max_attempts: 8,
+        probe_price: 0.01,
+        cross_zone_price: 0.0,
+        handshake_price: 0.0,
+        drain_grace: Micros::millis(2_000),
+        only_draining_binds: false,
+        connection_idle: Micros::millis(15_000),
+        cold_from: 0.15,
+        cold_time: Micros::millis(13_000),
+        fall_multiple: 2.0,
+        fall_time: fleet.fall_time,
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Step {
+    Arrive,
+    Timer(usize),
+    Answer(usize, RequestId, AttemptNo, MemberId, Micros),
+    Told(usize),
+}
+
+struct World {
+    routers: Vec<Router>,
+    /// Which of them have been told of the start.
+    told: Vec<bool>,
+    steps: BTreeMap<(Micros, u64), Step>,
+    serial: u64,
+    dice: Dice,
+    settings: Settings,
+    busy: BTreeMap<MemberId, u32>,
+    /// When calls reached the cold host, from a router that had been told or not.
+    calls: Vec<(Micros, bool)>,
+}
+
+impl World {
+    fn at(&mut self, at: Micros, step: Step) {
+        self.serial += 1;
+        self.steps.insert((at, self.serial), step);
+    }
+
+    fn warmth(&self, now: Micros) -> f64 {
+        let age = (now - BORN).as_f64() / self.settings.cold_time.as_f64();
+        (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
+    }
+
+    fn handle(&mut self, now: Micros, index: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.routers[index].handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { request, member, .. } => {
+                    let cold = member == COLD && now >= BORN;
+                    if cold {
+                        self.calls.push((now, self.told[index]));
+                    }
+                    let busy = self.busy.entry(member).or_default();
+                    *busy += 1;
+                    let crowd = (f64::from(*busy) / CORES).max(1.0);
+                    let speed = if cold { self.warmth(now) } else { 1.0 };
+                    let work = WORK * -self.dice.uniform(0.0, 1.0).max(1e-9).ln();
+                    let latency = Micros((work * crowd / speed * 1000.0) as u64 + 500);
+                    self.at(now + latency, Step::Answer(index, request, AttemptNo(0), member, latency));
+                }
+                Action::SetTimer { at, .. } => self.at(at.max(now + Micros(1)), Step::Timer(index)),
+                Action::Probe { member } => {
+                    let report = Report { position: Some(now), role: None };
+                    self.handle(now, index, Event::Probed { member, status: Status::Ok, report });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The list as a router hears it, the host's start in it or not.
+    fn list(&mut self, now: Micros, index: usize, started: bool) {
+        let entry = |member: u64| Entry {
+            member: MemberId(member),
+            group: GroupId(1),
+            zone: ZoneId(0),
+            listed: Listed::Ready,
+            weight: 1.0,
+            started: if started && MemberId(member) == COLD { BORN } else { Micros(0) },
+            primary: member == 1,
+        };
+        let entries = (1..=HOSTS).map(entry).collect();
+        self.handle(now, index, Event::Members { kind: ListKind::Full, entries });
+    }
+}
+
+/// Plays a day and gives the calls beyond the budget N and what chance puts on top of it, 2 x root of N + 2, at the
+/// worst moment; below nothing where there are none. `alter` changes what the routers believe of the settings.
+fn worst(fleet: Fleet, alter: impl Fn(&mut Settings)) -> f64 {
+    let settings = settings(&fleet);
+    let mut believed = settings.clone();
+    alter(&mut believed);
+    let count = fleet.routers as usize;
+    let router = |index: usize| Router::new(believed.clone(), fleet.seed * 1_000 + index as u64);
+    let mut world = World {
+        routers: (0..count).map(router).collect(),
+        told: vec![false; count],
+        steps: BTreeMap::new(),
+        serial: 0,
+        dice: Dice::new(fleet.seed),
+        settings,
+        busy: BTreeMap::new(),
+        calls: Vec::new(),
+    };
+    // Some routers see several times the mean traffic.
+    let shares: Vec<f64> = (0..count).map(|index| 1.0 / (1.0 + index as f64).powf(0.5)).collect();
+    let all: f64 = shares.iter().sum();
+    let gap = WORK * 1000.0 / (HOSTS as f64 * CORES * fleet.load);
+    let from = Micros::millis(1_000);
+    for index in 0..count {
+        world.list(from, index, false);
+        let late = Micros((fleet.late.as_f64() * world.dice.uniform(0.0, 1.0)) as u64);
+        world.at(BORN + late, Step::Told(index));
+    }
+    world.at(from, Step::Arrive);
+    let mut next = 0;
+    while let Some(((now, _), step)) = world.steps.pop_first() {
+        if now > END {
+            break;
+        }
+        match step {
+            Step::Arrive => {
+                let wait = gap * -world.dice.uniform(0.0, 1.0).max(1e-9).ln();
+                world.at(now + Micros(wait as u64), Step::Arrive);
+                let mut point = world.dice.uniform(0.0, all);
+                let found = shares.iter().position(|share| {
+                    point -= share;
+                    point < 0.0
+                });
+                next += 1;
+                let request = Request {
+                    id: RequestId(next),
+                    class: ClassId(0),
+                    group: GroupId(1),
+                    session: None,
+                    since_commit: None,
+                    tenant: None,
+                    repeat: false,
+                    time_left: Micros::millis(1_000),
+                };
+                world.handle(now, found.unwrap_or(0), Event::Request(request));
+            }
+            Step::Timer(index) => world.handle(now, index, Event::Timer(TimerId(0))),
+            Step::Told(index) => {
+                if fleet.fresh {
+                    world.routers[index] = Router::new(believed.clone(), fleet.seed * 2_000 + index as u64);
+                }
+                world.told[index] = true;
+                world.list(now, index, true);
+            }
+            Step::Answer(index, request, attempt, member, latency) => {
+                world.busy.entry(member).and_modify(|busy| *busy -= 1);
+                let (role, position) = (None, None);
+                let (status, finished, report) = (Status::Ok, true, Report::default());
+                let outcome =
+                    Outcome { request, attempt, member, status, latency, finished, role, position, report };
+                world.handle(now, index, Event::Outcome(outcome));
+            }
+        }
+    }
+    let window = world.settings.fall_time;
+    let mut worst = f64::NEG_INFINITY;
+    for (end, (now, _)) in world.calls.iter().enumerate() {
+        let since = world.calls.iter().take(end + 1).filter(|(at, _)| *at + window > *now);
+        let (calls, told) =
+            since.fold((0.0, 0.0), |(all, told), (_, is)| (all + 1.0, told + f64::from(u8::from(*is))));
+        // The rule binds where over two thirds came from routers that had been told.
+        if told * 3.0 <= calls * 2.0 {
+            continue;
+        }
+        let from = (*now - window).max(BORN);
+        let warmth = (world.warmth(from) + world.warmth(*now)) / 2.0;
+        let capacity = CORES * window.as_f64() / 1000.0 / WORK;
+        let budget = world.settings.fall_multiple * warmth * capacity;
+        worst = worst.max(calls - budget - 2.0 * budget.sqrt() - 2.0);
+    }
+    worst
+}
+
+/// Guards cold hosts against the sum of all routers, however many there are, in calm and in overload, with windows of
+/// one and three seconds; a variant in which each takes the whole budget for its own, and the host for warm, is caught.
+#[test]
+fn all_routers_together_keep_within_a_cold_hosts_budget() {
+    for routers in [3, 20, 30, 300] {
+        for load in [0.7, 1.5] {
+            for (fresh, late, window) in
+                [(false, 0, 3_000), (true, 0, 3_000), (false, 2_000, 3_000), (false, 0, 1_000)]
+            {
+                for seed in 1..=2 {
+                    let (late, fall_time) = (Micros::millis(late), Micros::millis(window));
+                    let fleet = Fleet { routers, load, fresh, late, fall_time, seed };
+                    let over = worst(fleet, |_| {});
+                    assert!(over <= 0.0, "{routers} routers, load {load}, fresh {fresh}, {late:?}, {fall_time:?}, {seed}: {over:.1}");
+                    // Each believes itself alone, and the host warm; few of them have not the limits for it.
+                    let alone = |believed: &mut Settings| {
+                        (believed.drivers, believed.cold_time) = (1, Micros(0));
+                    };
+                    if seed == 1 && load > 1.0 && routers >= 30 {
+                        let over = worst(fleet, alone);
+                        assert!(
+                            over > 0.0,
+                            "{routers} routers, fresh {fresh}, {late:?}, {fall_time:?}: not caught"
+                        );
+                    }
+                }
+            }
+        }
+    }
+}
