--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -7,7 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 
 use dunemount::pg::codec::{self, CancelKey, Inbox};
-use rig::stage::{answer, call, Host, Link};
+use rig::stage::{answer, call, cancel, with_key, Host, Link};
 use rig::{figure, listing, read, tell, write, Rig, Talk};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
@@ -115,30 +115,6 @@
     rig.end();
 }
 
-/// Reads the greeting of a new client and gives its key.
-fn with_key(rig: &Rig) -> (Talk, CancelKey) {
-    let mut socket = TcpStream::connect(rig.address).expect("accepted");
-    let mut hello = Vec::new();
-    codec::startup(&mut hello, "app", "shop");
-    socket.write_all(&hello).expect("written");
-    let mut talk = Talk { socket, inbox: Inbox::default() };
-    let greeting = talk.answer();
-    let key = greeting.iter().find(|frame| frame.tag == b'K').expect("a key");
-    let word = |at: usize| u32::from_be_bytes(key.body[at..at + 4].try_into().expect("four bytes"));
-    (talk, CancelKey { process: word(0), secret: word(4) })
-}
-
-/// Sends a cancel and waits until the gateway has closed its connection: it says nothing, whatever the key.
-fn cancel(address: SocketAddr, key: CancelKey) {
-    let mut socket = TcpStream::connect(address).expect("accepted");
-    let mut bytes = Vec::new();
-    codec::cancel(&mut bytes, key);
-    socket.write_all(&bytes).expect("written");
-    let mut said = Vec::new();
-    socket.read_to_end(&mut said).expect("closed in order");
-    assert!(said.is_empty(), "{said:?}");
-}
-
 /// Guards a cancel: the attempt ends, no other follows, the client hears 57014 once and its connection goes on. One
 /// with a key that fits nobody, and one after the answer, change nothing. Also where client and family have different
 /// workers.
@@ -220,7 +196,9 @@
     link.asked().expect("an attempt");
     rig.stop.write_all(&[1]).expect("told");
     // Once the listener is closed nothing more is read of clients.
-    while TcpStream::connect(rig.address).is_ok() {}
+    while TcpStream::connect(rig.address).is_ok() {
+        std::thread::sleep(std::time::Duration::from_millis(2));
+    }
     for _ in 0..50 {
         client.ask(&read("too-late"));
     }
@@ -252,7 +230,9 @@
     link.asked().expect("an attempt");
     rig.stop.write_all(&[1]).expect("told");
     rig.stop.write_all(&[1]).expect("twice");
-    while TcpStream::connect(rig.address).is_ok() {}
+    while TcpStream::connect(rig.address).is_ok() {
+        std::thread::sleep(std::time::Duration::from_millis(2));
+    }
     let mut sender = client.socket.try_clone().expect("a socket");
     let more = std::thread::spawn(move || {
         let mut bytes = Vec::new();
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -7,6 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use dunemount::pg::codec::{self, Inbox};
 use dunemount::upgrade::line;
@@ -15,6 +16,9 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
+/// Time between two looks at something that is waited for.
+const PAUSE: Duration = Duration::from_millis(2);
+
 /// A running gateway.
 struct Process {
     child: Child,
@@ -24,8 +28,25 @@
 }
 
 impl Process {
-    /// Starts one that may hold so many descriptors, by its settings and by the system.
+    /// Starts one that may hold so many descriptors, by its settings and by the system, and waits until it listens.
     fn start(name: &str, sockets: usize, discovery: SocketAddr, known: Value) -> Process {
+        loop {
+            let mut process = Process::spawn(name, sockets, discovery, &known);
+            loop {
+                if TcpStream::connect(process.address).is_ok() {
+                    return process;
+                }
+                // Its ports were free when they were chosen; somebody else may have taken them since.
+                if process.child.try_wait().expect("its own child").is_some() {
+                    break;
+                }
+                std::thread::sleep(PAUSE);
+            }
+        }
+    }
+
+    /// Starts one on ports that are free now.
+    fn spawn(name: &str, sockets: usize, discovery: SocketAddr, known: &Value) -> Process {
         let folder = std::env::temp_dir().join(format!("dunemount-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         // Both ports are held until both are known.
@@ -51,18 +72,16 @@
         kill_process(Pid::from_child(&self.child), signal).expect("its own child");
     }
 
-    /// A client that has been greeted.
+    /// A client that has been greeted; one that was closed unheard, as to make room, comes again.
     fn client(&self) -> Talk {
         loop {
-            // Refused until the process listens.
-            if let Ok(socket) = TcpStream::connect(self.address) {
-                let mut talk = Talk { socket, inbox: Inbox::default() };
-                let mut hello = Vec::new();
-                codec::startup(&mut hello, "app", "shop");
-                talk.socket.write_all(&hello).expect("written");
-                if talk.answer().pop().is_some_and(|frame| frame.tag == b'Z') {
-                    return talk;
-                }
+            let socket = TcpStream::connect(self.address).expect("it listens");
+            let mut talk = Talk { socket, inbox: Inbox::default() };
+            let mut hello = Vec::new();
+            codec::startup(&mut hello, "app", "shop");
+            talk.socket.write_all(&hello).expect("written");
+            if talk.answer().pop().is_some_and(|frame| frame.tag == b'Z') {
+                return talk;
             }
         }
     }
@@ -125,10 +144,19 @@
             line::listen(&folder.join(format!("dunemount-{name}.line"))).expect("a line")
         })
         .collect();
-    let gateways: Vec<Process> = (0..12)
-        .map(|index| Process::start(&format!("start{index}"), 200, place, listing(&[host.address()])))
-        .collect();
-    for (gateway, line) in gateways.iter().zip(&silent) {
+    let known = listing(&[host.address()]);
+    let mut gateways: Vec<Process> =
+        (0..12).map(|index| Process::spawn(&format!("start{index}"), 200, place, &known)).collect();
+    for (index, line) in silent.iter().enumerate() {
+        while TcpStream::connect(gateways[index].address).is_err() {
+            // Somebody else took its port: it starts once more.
+            if gateways[index].child.try_wait().expect("its own child").is_some() {
+                gateways[index].folder = PathBuf::new();
+                gateways[index] = Process::spawn(&format!("start{index}"), 200, place, &known);
+            }
+            std::thread::sleep(PAUSE);
+        }
+        let gateway = &gateways[index];
         let mut client = gateway.client();
         client.ask("");
         assert_eq!(client.answer()[0].tag, b'I');
@@ -182,3 +210,54 @@
     assert_eq!(answers, [2; 11], "{}", gateway.log());
     drop(newcomer);
 }
+
+/// Guards the end against signals that cross: a new configuration and two words to end are there at once, with a
+/// request owed; the request is answered, and the process ends by itself and in order.
+#[test]
+fn signals_that_come_all_at_once_end_the_process_in_order() {
+    let (host, discovery) = (Host::new(), local());
+    let place = discovery.local_addr().expect("bound");
+    let mut gateway = Process::start("signals", 200, place, listing(&[host.address()]));
+    let mut client = gateway.client();
+    client.ask(&read("k"));
+    let mut link = host.welcomed();
+    link.asked().expect("an attempt");
+    gateway.signal(Signal::STOP);
+    for signal in [Signal::HUP, Signal::TERM, Signal::HUP, Signal::TERM] {
+        gateway.signal(signal);
+    }
+    gateway.signal(Signal::CONT);
+    // The listener closes in the end; the answer is still owed then.
+    while TcpStream::connect(gateway.address).is_ok() {
+        std::thread::sleep(PAUSE);
+    }
+    gateway.signal(Signal::TERM);
+    gateway.signal(Signal::HUP);
+    link.say(&answer("master", None));
+    assert_eq!(client.answer().len(), 4);
+    assert_eq!(client.answer().len(), 0);
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
+/// Guards a word to end that comes at the start, while a process before is silent on its line: the new one ends, and
+/// has taken nobody.
+#[test]
+fn a_word_to_end_at_the_start_ends_it() {
+    let (host, discovery) = (Host::new(), local());
+    let place = discovery.local_addr().expect("bound");
+    let folder = std::env::temp_dir().join(format!("dunemount-early-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let before = line::listen(&folder.join("dunemount-early.line")).expect("a line");
+    let mut gateway = Process::spawn("early", 200, place, &listing(&[host.address()]));
+    // It has called the process before it, and waits.
+    let line = loop {
+        if let Ok(line) = line::Line::accept(&before) {
+            break line;
+        }
+        std::thread::sleep(PAUSE);
+    };
+    gateway.signal(Signal::TERM);
+    gateway.child.wait().expect("it ends");
+    assert!(!gateway.log().contains("listening"), "{}", gateway.log());
+    drop(line);
+}
--- a/tests/rig/stage.rs
+++ b/tests/rig/stage.rs
@@ -4,10 +4,10 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
-use dunemount::pg::codec::{self, Inbox};
+use dunemount::pg::codec::{self, CancelKey, Inbox};
 use socket2::SockRef;
 
-use super::{local, next_frame};
+use super::{local, next_frame, Rig, Talk};
 
 /// A host whose every step the test decides.
 pub struct Host {
@@ -91,3 +91,27 @@
     let count = socket.read(&mut bytes).expect("a request");
     (socket, String::from_utf8_lossy(&bytes[..count]).to_string())
 }
+
+/// Reads the greeting of a new client and gives its key.
+pub fn with_key(rig: &Rig) -> (Talk, CancelKey) {
+    let mut socket = TcpStream::connect(rig.address).expect("accepted");
+    let mut hello = Vec::new();
+    codec::startup(&mut hello, "app", "shop");
+    socket.write_all(&hello).expect("written");
+    let mut talk = Talk { socket, inbox: Inbox::default() };
+    let greeting = talk.answer();
+    let key = greeting.iter().find(|frame| frame.tag == b'K').expect("a key");
+    let word = |at: usize| u32::from_be_bytes(key.body[at..at + 4].try_into().expect("four bytes"));
+    (talk, CancelKey { process: word(0), secret: word(4) })
+}
+
+/// Sends a cancel and waits until the gateway has closed its connection: it says nothing, whatever the key.
+pub fn cancel(address: SocketAddr, key: CancelKey) {
+    let mut socket = TcpStream::connect(address).expect("accepted");
+    let mut bytes = Vec::new();
+    codec::cancel(&mut bytes, key);
+    socket.write_all(&bytes).expect("written");
+    let mut said = Vec::new();
+    socket.read_to_end(&mut said).expect("closed in order");
+    assert!(said.is_empty(), "{said:?}");
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -12,6 +12,7 @@
 use dunemount::upgrade::line::{self, Line};
 use dunemount::upgrade::message::Message;
 use dunemount::{GroupId, Micros, SessionKey};
+use rig::stage::{cancel, with_key};
 use rig::{figure, get, order, read, write, Rig};
 
 /// However busy the machine, a peer in the same process answers within this.
@@ -60,6 +61,72 @@
     new.end();
 }
 
+/// Guards a cancel that meets an upgrade: it arrives at the next process, whose the listener is, while the request is
+/// still the old one's; and once the client has gone over its key goes on to count.
+#[test]
+fn a_cancel_finds_its_request_on_both_sides_of_an_upgrade() {
+    let at = path("cancels");
+    let old = Rig::beside(200, Some(at.clone()), None);
+    let (mut client, key) = with_key(&old);
+    client.ask(&read("held"));
+    while !old.heard.recv().expect("heard").contains("'held'") {}
+    let new = follow(&at);
+    // The old process has heard that the next one takes clients: it accepts nobody any more.
+    while !get(new.admin, "/ops/readiness").starts_with("HTTP/1.1 200 ") {}
+    cancel(old.address, key);
+    assert_eq!(client.code(), "57014");
+    assert_eq!(figure(old.admin, "responses.look.errors"), 1);
+    client.ask(&read("silent"));
+    while !old.heard.recv().expect("heard").contains("'silent'") {}
+    while figure(new.admin, "active") < 1 {}
+    cancel(old.address, key);
+    assert_eq!(client.code(), "57014");
+    assert_eq!(figure(new.admin, "responses.look.errors"), 1);
+    old.mood.released.store(true, Ordering::SeqCst);
+    old.end();
+    new.end();
+}
+
+/// Guards clients against a next process that dies or says nothing at any point of the hand-over: before it has read
+/// the state, after it, or once it has said that it takes clients. The old one goes on to serve, and hands over again.
+#[test]
+fn a_next_process_that_dies_at_any_message_costs_nobody() {
+    let at = path("dying");
+    let old = Rig::beside(200, Some(at.clone()), None);
+    let mut client = old.client();
+    for message in 0..3 {
+        let stand_in = match message {
+            0 => {
+                // It calls and is gone before a word.
+                let place = rustix::net::SocketAddrUnix::new(&at).expect("a path");
+                let (family, kind) = (rustix::net::AddressFamily::UNIX, rustix::net::SocketType::SEQPACKET);
+                let socket = rustix::net::socket(family, kind, None).expect("a socket");
+                rustix::net::connect(&socket, &place).expect("it waits there");
+                None
+            }
+            _ => Some(line::inherit(&at, LONG).expect("handed over")),
+        };
+        if let Some(mut next) = stand_in {
+            // It stands still: clients are served meanwhile.
+            client.ask(&read("k"));
+            assert_eq!(client.answer().len(), 4, "{message}");
+            if message == 2 {
+                next.line.send(&Message::Ready, None).expect("told");
+                // Its death is told on the line behind that word.
+            }
+        }
+        let mut other = old.client();
+        other.ask(&read("k"));
+        assert_eq!(other.answer().len(), 4, "{message}");
+    }
+    let new = follow(&at);
+    client = new.client();
+    client.ask(&read("k"));
+    assert_eq!(client.answer().len(), 4);
+    old.end();
+    new.end();
+}
+
 /// Guards hosts put down by hand: a ban outlives the process that took it, and a word at either door of
 /// two counts at both.
 #[test]
