--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -361,3 +361,101 @@
         rig.end();
     }
 }
+
+/// Guards requests against an answer that has begun and never ends, in the row or behind it, with its connection open:
+/// the next attempt is served. One whose last word has come is served as it is.
+#[test]
+fn an_answer_that_never_ends_is_broken_off() {
+    let whole = answer("master", None);
+    let told = whole.len() - 6 - (5 + "part\0master\0".len());
+    for (at, second) in [(1, true), (40, true), (told - 1, true), (told, false)] {
+        let (primary, replica) = (Host::new(), Host::new());
+        let rig = gateway(&[&primary, &replica], 1);
+        let mut client = rig.client();
+        client.ask(&read("endless"));
+        let mut link = replica.welcomed();
+        link.asked().expect("an attempt");
+        link.say(&whole[..at]);
+        if second {
+            let mut next = primary.welcomed();
+            next.asked().expect("a second attempt");
+            next.say(&whole);
+        }
+        let answer: Vec<u8> = client.answer().iter().map(|frame| frame.tag).collect();
+        assert_eq!(answer, b"TDCZ", "{at}");
+        assert_eq!(link.asked(), None, "its connection is of no use any more");
+        rig.end();
+    }
+}
+
+/// Guards a long answer whose first part is out against a cancel: it can be called off no more, and comes whole.
+#[test]
+fn a_cancel_does_not_cut_an_answer_that_flows() {
+    let host = Host::new();
+    let rig = gateway(&[&host], 1);
+    let (mut client, key) = with_key(&rig);
+    client.ask(&read("long"));
+    let mut link = host.welcomed();
+    link.asked().expect("an attempt");
+    let value = vec![7; 200_000];
+    let mut out = Vec::new();
+    codec::frame(&mut out, b'T', b"\0\x01doc\0\0\0\0\0\0\0\0\0\0\x11\0\0\0\0\0\0\0\x01");
+    codec::frame(&mut out, b'D', &[&[0, 1][..], &(value.len() as u32).to_be_bytes(), &value].concat());
+    codec::frame(&mut out, b'C', b"SELECT 1\0");
+    codec::ready(&mut out);
+    let (half, rest) = out.split_at(100_000);
+    link.say(half);
+    let mut first = [0; 1000];
+    client.socket.read_exact(&mut first).expect("its first part");
+    client.inbox.push(&first);
+    cancel(rig.address, key);
+    link.say(rest);
+    let answer = client.answer();
+    assert_eq!(answer.iter().map(|frame| frame.tag).collect::<Vec<_>>(), b"TDCZ");
+    assert_eq!(codec::only_column(&answer[1].body), Some(&value[..]));
+    assert_eq!(figure(rig.admin, "responses.look.ok"), 1);
+    rig.end();
+}
+
+/// Guards clients against others that flood, that send a byte at a time, and that read nothing: they are served beside
+/// them, the slow one too, and what the floods sent behind their request is held back by the system.
+#[test]
+fn floods_and_slow_clients_keep_nobody_from_being_served() {
+    let host = Host::new();
+    let rig = gateway(&[&host], 1);
+    let mut floods: Vec<Talk> = (0..4).map(|_| rig.client()).collect();
+    let mut flood = Vec::new();
+    codec::query(&mut flood, &"y".repeat(64 * 1024));
+    let mut held = Vec::new();
+    for talk in &mut floods {
+        talk.ask(&read("flood"));
+        let mut link = host.welcomed();
+        assert!(link.asked().expect("an attempt").contains("'flood'"));
+        held.push(link);
+        talk.socket.set_nonblocking(true).expect("a socket");
+        let mut sent = 0;
+        while let Ok(count) = talk.socket.write(&flood) {
+            sent += count;
+            assert!(sent < 64 * 1024 * 1024, "it is read without end");
+        }
+    }
+    let mut slow = rig.client();
+    let mut bytes = Vec::new();
+    codec::query(&mut bytes, &read("slow"));
+    for byte in bytes {
+        slow.socket.write_all(&[byte]).expect("written");
+    }
+    let mut link = host.welcomed();
+    for (talk, name) in [(&mut slow, "slow"), (&mut rig.client(), "quick")] {
+        if name == "quick" {
+            talk.ask(&read(name));
+        }
+        assert!(link.asked().expect("an attempt").contains(name));
+        link.say(&answer("master", None));
+        assert_eq!(talk.answer().len(), 4);
+    }
+    assert_eq!(figure(rig.admin, "active"), 4, "the floods' own requests are still out");
+    drop(floods);
+    drop(held);
+    rig.end();
+}
