Read again: the queue's drain is bounded, an older process is told of no cancel, a port that reaches itself

Found on reading the change again: - close_doors accepted until the listener's queue was empty: under connections that keep coming it need not end. As many turns now as the queue is long. - A process of an earlier version cannot read Message::Cancel and would give up the line in the middle of an upgrade: it is sent only to a process before that has said in its state that it understands it. - The process tests looked for a listener by connecting: a connection to a free port of the system's own choosing may reach itself (seen: "it listens: Connection refused" right after a connection).

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -66,6 +66,8 @@
 /// are let; and the longest such message, however much memory there is.
 const MESSAGE_PART: usize = 256;
 const MOST_MESSAGE: usize = 8 * 1024 * 1024;
+/// Most connections that the system keeps for the listener.
+const BACKLOG: i32 = 1024;
 /// How long the loop goes on accepting after SIGTERM: the hand-over takes up to 0.4 s.
 const HAND_OVER: Micros = Micros::millis(500);
 /// Part of all descriptors that clients which have asked before may keep open. For requests, clients
@@ -419,8 +421,9 @@
     /// The hand-over is done: takes what has arrived, then closes the listener and idle clients.
     fn close_doors(&mut self) {
         if self.line.heir.is_none() && self.me == 0 {
-            // To the end of the queue, as far as there is room: what is left in it is reset.
-            while self.accept() {}
+            // To the end of the queue, as far as there is room; not of those that come meanwhile, without end.
+            let turns = (BACKLOG as usize).div_ceil(guests::ACCEPTS) + 1;
+            let _ = (0..turns).take_while(|_| self.accept()).count();
         }
         if let Some(listener) = self.guests.listener.take() {
             let _ = self.poller.delete(&listener);
@@ -446,7 +449,7 @@
     socket.set_reuse_address(true)?;
     rustix::net::sockopt::set_socket_reuseport(&socket, shared)?;
     socket.bind(&address.into())?;
-    socket.listen(1024)?;
+    socket.listen(BACKLOG)?;
     socket.set_nonblocking(true)?;
     Ok(socket.into())
 }
--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -23,7 +23,7 @@
 use crate::{ClassId, GroupId, Micros};
 
 /// Most connections accepted in one turn.
-const ACCEPTS: usize = 16;
+pub(super) const ACCEPTS: usize = 16;
 /// Pause in accepting after the system had no descriptor left.
 const ACCEPT_PAUSE: Micros = Micros::millis(20);
 /// Time taken off what a client waits: for the way there and back, and for the turn of the loop.
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -41,6 +41,8 @@
     follows: bool,
     /// Clients that the process before still holds.
     holding: usize,
+    /// It understands cancels.
+    cancels: bool,
     interest: bool,
 }
 
@@ -128,8 +130,9 @@
             down: self.door.down.clone(),
             open,
             clients: self.crew.clients(),
+            cancels: true,
         };
-        if let Some(peer) = self.meet(line, true, 0) {
+        if let Some(peer) = self.meet(line, true, 0, false) {
             self.tell(peer, &Message::Estate(Box::new(estate)), Some(listener.into()));
             for message in after {
                 self.tell(peer, &message, None);
@@ -145,15 +148,15 @@
     }
 
     /// Takes up a line.
-    pub(super) fn meet(&mut self, line: Line, follows: bool, holding: usize) -> Option<usize> {
+    pub(super) fn meet(&mut self, line: Line, follows: bool, holding: usize, cancels: bool) -> Option<usize> {
         let index = self.line.peers.vacant_key();
         let added = self.poller.add_with_mode(&line, Event::readable(PEERS + index), PollMode::Level);
-        added.ok().map(|()| self.line.peers.insert(Peer { line, follows, holding, interest: false }))
+        added.ok().map(|()| self.line.peers.insert(Peer { line, follows, holding, cancels, interest: false }))
     }
 
     /// The process before has handed over: this one takes clients, and says so.
-    pub(super) fn succeed(&mut self, line: Line, holding: usize) {
-        if let Some(peer) = self.meet(line, false, holding) {
+    pub(super) fn succeed(&mut self, line: Line, holding: usize, cancels: bool) {
+        if let Some(peer) = self.meet(line, false, holding, cancels) {
             self.tell(peer, &Message::Ready, None);
         }
         self.share_budget();
@@ -179,10 +182,10 @@
         self.door.down = estate.down;
         self.watching.address = estate.discovery;
         self.watching.watch = Watch::from(estate.rev);
-        let (clients, rev) = (estate.clients, estate.rev.unwrap_or(0));
+        let (clients, rev, cancels) = (estate.clients, estate.rev.unwrap_or(0), estate.cancels);
         info!(self.log, "upgrade: estate taken over"; "clients" => clients, "rev" => rev);
         self.crew.linked.store(true, Ordering::SeqCst);
-        self.succeed(line, clients);
+        self.succeed(line, clients, cancels);
     }
 
     /// While there are two processes each has its part of what both may hold.
@@ -392,7 +395,11 @@
 
     /// Tells the other process of a cancel that fits nobody here.
     pub(super) fn share_cancel(&mut self, key: CancelKey) {
-        self.tell_others(None, &Message::Cancel(key));
+        let heeds = |(index, peer): (usize, &Peer)| peer.cancels.then_some(index);
+        let others: Vec<usize> = self.line.peers.iter().filter_map(heeds).collect();
+        for index in others {
+            self.tell(index, &Message::Cancel(key), None);
+        }
     }
 
     /// Tells the other process what operators have said of a host, before they hear yes.
--- a/src/upgrade/message.rs
+++ b/src/upgrade/message.rs
@@ -33,6 +33,9 @@
     pub open: Vec<(String, Micros)>,
     /// Clients that the old process still holds.
     pub clients: usize,
+    /// It understands [`Message::Cancel`]; a process of an earlier version does not, and would give up the line.
+    #[serde(default)]
+    pub cancels: bool,
 }
 
 /// A message; some carry a socket along.
@@ -54,7 +57,8 @@
         #[serde(default)]
         key: CancelKey,
     },
-    /// A client's query is to be cancelled, if it is the receiver's.
+    /// A client's query is to be cancelled, if it is the receiver's. Sent to a process before that has said that it
+    /// understands it.
     Cancel(CancelKey),
     /// How many clients the sender still holds.
     Holding {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -8,7 +8,7 @@
 
 use dunemount::pg::codec::{self, CancelKey, Inbox};
 use rig::stage::{answer, call, cancel, with_key, Host, Link};
-use rig::{figure, listing, read, tell, write, Rig, Talk};
+use rig::{figure, listens, listing, read, tell, write, Rig, Talk};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 
@@ -196,7 +196,7 @@
     link.asked().expect("an attempt");
     rig.stop.write_all(&[1]).expect("told");
     // Once the listener is closed nothing more is read of clients.
-    while TcpStream::connect(rig.address).is_ok() {
+    while listens(rig.address) {
         std::thread::sleep(std::time::Duration::from_millis(2));
     }
     for _ in 0..50 {
@@ -230,7 +230,7 @@
     link.asked().expect("an attempt");
     rig.stop.write_all(&[1]).expect("told");
     rig.stop.write_all(&[1]).expect("twice");
-    while TcpStream::connect(rig.address).is_ok() {
+    while listens(rig.address) {
         std::thread::sleep(std::time::Duration::from_millis(2));
     }
     let mut sender = client.socket.try_clone().expect("a socket");
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -12,7 +12,7 @@
 use dunemount::pg::codec::{self, Inbox};
 use dunemount::upgrade::line;
 use rig::stage::{answer, call, Host};
-use rig::{figure, listing, local, read, settings, tell, Talk};
+use rig::{figure, listens, listing, local, read, settings, tell, Talk};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
@@ -33,7 +33,7 @@
         loop {
             let mut process = Process::spawn(name, sockets, discovery, &known);
             loop {
-                if TcpStream::connect(process.address).is_ok() {
+                if listens(process.address) {
                     return process;
                 }
                 // Its ports were free when they were chosen; somebody else may have taken them since.
@@ -148,7 +148,7 @@
     let mut gateways: Vec<Process> =
         (0..12).map(|index| Process::spawn(&format!("start{index}"), 200, place, &known)).collect();
     for (index, line) in silent.iter().enumerate() {
-        while TcpStream::connect(gateways[index].address).is_err() {
+        while !listens(gateways[index].address) {
             // Somebody else took its port: it starts once more.
             if gateways[index].child.try_wait().expect("its own child").is_some() {
                 gateways[index].folder = PathBuf::new();
@@ -228,7 +228,7 @@
     }
     gateway.signal(Signal::CONT);
     // The listener closes in the end; the answer is still owed then.
-    while TcpStream::connect(gateway.address).is_ok() {
+    while listens(gateway.address) {
         std::thread::sleep(PAUSE);
     }
     gateway.signal(Signal::TERM);
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -58,6 +58,11 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
 
+/// Whether somebody listens at this address. A connection to a free port of the system's own choosing may reach itself.
+pub fn listens(address: SocketAddr) -> bool {
+    TcpStream::connect(address).is_ok_and(|socket| socket.local_addr().is_ok_and(|own| own != address))
+}
+
 /// Reads the next message, or `None` at the end of the connection.
 pub fn next_frame(socket: &mut TcpStream, inbox: &mut Inbox) -> Option<Frame> {
     let mut bytes = [0; 4096];
