Checks that hold no longer hide behind the test that is known to fail

Found on reading again: a_change_is_heard_within_six_seconds_however_calls_fail is listed in KNOWN-RED.txt and stops at its first failure, so what it checked behind that (a lost answer is owed until a list has come, the version is forgotten after two, sums of calls that break or are refused) was checked by nothing. Those are tests of their own now and pass; the listed one is as strict as it was and still fails. The comment on CALL_GAP said that it covers a silent watch: it does not.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -22,9 +22,9 @@
 pub const TOLD_WITHIN: Micros = Micros::millis(6_000);
 /// Time in which the answer of a discovery that can be reached is here and taken in.
 pub const ANSWER: Micros = Micros::millis(200);
-/// Longest time from the start of a call that was lost to the start of the next. The worst case of a change: a watch
-/// falls silent as it begins and the change comes right after (one gap), the next call fails as well (one more), and
-/// the third is answered.
+/// Longest time from the start of a call that was lost to the start of the next, but for a watch that stayed silent for
+/// longer. The worst case of a change: it comes right after such a call began (one gap), the next call fails as well
+/// (one more), and the third is answered.
 pub const CALL_GAP: Micros = Micros::millis(2_900);
 /// The same after a call that was turned away, from its end: until then discovery could not be reached. Longer, since
 /// a fleet that calls an overbooked discovery too often keeps it so; the call behind it waits for no news, and is
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -552,7 +552,18 @@
 /// A watch that waited for 20 s and pauses of up to 5 s after calls that were turned away broke it.
 #[test]
 fn a_change_is_heard_within_six_seconds_however_calls_fail() {
-    use discovery::{ANSWER, REFUSED_GAP, RETRY, TOLD_WITHIN, WAIT};
+    hear_in_time(Watch::timeout);
+}
+
+/// Guards the same where no call is silent for longer than one behind a refusal may be: it breaks, is cut or is turned
+/// away. Holds by itself while the test above is known to fail for a watch that stays silent.
+#[test]
+fn a_change_is_heard_within_six_seconds_where_calls_break() {
+    hear_in_time(|watch| watch.timeout().min(discovery::REFUSED_TIMEOUT));
+}
+
+fn hear_in_time(longest: impl Fn(&Watch) -> Micros) {
+    use discovery::{ANSWER, RETRY, TOLD_WITHIN};
     let second = Micros::millis(1_000);
     let ways = [Failed::Empty, Failed::Lost];
     for gateways in [0, 1, 3, 10, 100, 300, 3_000] {
@@ -560,13 +571,12 @@
             for rows in 0..16 {
                 for part in [0.0, 0.3, 0.9, 1.0] {
                     let mut watch = Watch::from(Some(4));
-                    assert!(WAIT < watch.timeout());
                     // Since when a change may be owed: the start of the call before the one that failed, or the end
                     // of one that was turned away.
                     let (mut now, mut owed) = (Micros(0), vec![Micros(0)]);
                     for call in 0..4 {
                         let how = ways[rows >> call & 1];
-                        let (began, spent) = (now, watch.timeout().scale(part));
+                        let (began, spent) = (now, longest(&watch).scale(part));
                         now = now + spent;
                         let backoff = watch.failed(how, gateways, grace, spent, part);
                         now = now + backoff;
@@ -588,7 +598,14 @@
             }
         }
     }
-    // An answer that was lost is owed until a list has come, however many calls are turned away meanwhile.
+}
+
+/// Guards drains that a lost answer may have told of: they are owed until a list has come, however many calls are
+/// turned away meanwhile, and after two that were lost the whole list is asked for.
+#[test]
+fn what_a_lost_answer_told_is_owed_until_a_list_has_come() {
+    let second = Micros::millis(1_000);
+    assert!(discovery::WAIT < Watch::from(Some(4)).timeout());
     let (grace, mut watch) = (second.scale(2.0), Watch::from(Some(4)));
     for how in [Failed::Lost, Failed::Empty, Failed::Empty] {
         assert_eq!(watch.failed(how, 300, grace, Micros(0), 1.0), second);
@@ -600,5 +617,5 @@
     let list = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     assert!(matches!(watch.receive(list.as_bytes(), true), Ok(Some(_))));
     assert_eq!((watch.known(), watch.fails()), (Some(9), 0));
-    assert_eq!(watch.failed(Failed::Empty, 300, grace, second, 1.0), REFUSED_GAP);
+    assert_eq!(watch.failed(Failed::Empty, 300, grace, second, 1.0), discovery::REFUSED_GAP);
 }
