A command's time counts from the arrival of its last byte, also behind another command

Cause: Gateway::query took the time at which the client gives up from the turn in which a command was reached. What it had waited behind another of its connection was not counted, and its answer came too late. Change: TimedInbox keeps the arrival of each whole message beside the client's bytes: one entry for those that came whole at one time, none for a message of which the rest is awaited, so never more entries than whole messages held, of five bytes at least. Demand::Query carries it, and `until` is counted from it. A command whose time is over in its turn is refused by take_on as before, unsent. Message::Client takes arrivals along to the next process; an earlier version passes over them, and what told none counts as having arrived now. No arrival counts as later than now. Tests of Client name a time where they hand bytes in.

--- a/src/net/event_loop/guests.rs
+++ b/src/net/event_loop/guests.rs
@@ -280,7 +280,7 @@
         }
         while let Some(demand) = self.client(key).and_then(|client| client.protocol.demand()) {
             match demand {
-                Demand::Query(text) => self.query(key, text),
+                Demand::Query(text, arrived) => self.query(key, text, arrived),
                 Demand::Cancel(other) => {
                     self.client(key).into_iter().for_each(|client| client.closing = true);
                     self.cancel(other);
@@ -296,7 +296,7 @@
         self.write(key);
     }
 
-    fn query(&mut self, key: Key, text: String) {
+    fn query(&mut self, key: Key, text: String, arrived: Micros) {
         self.counts.taken += 1;
         let statement = match Statement::parse(text) {
             Ok(statement) => statement,
@@ -305,7 +305,8 @@
                 return self.give(key, Final::Unroutable(e.to_string()));
             }
         };
-        let until = self.now + (statement.wait - MARGIN);
+        // Its client counts from when it sent: what the query has waited behind others of its connection is over.
+        let until = arrived + (statement.wait - MARGIN);
         let home = self.crew.home(GroupId(statement.cluster));
         if self.decides(home) {
             return self.take_on(Owner { worker: self.me, key }, statement, until);
--- a/src/net/event_loop/slots.rs
+++ b/src/net/event_loop/slots.rs
@@ -284,7 +284,7 @@
         match &mut slot.link {
             Link::Client(client) if !ended => {
                 client.used = now;
-                client.protocol.receive(bytes);
+                client.protocol.receive(bytes, now);
                 self.ready.push_back(key);
             }
             Link::Host(host) if !ended => {
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -16,7 +16,7 @@
 use super::{Gateway, Phase, HEIRS, PEERS};
 use crate::balancer;
 use crate::net::discovery::Watch;
-use crate::pg::client::Client;
+use crate::pg::client::{Client, Handover};
 use crate::pg::codec::CancelKey;
 use crate::upgrade::line::{self, Line};
 use crate::upgrade::message::{Estate, Message};
@@ -28,10 +28,8 @@
 /// A client on its way to the process that follows.
 pub(super) struct Passed {
     socket: TcpStream,
-    key: CancelKey,
-    greeted: bool,
     asked: bool,
-    bytes: Vec<u8>,
+    left: Handover,
 }
 
 /// Another process of this gateway.
@@ -289,12 +287,13 @@
                 self.share_budget();
                 self.pass_clients();
             }
-            Message::Client { greeted, asked, bytes, key } => {
+            Message::Client { greeted, asked, bytes, key, arrivals } => {
                 if let Some(peer) = self.line.peers.get_mut(index) {
                     peer.holding = peer.holding.saturating_sub(1);
                 }
                 if let Some(socket) = with {
-                    self.adopt(Passed { socket: socket.into(), key, greeted, asked, bytes });
+                    let left = Handover { key, greeted, bytes, arrivals };
+                    self.adopt(Passed { socket: socket.into(), asked, left });
                 }
             }
             Message::Holding { clients } => {
@@ -326,8 +325,8 @@
     }
 
     /// A client that the process before has passed on.
-    fn adopt(&mut self, Passed { socket, key, greeted, asked, bytes }: Passed) {
-        let protocol = Client::resume(self.guests.longest_message, key, greeted, &bytes);
+    fn adopt(&mut self, Passed { socket, asked, left }: Passed) {
+        let protocol = Client::resume(self.guests.longest_message, left, self.now);
         let client = ClientLink { asked, ..ClientLink::new(protocol, self.now) };
         if let Ok(key) = self.insert(socket, Link::Client(client), false) {
             self.crew.count(self.me).fetch_add(1, Ordering::Relaxed);
@@ -345,12 +344,12 @@
             return false;
         };
         let asked = client.asked;
-        let Some((cancel, greeted, bytes)) = client.protocol.part() else { return false };
+        let Some(left) = client.protocol.part() else { return false };
         // Counted until it is on the line: the first worker does not end before.
         self.crew.count(0).fetch_add(1, Ordering::Relaxed);
         match self.remove(key) {
             Some(Slot { socket, .. }) => {
-                let client = Passed { socket, key: cancel, greeted, asked, bytes };
+                let client = Passed { socket, asked, left };
                 match self.me {
                     0 => self.pass_further(client),
                     _ => self.crew.deliver(0, Letter::Pass(Box::new(client))),
@@ -365,8 +364,9 @@
     pub(super) fn pass_further(&mut self, client: Passed) {
         match self.line.heir {
             Some(heir) => {
-                let Passed { socket, key, greeted, asked, bytes } = client;
-                self.tell(heir, &Message::Client { greeted, asked, bytes, key }, Some(socket.into()));
+                let Passed { socket, asked, left: Handover { key, greeted, bytes, arrivals } } = client;
+                let message = Message::Client { greeted, asked, bytes, key, arrivals };
+                self.tell(heir, &message, Some(socket.into()));
             }
             None => self.adopt(client),
         }
--- a/src/pg/client.rs
+++ b/src/pg/client.rs
@@ -1,6 +1,7 @@
 //! A client's connection, driven by bytes: from startup through one query at a time.
 
-use super::codec::{self, CancelKey, FrameError, Inbox, Outbox, Startup, MAX_MESSAGE};
+use super::codec::{self, CancelKey, FrameError, Outbox, Startup, MAX_MESSAGE};
+use super::timed_inbox::{Arrival, TimedInbox};
 use crate::Micros;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,18 +18,31 @@
 /// What a client wants next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Demand {
-    /// An answer to this query.
-    Query(String),
+    /// An answer to this query, which arrived at this time: when its last byte was received.
+    Query(String, Micros),
     /// The query of the connection with this key called off; this one then closes without a word.
     Cancel(CancelKey),
     /// The connection closed, once what is to be written has been.
     Close,
 }
 
+/// What another process needs to go on with a client that is owed nothing.
+#[derive(Debug)]
+pub struct Handover {
+    /// The key with which its query may be cancelled.
+    pub key: CancelKey,
+    /// It has been greeted.
+    pub greeted: bool,
+    /// Bytes that came and are not understood yet.
+    pub bytes: Vec<u8>,
+    /// When the whole messages among them arrived, on the clock that both processes run on.
+    pub arrivals: Vec<Arrival>,
+}
+
 /// A client's connection.
 #[derive(Debug)]
 pub struct Client {
-    inbox: Inbox,
+    inbox: TimedInbox,
     /// Bytes for the client.
     pub out: Outbox,
     state: State,
@@ -45,7 +59,7 @@
 impl Client {
     /// A client whose messages may be so long, and whose query may be cancelled with this key.
     pub fn taking(longest: usize, key: CancelKey) -> Self {
-        Client { inbox: Inbox::default(), out: Outbox::default(), state: State::Startup, longest, key }
+        Client { inbox: TimedInbox::default(), out: Outbox::default(), state: State::Startup, longest, key }
     }
 
     /// The key with which its query may be cancelled, if it has been told.
@@ -53,26 +67,32 @@
         (self.state != State::Startup).then_some(self.key)
     }
 
-    /// A client that another process has greeted, with its key, or not, and the bytes that it had not understood.
-    pub fn resume(longest: usize, key: CancelKey, greeted: bool, bytes: &[u8]) -> Self {
-        let mut client = Client::taking(longest, key);
-        if greeted {
+    /// A client of another process. What it has not told the arrival of counts as having arrived now.
+    pub fn resume(longest: usize, from: Handover, now: Micros) -> Self {
+        let mut client = Client::taking(longest, from.key);
+        if from.greeted {
             client.state = State::Idle;
         }
-        client.inbox.push(bytes);
+        client.inbox = TimedInbox::resume(from.greeted, &from.bytes, &from.arrivals, now);
         client
     }
 
     /// What [`Client::resume`] needs, unless the client is owed something or is about to end.
-    pub fn part(&self) -> Option<(CancelKey, bool, Vec<u8>)> {
+    pub fn part(&self) -> Option<Handover> {
         let free = matches!(self.state, State::Startup | State::Idle) && self.out.is_empty();
-        free.then(|| (self.key, self.state == State::Idle, self.inbox.rest().to_vec()))
+        free.then(|| Handover {
+            key: self.key,
+            greeted: self.state == State::Idle,
+            bytes: self.inbox.rest().to_vec(),
+            arrivals: self.inbox.arrivals().iter().copied().collect(),
+        })
     }
 
-    /// Takes bytes in.
-    pub fn receive(&mut self, bytes: &[u8]) {
+    /// Takes bytes in that are read now. What the system held before is not known here: bytes that were not read
+    /// since more than is held had come count from when they are.
+    pub fn receive(&mut self, bytes: &[u8], now: Micros) {
         if self.state != State::Closed {
-            self.inbox.push(bytes);
+            self.inbox.push(bytes, now);
         }
     }
 
@@ -147,8 +167,7 @@
     }
 
     fn command(&mut self) -> Result<Step, FrameError> {
-        let longest = self.longest;
-        let Some(frame) = self.inbox.frame_within(|_| longest)? else { return Ok(Step::Wait) };
+        let Some((frame, arrived)) = self.inbox.frame(self.longest)? else { return Ok(Step::Wait) };
         match (frame.tag, self.state) {
             (b'X', _) => {
                 self.state = State::Closed;
@@ -160,7 +179,7 @@
                 Ok(Step::More)
             }
             (_, State::Skipping) => Ok(Step::More),
-            (b'Q', _) => Ok(self.query(frame.body)),
+            (b'Q', _) => Ok(self.query(frame.body, arrived)),
             (b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F', _) => {
                 codec::error(&mut self.out.bytes, "ERROR", "0A000", "only simple queries are served", None);
                 if frame.tag == b'F' {
@@ -174,7 +193,7 @@
         }
     }
 
-    fn query(&mut self, mut body: Vec<u8>) -> Step {
+    fn query(&mut self, mut body: Vec<u8>, arrived: Micros) -> Step {
         if body.pop() != Some(0) || body.contains(&0) {
             return Step::Do(self.fatal("08P01", "query does not end where it should"));
         }
@@ -185,7 +204,7 @@
                 self.settle();
                 Step::More
             }
-            Ok(text) => Step::Do(Demand::Query(text)),
+            Ok(text) => Step::Do(Demand::Query(text, arrived)),
             Err(_) => {
                 self.fail("22021", "statement is not UTF-8");
                 Step::More
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -43,6 +43,25 @@
     Cancel(CancelKey),
 }
 
+impl Startup {
+    /// Reads a packet's body.
+    pub fn read(body: &[u8]) -> Result<Startup, FrameError> {
+        let Some(code) = body.first_chunk::<4>().map(|code| u32::from_be_bytes(*code)) else {
+            return Err(FrameError::BadLength);
+        };
+        Ok(match code {
+            SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
+            CANCEL_REQUEST => {
+                let key: &[u8; 8] = body[4..].try_into().map_err(|_| FrameError::BadLength)?;
+                let [a, b, c, d, e, f, g, h] = *key;
+                let process = u32::from_be_bytes([a, b, c, d]);
+                Startup::Cancel(CancelKey { process, secret: u32::from_be_bytes([e, f, g, h]) })
+            }
+            _ => Startup::Session((code >> 16) as u16, code as u16),
+        })
+    }
+}
+
 /// A message: its type and what follows the length.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Frame {
@@ -52,6 +71,16 @@
     pub body: Vec<u8>,
 }
 
+/// What the length that stands `at` bytes in counts, itself included, once it is there.
+fn length_at(held: &[u8], at: usize) -> Result<Option<usize>, FrameError> {
+    let Some(length) = held.get(at..).and_then(|rest| rest.first_chunk::<4>()) else { return Ok(None) };
+    let length = usize::try_from(i32::from_be_bytes(*length)).map_err(|_| FrameError::BadLength)?;
+    match length {
+        0..4 => Err(FrameError::BadLength),
+        _ => Ok(Some(length)),
+    }
+}
+
 /// Bytes that have come in and are not yet understood.
 #[derive(Debug, Default)]
 pub struct Inbox {
@@ -87,19 +116,15 @@
     /// The startup packet, once it is whole.
     pub fn startup(&mut self) -> Result<Option<Startup>, FrameError> {
         let Some(body) = self.cut(0, MAX_STARTUP)? else { return Ok(None) };
-        let Some(code) = body.first_chunk::<4>().map(|code| u32::from_be_bytes(*code)) else {
-            return Err(FrameError::BadLength);
-        };
-        Ok(Some(match code {
-            SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
-            CANCEL_REQUEST => {
-                let key: &[u8; 8] = body[4..].try_into().map_err(|_| FrameError::BadLength)?;
-                let [a, b, c, d, e, f, g, h] = *key;
-                let process = u32::from_be_bytes([a, b, c, d]);
-                Startup::Cancel(CancelKey { process, secret: u32::from_be_bytes([e, f, g, h]) })
-            }
-            _ => Startup::Session((code >> 16) as u16, code as u16),
-        }))
+        Startup::read(&body).map(Some)
+    }
+
+    /// The whole message that begins so many held bytes in, with so many bytes of type before its length; `None`
+    /// while it is not whole, and for one whose length cannot be.
+    pub fn whole_at(&self, from: usize, before: usize) -> Option<&[u8]> {
+        let held = self.rest().get(from..)?;
+        let length = length_at(held, before).ok()??;
+        held.get(..before + length)
     }
 
     /// Takes out up to `most` bytes as they came.
@@ -129,11 +154,7 @@
     /// before the rest is there: what is too long is never waited for.
     fn cut(&mut self, at: usize, most: usize) -> Result<Option<Vec<u8>>, FrameError> {
         let held = &self.bytes[self.taken..];
-        let Some(length) = held.get(at..).and_then(|rest| rest.first_chunk::<4>()) else { return Ok(None) };
-        let length = usize::try_from(i32::from_be_bytes(*length)).map_err(|_| FrameError::BadLength)?;
-        if length < 4 {
-            return Err(FrameError::BadLength);
-        }
+        let Some(length) = length_at(held, at)? else { return Ok(None) };
         if length > most {
             return Err(FrameError::TooLong);
         }
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -5,3 +5,4 @@
 pub mod codec;
 pub mod host;
 pub mod statement;
+pub mod timed_inbox;
--- a/src/upgrade/message.rs
+++ b/src/upgrade/message.rs
@@ -8,6 +8,7 @@
 use crate::balancer;
 use crate::net::discovery::Directory;
 use crate::pg::codec::CancelKey;
+use crate::pg::timed_inbox::Arrival;
 use crate::{ClassId, GroupId, Micros, SessionKey};
 
 /// All that the process which follows needs before it takes clients.
@@ -56,6 +57,10 @@
         /// The key with which its query may be cancelled; a process of an earlier version gave none.
         #[serde(default)]
         key: CancelKey,
+        /// When the whole messages among the bytes arrived, in their order, on the clock of [`Estate::clock`]. A
+        /// process of an earlier version gave none, and passes over them: there all count as having arrived now.
+        #[serde(default)]
+        arrivals: Vec<Arrival>,
     },
     /// A client's query is to be cancelled, if it is the receiver's. Sent to a process before that has said that it
     /// understands it.
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -2,10 +2,11 @@
 //! a query in order, and a host's answer counts only once it is whole.
 
 use dunemount::balancer::Said;
-use dunemount::pg::client::{Client, Demand};
+use dunemount::pg::client::{Client, Demand, Handover};
 use dunemount::pg::codec::{self, Inbox};
 use dunemount::pg::host::{Answer, Host, Turn};
 use dunemount::pg::statement::{Malformed, Statement};
+use dunemount::pg::timed_inbox::{Arrival, TimedInbox};
 use dunemount::request::Reach;
 use dunemount::{Micros, Role};
 use proptest::prelude::*;
@@ -97,9 +98,9 @@
         }
         let (mut client, mut asked) = (Client::default(), Vec::new());
         for part in bytes.chunks(chunk) {
-            client.receive(part);
+            client.receive(part, Micros(0));
             while let Some(demand) = client.demand() {
-                let Demand::Query(text) = demand else { panic!("closed for {commands:?}") };
+                let Demand::Query(text, _) = demand else { panic!("closed for {commands:?}") };
                 prop_assert!(client.is_busy() && client.demand().is_none(), "asked while one is owed");
                 let kind = queries.get(asked.len()).map_or(9, |(_, kind)| *kind);
                 asked.push((text, kind));
@@ -122,11 +123,11 @@
         if started {
             let mut bytes = Vec::new();
             codec::startup(&mut bytes, "app", "shop");
-            client.receive(&bytes);
+            client.receive(&bytes, Micros(0));
         }
-        client.receive(&junk);
+        client.receive(&junk, Micros(0));
         host.receive(&junk);
-        while let Some(Demand::Query(_)) = client.demand() {
+        while let Some(Demand::Query(..)) = client.demand() {
             client.refuse(None);
         }
         while host.turn().is_some() {}
@@ -254,6 +255,169 @@
     }
 }
 
+/// Messages of a connection, the startup packets first, and where each ends.
+fn spoken(encrypted: bool, commands: &[(u8, usize)]) -> (Vec<u8>, Vec<usize>) {
+    let (mut bytes, mut ends) = (Vec::new(), Vec::new());
+    if encrypted {
+        bytes.extend([0, 0, 0, 8, 4, 210, 22, 47]);
+        ends.push(bytes.len());
+    }
+    codec::startup(&mut bytes, "app", "shop");
+    ends.push(bytes.len());
+    for (tag, length) in commands {
+        codec::frame(&mut bytes, *tag, &vec![b'x'; *length]);
+        ends.push(bytes.len());
+    }
+    (bytes, ends)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500, rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Default::default()
+    })]
+
+    /// Guards the arrival of each message, against a model that stamps each byte, and the bound on what is kept for
+    /// it: whatever the pieces and whenever messages are taken out, no more entries than whole messages are held,
+    /// nor than times at which any came.
+    #[test]
+    fn a_message_arrives_with_its_last_byte_and_what_is_kept_is_bounded(
+        encrypted in any::<bool>(),
+        commands in prop::collection::vec((prop::sample::select(b"QSPX?".to_vec()), 0..40usize), 0..30),
+        pieces in prop::collection::vec((1..50usize, 0..3u64, 0..4usize), 1..20),
+        single in any::<bool>(),
+    ) {
+        let (bytes, ends) = spoken(encrypted, &commands);
+        let (mut inbox, mut stamps, mut now) = (TimedInbox::default(), Vec::new(), Micros(50));
+        let (mut taken, mut pieces) = (0, pieces.iter().cycle());
+        let startups = 1 + usize::from(encrypted);
+        while stamps.len() < bytes.len() || taken < ends.len() {
+            let (length, pause, takes) = *pieces.next().expect("without end");
+            now = now + Micros(pause);
+            let length = if single { 1 } else { length.min(bytes.len() - stamps.len()) };
+            if stamps.len() < bytes.len() {
+                inbox.push(&bytes[stamps.len()..stamps.len() + length], now);
+                stamps.resize(stamps.len() + length, now);
+            }
+            // All in the end, as many as the case says before.
+            let takes = if stamps.len() < bytes.len() { takes } else { ends.len() };
+            for _ in 0..takes {
+                let arrived = inbox.arrivals().front().map(|first| first.0);
+                if taken < startups {
+                    match inbox.startup().expect("a startup") {
+                        Some(_) => prop_assert_eq!(arrived, Some(stamps[ends[taken] - 1])),
+                        None => break,
+                    }
+                } else {
+                    match inbox.frame(1000).expect("framed") {
+                        Some((_, arrived)) => prop_assert_eq!(arrived, stamps[ends[taken] - 1]),
+                        None => break,
+                    }
+                }
+                taken += 1;
+            }
+            let whole = ends.iter().skip(taken).filter(|end| **end <= stamps.len()).count();
+            let kept = inbox.arrivals();
+            prop_assert_eq!(kept.iter().map(|arrival| arrival.1).sum::<usize>(), whole);
+            prop_assert!(kept.iter().all(|arrival| arrival.1 > 0), "an entry for nothing");
+            prop_assert!(kept.iter().zip(kept.iter().skip(1)).all(|(one, next)| one.0 < next.0));
+            prop_assert!(kept.len() <= whole && 5 * kept.len() <= inbox.len());
+        }
+        prop_assert!(inbox.is_empty() && inbox.arrivals().is_empty());
+    }
+
+    /// Guards the same through a client's states and through processes: each query bears the arrival of its last
+    /// byte, however long the one before it is owed its answer and however often the client goes over with what it
+    /// has unread.
+    #[test]
+    fn a_query_bears_its_arrival_through_waits_and_hand_overs(
+        encrypted in any::<bool>(),
+        lengths in prop::collection::vec(1..30usize, 1..20),
+        pieces in prop::collection::vec((1..60usize, 0..3u64, any::<bool>(), any::<bool>()), 1..20),
+    ) {
+        let commands: Vec<(u8, usize)> = lengths.iter().map(|length| (b'Q', *length)).collect();
+        let (mut bytes, ends) = spoken(encrypted, &commands);
+        let queries = &ends[ends.len() - commands.len()..];
+        for end in queries {
+            bytes[end - 1] = 0;
+        }
+        let (mut client, mut stamps, mut now) = (Client::default(), Vec::new(), Micros(50));
+        let (mut asked, mut pieces) = (0, pieces.iter().cycle());
+        while asked < queries.len() || client.is_busy() {
+            let (length, pause, answers, goes_over) = *pieces.next().expect("without end");
+            now = now + Micros(pause);
+            let length = length.min(bytes.len() - stamps.len());
+            client.receive(&bytes[stamps.len()..stamps.len() + length], now);
+            stamps.resize(stamps.len() + length, now);
+            if client.is_busy() && (answers || length == 0) {
+                client.refuse(None);
+            }
+            client.out.flush(&mut Vec::new()).expect("written");
+            if goes_over {
+                if let Some(left) = client.part() {
+                    client = Client::resume(codec::MAX_MESSAGE, left, now);
+                }
+            }
+            while let Some(demand) = client.demand() {
+                let Demand::Query(text, arrived) = demand else { panic!("closed") };
+                // Its body alone: a query of one byte is empty and is answered on the spot.
+                while lengths[asked] == 1 {
+                    asked += 1;
+                }
+                prop_assert_eq!(text.len() + 1, lengths[asked]);
+                prop_assert_eq!(arrived, stamps[queries[asked] - 1]);
+                asked += 1;
+                if answers {
+                    client.refuse(None);
+                }
+            }
+            while asked < lengths.len() && lengths[asked] == 1 && stamps.len() >= queries[asked] {
+                asked += 1;
+            }
+        }
+    }
+}
+
+/// Guards a client of another process: what that one told no arrival of counts as having arrived now, and nothing as
+/// having arrived later, whatever its clock showed.
+#[test]
+fn what_was_told_no_arrival_of_counts_as_having_arrived_now() {
+    let mut bytes = Vec::new();
+    for text in ["one", "two", "three"] {
+        codec::query(&mut bytes, text);
+    }
+    let now = Micros(1000);
+    for (told, arrived) in [
+        (vec![], [1000, 1000, 1000]),
+        (vec![Arrival(Micros(400), 1), Arrival(Micros(600), 1)], [400, 600, 1000]),
+        (vec![Arrival(Micros(400), 2), Arrival(Micros(2000), 1)], [400, 400, 1000]),
+        (vec![Arrival(Micros(400), 0), Arrival(Micros(600), 9)], [600, 600, 600]),
+    ] {
+        let left =
+            Handover { key: Default::default(), greeted: true, bytes: bytes.clone(), arrivals: told.clone() };
+        let mut client = Client::resume(codec::MAX_MESSAGE, left, now);
+        for (text, arrived) in ["one", "two", "three"].into_iter().zip(arrived) {
+            assert_eq!(client.demand(), Some(Demand::Query(text.into(), Micros(arrived))), "{told:?}");
+            client.refuse(None);
+        }
+    }
+}
+
+/// Guards memory against a client that sends a byte at a time behind a query that is out: nothing is kept for the
+/// pieces of a message, and one entry for each that is whole.
+#[test]
+fn pieces_of_a_byte_each_leave_nothing_but_whole_messages() {
+    let mut inbox = TimedInbox::resume(true, &[], &[], Micros(0));
+    let mut bytes = Vec::new();
+    codec::query(&mut bytes, &"x".repeat(100_000));
+    for round in 1..=2 {
+        for (at, byte) in bytes.iter().enumerate() {
+            assert_eq!(inbox.arrivals().len(), round - 1, "{at}");
+            inbox.push(&[*byte], Micros((round * bytes.len() + at) as u64));
+        }
+        assert_eq!(inbox.arrivals().len(), round);
+    }
+}
+
 /// Guards against rows that only claim to be long: what does not fit, or is longer than any, does not flow.
 #[test]
 fn a_long_row_that_does_not_fit_is_nonsense() {
@@ -290,10 +454,10 @@
         codec::startup(&mut bytes, "app", "shop");
         bytes.push(b'Q');
         bytes.extend_from_slice(&length.to_be_bytes());
-        client.receive(&bytes);
+        client.receive(&bytes, Micros(0));
         assert_eq!(client.demand(), Some(Demand::Close));
         assert!(tags(&client.out.bytes).ends_with('E'));
-        client.receive(&[0; 64]);
+        client.receive(&[0; 64], Micros(0));
         assert!(client.demand().is_none() && !client.wants_more());
     }
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -7,17 +7,11 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 
 use dunemount::pg::codec::{self, CancelKey, Inbox};
-use rig::stage::{answer, call, cancel, with_key, Host, Link};
-use rig::{figure, listens, listing, read, tell, write, Rig, Talk};
+use rig::stage::{answer, call, cancel, gateway, with_key, Host, Link};
+use rig::{figure, listens, listing, read, tell, write, Talk};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 
-/// A gateway with these hosts, the first of them the primary.
-fn gateway(hosts: &[&Host], cores: usize) -> Rig {
-    let endpoints: Vec<SocketAddr> = hosts.iter().map(|host| host.address()).collect();
-    Rig::with_list(200, cores, listing(&endpoints))
-}
-
 /// Whether the client's end has reached the gateway's machine: it acknowledges it, whoever reads it.
 fn leave(talk: Talk) {
     talk.socket.shutdown(Shutdown::Both).expect("a socket");
--- a/tests/rig/stage.rs
+++ b/tests/rig/stage.rs
@@ -7,7 +7,7 @@
 use dunemount::pg::codec::{self, CancelKey, Inbox};
 use socket2::SockRef;
 
-use super::{local, next_frame, Rig, Talk};
+use super::{listing, local, next_frame, Rig, Talk};
 
 /// A host whose every step the test decides.
 pub struct Host {
@@ -47,6 +47,12 @@
     }
 }
 
+/// A gateway of so many workers with these hosts, the first of them the primary.
+pub fn gateway(hosts: &[&Host], cores: usize) -> Rig {
+    let endpoints: Vec<SocketAddr> = hosts.iter().map(|host| host.address()).collect();
+    Rig::with_list(200, cores, listing(&endpoints))
+}
+
 /// An answer in one row, with role and position; `None` for a row that is cut off.
 pub fn answer(role: &str, position: Option<u64>) -> Vec<u8> {
     let mut out = Vec::new();
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -9,6 +9,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use dunemount::pg::codec::CancelKey;
+use dunemount::pg::timed_inbox::Arrival;
 use dunemount::upgrade::line::{self, Line};
 use dunemount::upgrade::message::Message;
 use dunemount::{GroupId, Micros, SessionKey};
@@ -207,6 +209,32 @@
     std::fs::remove_file(at).expect("removed");
 }
 
+/// Guards hand-overs between versions: a client of a process that told no arrivals is taken, and one that reads none
+/// passes over them.
+#[test]
+fn a_client_goes_over_between_versions_that_tell_arrivals_and_that_do_not() {
+    #[derive(serde::Deserialize)]
+    enum Earlier {
+        Client { greeted: bool, asked: bool, bytes: Vec<u8> },
+    }
+    let told = r#"{"Client":{"greeted":true,"asked":false,"bytes":[81]}}"#;
+    let Ok(Message::Client { greeted: true, asked: false, bytes, key, arrivals }) =
+        serde_json::from_str(told)
+    else {
+        panic!("an earlier version's client is not understood")
+    };
+    assert_eq!((bytes, key, arrivals), (vec![81], CancelKey::default(), Vec::new()));
+    let arrivals = vec![Arrival(Micros(7), 2), Arrival(Micros(9), 1)];
+    let key = CancelKey { process: 3, secret: 4 };
+    let message = Message::Client { greeted: true, asked: true, bytes: vec![81, 0], key, arrivals };
+    let told = serde_json::to_string(&message).expect("text");
+    let Earlier::Client { greeted, asked, bytes } =
+        serde_json::from_str(&told).expect("understood by an earlier version");
+    assert_eq!((greeted, asked, bytes), (true, true, vec![81, 0]));
+    let Ok(Message::Client { arrivals, .. }) = serde_json::from_str(&told) else { panic!("not understood") };
+    assert_eq!(arrivals, [Arrival(Micros(7), 2), Arrival(Micros(9), 1)]);
+}
+
 /// Guards the order and wholeness of what is told: long messages arrive whole, sockets with the message
 /// that they belong to, also where the other end reads late.
 #[test]
