One turn of a fleet's node as a part of its own, for whoever drives many from one poller

Change: receiving, the tick, sending and the voter's file move from the driver into fleet::carrier::Carrier over a Wire; the settings of a node come from fleet::driver::settings; frame::peek tells a datagram's kind to those who count. No behaviour changes.

--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -16,13 +16,27 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// Membership.
-    Member,
+    Member = 1,
     /// A call to a voter.
-    Call,
+    Call = 2,
     /// A voter's reply.
-    Reply,
+    Reply = 3,
     /// An owner's order or word.
-    Order,
+    Order = 4,
+}
+
+impl Kind {
+    /// All of them, in the order of their numbers on the wire.
+    pub const ALL: [Kind; 4] = [Kind::Member, Kind::Call, Kind::Reply, Kind::Order];
+
+    fn of(byte: u8) -> Option<Kind> {
+        Kind::ALL.get(usize::from(byte).checked_sub(1)?).copied()
+    }
+}
+
+/// The kind that a datagram says it is of, unchecked: for those who count.
+pub fn peek(datagram: &[u8]) -> Option<Kind> {
+    datagram.get(3).copied().and_then(Kind::of)
 }
 
 /// Why a datagram is dropped.
@@ -58,12 +72,7 @@
     let mut datagram = Vec::with_capacity(HEAD + message.len() + TAIL);
     datagram.extend_from_slice(&MAGIC);
     datagram.push(FORM);
-    datagram.push(match kind {
-        Kind::Member => 1,
-        Kind::Call => 2,
-        Kind::Reply => 3,
-        Kind::Order => 4,
-    });
+    datagram.push(kind as u8);
     datagram.extend_from_slice(&tag.to_le_bytes());
     datagram.extend_from_slice(message);
     datagram.extend_from_slice(&crc32fast::hash(&datagram).to_le_bytes());
@@ -92,14 +101,7 @@
     if head[4..] != tag.to_le_bytes() {
         return Err(Bad::Fleet);
     }
-    let kind = match head[3] {
-        1 => Kind::Member,
-        2 => Kind::Call,
-        3 => Kind::Reply,
-        4 => Kind::Order,
-        _ => return Err(Bad::Kind),
-    };
-    Ok((kind, message))
+    Ok((Kind::of(head[3]).ok_or(Bad::Kind)?, message))
 }
 
 #[cfg(test)]
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -2,7 +2,6 @@
 //!
 //! A thread of its own, since a voter waits for its disk at each promise and no client may wait for that.
 
-use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::UdpSocket;
 use std::os::unix::net::UnixStream;
@@ -10,20 +9,17 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use dunemount_fleet::frame;
 use dunemount_fleet::lease::{Change, Terms};
 use dunemount_fleet::member::{self, Pace, Peer};
-use dunemount_fleet::node::{Event, Node, Settings};
-use dunemount_fleet::register::Slot;
+use dunemount_fleet::node::{Event, Settings};
 use polling::{Event as Poll, PollMode, Poller};
 use slog::{error, info, warn, Logger};
 
+use super::carrier::Carrier;
 use super::file::VoterFile;
 use super::status::{Board, Status};
 use crate::options::{FleetOptions, Place};
 
-/// Most datagrams taken in one turn.
-const DATAGRAMS: usize = 256;
 /// Clocks are taken to run apart by no more than this part.
 const DRIFT: f64 = 0.05;
 /// Time between two tries to have the address, which the process before may still have.
@@ -65,18 +61,14 @@
     pub seed: u64,
 }
 
-/// Starts a node, if the options name a fleet.
+/// A node's settings by the options, and its place among the voters with its file; none unless they name a fleet.
 ///
 /// # Errors
-/// A voter without a file; what the system does not give: a thread, a pipe, a poller. An address that is taken is
-/// waited for.
-pub fn start(options: &FleetOptions, start: Start, log: &Logger) -> io::Result<Option<Running>> {
+/// A voter without a file, in words for the operator.
+pub fn settings(options: &FleetOptions, start: Start) -> Result<Option<(Settings, Option<usize>)>, String> {
     let (Some(fleet), Some(listen)) = (options.name.clone(), options.listen) else { return Ok(None) };
-    let (end, told) = UnixStream::pair()?;
-    told.set_nonblocking(true)?;
     let peer = |place: &Place| Peer::at(&place.name, place.address);
-    let voter = options.voter(&start.name).map_err(io::Error::other)?;
-    let slot = voter.map(|(slot, _)| slot);
+    let slot = options.voter(&start.name)?.map(|(slot, _)| slot);
     // The address that the others know counts, where it is not the one that is listened at.
     let address = slot.map_or(listen, |slot| options.voters[slot].address);
     let voters: Vec<Peer> = options.voters.iter().map(peer).collect();
@@ -94,9 +86,27 @@
         pace: Pace { probe, answer: probe / 3, suspicion: probe * 3, remembered: probe * 120 },
         seed: start.seed,
     };
-    let file = voter.map(|(_, path)| VoterFile::at(path));
+    Ok(Some((settings, slot)))
+}
+
+/// Starts a node, if the options name a fleet.
+///
+/// # Errors
+/// A voter without a file; what the system does not give: a thread, a pipe, a poller. An address that is taken is
+/// waited for.
+pub fn start(options: &FleetOptions, start: Start, log: &Logger) -> io::Result<Option<Running>> {
+    let name = start.name.clone();
+    let (Some((settings, slot)), Some(listen)) =
+        (settings(options, start).map_err(io::Error::other)?, options.listen)
+    else {
+        return Ok(None);
+    };
+    let (end, told) = UnixStream::pair()?;
+    told.set_nonblocking(true)?;
+    let file = options.voter(&name).map_err(io::Error::other)?.map(|(_, path)| VoterFile::at(path));
     let board = Board::default();
-    let driver = Driver::new(settings, slot, file, told, board.clone(), log.clone())?;
+    let carrier = Carrier::new(settings, slot.zip(file), log.clone());
+    let driver = Driver::new(carrier, told, board.clone(), log.clone())?;
     let thread = std::thread::Builder::new().name("fleet".into());
     let log = log.clone();
     let thread = thread.spawn(move || {
@@ -109,46 +119,22 @@
 }
 
 struct Driver {
-    node: Node,
-    file: Option<VoterFile>,
+    carrier: Carrier,
     end: UnixStream,
     poller: Poller,
     began: Instant,
-    refused: BTreeMap<frame::Bad, u64>,
     board: Board,
     /// When the board is renewed.
     next_board: Duration,
     log: Logger,
 }
 
-/// For a node that is no voter: it never stores.
-struct NoDisk;
-
-impl dunemount_fleet::node::Disk for NoDisk {
-    fn store(&mut self, _: &[u8]) -> bool {
-        false
-    }
-}
-
 impl Driver {
-    fn new(
-        settings: Settings,
-        slot: Option<usize>,
-        file: Option<VoterFile>,
-        end: UnixStream,
-        board: Board,
-        log: Logger,
-    ) -> io::Result<Driver> {
-        let salt = settings.seed as u32;
-        let found = slot.zip(file.as_ref()).map(|(slot, file)| file.voter(Slot(slot as u8), salt));
-        if let Some((_, Some(why))) = &found {
-            warn!(log, "fleet: the voter's file cannot be used, the others have to let it in"; "why" => why);
-        }
+    fn new(carrier: Carrier, end: UnixStream, board: Board, log: Logger) -> io::Result<Driver> {
         let poller = Poller::new()?;
         poller.add_with_mode(&end, Poll::readable(END), PollMode::Level)?;
-        let node = Node::new(settings, found.map(|(voter, _)| voter));
-        let (began, next_board, refused) = (Instant::now(), Duration::ZERO, BTreeMap::new());
-        Ok(Driver { node, file, end, poller, began, refused, board, next_board, log })
+        let (began, next_board) = (Instant::now(), Duration::ZERO);
+        Ok(Driver { carrier, end, poller, began, board, next_board, log })
     }
 
     fn run(mut self, listen: std::net::SocketAddr) {
@@ -160,21 +146,20 @@
         }
         info!(self.log, "fleet: joining"; "address" => %listen);
         let mut until = None;
-        while until.is_none_or(|until| self.now() < until && !self.node.has_left()) {
-            self.wait(self.node.due().min(self.next_board));
+        while until.is_none_or(|until| self.now() < until && !self.carrier.node.has_left()) {
+            self.wait(self.carrier.node.due().min(self.next_board));
             let now = self.now();
-            self.take_in(now, &socket);
-            self.node.tick(now);
+            self.carrier.turn(now, &socket);
             if until.is_none() && self.is_to_end() {
-                self.node.leave(now);
-                self.node.tick(now);
+                self.carrier.node.leave(now);
+                self.carrier.node.tick(now);
+                self.carrier.send(&socket);
                 until = Some(now + LEAVE);
             }
-            self.send(&socket);
             self.tell();
             if now >= self.next_board {
                 self.next_board = now + BOARD;
-                self.board.put(Status::of(&self.node, now));
+                self.board.put(Status::of(&self.carrier.node, now));
             }
         }
         info!(self.log, "fleet: left");
@@ -212,41 +197,8 @@
         self.end.read(&mut [0]).is_ok()
     }
 
-    fn take_in(&mut self, now: Duration, socket: &UdpSocket) {
-        let mut bytes = [0; frame::LONGEST + 1];
-        for _ in 0..DATAGRAMS {
-            // Errors of a socket without a connection are of datagrams sent before; they are not this one's.
-            let (count, from) = match socket.recv_from(&mut bytes) {
-                Ok(got) => got,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(_) => continue,
-            };
-            let heard = match &mut self.file {
-                Some(file) => self.node.hear(now, from, &bytes[..count], file),
-                None => self.node.hear(now, from, &bytes[..count], &mut NoDisk),
-            };
-            if let Err(bad) = heard {
-                let count = self.refused.entry(bad).or_default();
-                *count += 1;
-                if count.is_power_of_two() {
-                    warn!(self.log, "fleet: datagram dropped"; "why" => ?bad, "from" => %from, "so_far" => *count);
-                }
-            }
-            if let Some(e) = self.file.as_mut().and_then(|file| file.failed.take()) {
-                warn!(self.log, "fleet: the voter cannot store and votes no more until it is started again"; "error" => %e);
-            }
-        }
-    }
-
-    fn send(&mut self, socket: &UdpSocket) {
-        while let Some((to, datagram)) = self.node.send() {
-            // One that cannot be sent now is lost like any other, and sent again by whoever needs it.
-            let _ = socket.send_to(&datagram, to);
-        }
-    }
-
     fn tell(&mut self) {
-        while let Some(event) = self.node.event() {
+        while let Some(event) = self.carrier.node.event() {
             match event {
                 Event::Member(member::Change::Came(peer)) => {
                     info!(self.log, "fleet: member came"; "member" => &peer.name, "address" => %peer.address);
