rig scale: hundreds of hollow gateways and real ones, events, counts and budgets

Cause: no figure of the size to design for could be measured. Change: rig scale FILE.ini drives the real node, voter file, watch, directory and balancer over real sockets, many to a thread, beside processes of the program and a stand-in for discovery; it plays events, counts messages and bytes by kind and processor time by gateway, times the last that has acted, and writes CSV, a plot and a verdict for each budget. It refuses what the machine could not carry and ends what it started.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -37,6 +37,14 @@
         #[arg(long, default_value_t = 5)]
         rounds: u64,
     },
+    /// Hundreds of gateways, what happens to them, and what it costs: docs/operators/scale-run.md.
+    Scale {
+        /// What is played, as examples/scale.ini.
+        file: PathBuf,
+        /// Where CSV files and the plot go.
+        #[arg(long, default_value = "scale-out")]
+        out: PathBuf,
+    },
 }
 
 #[derive(Args, Clone, Debug)]
@@ -96,6 +104,7 @@
     let done = match Cli::parse().command {
         Task::Load(load) => play(&load).map(|outcome| print(&load, &[outcome])),
         Task::Cores { load, rounds } => compare(&load, rounds),
+        Task::Scale { file, out } => dunemount_rig::scale::scale(&file, &out),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/rig/src/scale/hollow.rs
@@ -0,0 +1,545 @@
+//! Hollow gateways: the fleet's node, the watch on discovery, the directory and the balancer as the program has them,
+//! each with sockets of its own, many to a thread. There is nothing of clients and nothing of hosts.
+
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use dunemount::balancer::Balancer;
+use dunemount::config::InForce;
+use dunemount::fleet::carrier::{Carrier, Wire};
+use dunemount::fleet::driver;
+use dunemount::fleet::file::VoterFile;
+use dunemount::net::clock::Clock;
+use dunemount::net::discovery::{BadAnswer, Directory, Failed, Watch};
+use dunemount::options::FleetOptions;
+use dunemount::settings::Zones;
+use dunemount::{Micros, Settings};
+use dunemount_fleet::frame;
+use dunemount_fleet::member::Change;
+use dunemount_fleet::node::Event as Told;
+use polling::{Event, PollMode, Poller};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slog::{o, Discard, Logger};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use super::count::{thread_cpu, Counts};
+use super::goal::{Goal, Progress};
+
+/// Most gateways of a thread that go on with their list before all nodes are looked at again: a list takes milliseconds,
+/// and a node that waits behind hundreds of them would be taken for gone by the others.
+const LISTS: usize = 2;
+/// Longest sleep of a thread.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// What all hollow gateways of a run share.
+pub struct Common {
+    /// Number of gateways, hollow and real.
+    pub gateways: usize,
+    /// Which region hears at an address.
+    pub regions: BTreeMap<SocketAddr, usize>,
+    /// Regions hear nothing of each other.
+    pub apart: AtomicBool,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The configuration's text.
+    pub configuration: String,
+    /// Whether the balancer takes the list in.
+    pub router: bool,
+    /// The fleet's roles.
+    pub roles: Vec<String>,
+    /// The number in a name.
+    pub number: fn(&str) -> Option<usize>,
+}
+
+/// What a hollow gateway is started with.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its number.
+    pub index: usize,
+    /// Its name.
+    pub name: String,
+    /// Its region.
+    pub region: usize,
+    /// What `[fleet]` would say.
+    pub fleet: FleetOptions,
+    /// A voter's file.
+    pub file: Option<PathBuf>,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+/// What a thread is told.
+pub enum Order {
+    /// Starts a gateway, under this number of its start.
+    Start(Box<Identity>, u64),
+    /// Ends one without a word.
+    Kill(usize),
+    /// One does nothing, or goes on.
+    Freeze(usize, bool),
+    /// All go after this.
+    Pursue(Arc<Goal>),
+    /// All read their configuration anew.
+    Configure,
+    /// Hands in all counts.
+    Count(Sender<Vec<(usize, Counts)>>),
+}
+
+/// What a gateway or a thread says by itself.
+#[derive(Debug)]
+pub enum Word {
+    /// A gateway has reached a goal.
+    Acted {
+        /// Which.
+        gateway: usize,
+        /// The goal.
+        goal: usize,
+        /// When.
+        at: Instant,
+    },
+    /// The run cannot go on.
+    Failed(String),
+}
+
+/// A thread with its gateways.
+pub struct Shard {
+    orders: Sender<Order>,
+    poller: Arc<Poller>,
+    end: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Shard {
+    /// Starts a thread without gateways.
+    ///
+    /// # Errors
+    /// What the system does not give.
+    pub fn start(common: Arc<Common>, words: Sender<Word>) -> io::Result<Shard> {
+        let (orders, told) = channel();
+        let poller = Arc::new(Poller::new()?);
+        let end = Arc::new(AtomicBool::new(false));
+        let work = Work {
+            common,
+            told,
+            words: words.clone(),
+            poller: poller.clone(),
+            gateways: BTreeMap::new(),
+            clock: Clock::start(),
+            began: Instant::now(),
+        };
+        let ended = end.clone();
+        let thread = std::thread::Builder::new().name("hollow".into()).spawn(move || {
+            match catch_unwind(AssertUnwindSafe(|| work.run(&ended))) {
+                Ok(Ok(())) => {}
+                Ok(Err(what)) => drop(words.send(Word::Failed(what))),
+                Err(_) => drop(words.send(Word::Failed("a thread of hollow gateways panicked".into()))),
+            }
+        })?;
+        Ok(Shard { orders, poller, end, thread: Some(thread) })
+    }
+
+    /// Tells it something.
+    pub fn tell(&self, order: Order) {
+        // One that has failed has said so itself.
+        let _ = self.orders.send(order);
+        let _ = self.poller.notify();
+    }
+}
+
+impl Drop for Shard {
+    fn drop(&mut self) {
+        self.end.store(true, Ordering::Relaxed);
+        let _ = self.poller.notify();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A gateway's socket, counted, with the cut between regions.
+struct Counted<'a> {
+    socket: &'a UdpSocket,
+    counts: &'a mut Counts,
+    common: &'a Common,
+    region: usize,
+}
+
+impl Wire for Counted<'_> {
+    fn receive(&mut self, bytes: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        loop {
+            let (count, from) = self.socket.recv_from(bytes)?;
+            let apart = self.common.apart.load(Ordering::Relaxed);
+            if apart && self.common.regions.get(&from).is_some_and(|region| *region != self.region) {
+                self.counts.held += 1;
+                continue;
+            }
+            Counts::book(&mut self.counts.received, frame::peek(&bytes[..count]), count);
+            return Ok((count, from));
+        }
+    }
+
+    fn send(&mut self, datagram: &[u8], to: SocketAddr) {
+        Counts::book(&mut self.counts.sent, frame::peek(datagram), datagram.len());
+        let _ = self.socket.send_to(datagram, to);
+    }
+}
+
+/// A call to discovery that is out.
+struct Call {
+    socket: TcpStream,
+    text: Vec<u8>,
+    sent: usize,
+    began: Micros,
+    until: Micros,
+}
+
+/// The list's part of a gateway.
+struct Listing {
+    watch: Watch,
+    call: Option<Call>,
+    /// When the next call goes out, if none is.
+    next: Micros,
+    dice: Pcg64Mcg,
+    directory: Directory,
+    in_force: InForce,
+    settings: Settings,
+    balancer: Option<Balancer>,
+}
+
+struct Gateway {
+    region: usize,
+    carrier: Carrier,
+    socket: UdpSocket,
+    listing: Listing,
+    progress: Progress,
+    counts: Counts,
+    frozen: bool,
+}
+
+struct Work {
+    common: Arc<Common>,
+    told: Receiver<Order>,
+    words: Sender<Word>,
+    poller: Arc<Poller>,
+    /// By number; one that was killed leaves its counts.
+    gateways: BTreeMap<usize, Result<Box<Gateway>, Counts>>,
+    clock: Clock,
+    began: Instant,
+}
+
+/// Keys of a gateway's two sockets.
+fn datagrams(index: usize) -> usize {
+    2 * index
+}
+
+fn call(index: usize) -> usize {
+    2 * index + 1
+}
+
+impl Work {
+    fn run(mut self, end: &AtomicBool) -> Result<(), String> {
+        let mut events = Vec::new();
+        while !end.load(Ordering::Relaxed) {
+            let due = self.due().saturating_sub(self.began.elapsed()).min(LOOK);
+            events.clear();
+            self.poller.wait(&mut events, Some(due)).map_err(|e| format!("cannot wait: {e}"))?;
+            while let Ok(order) = self.told.try_recv() {
+                self.follow(order)?;
+            }
+            let mut ready: BTreeMap<usize, (bool, bool)> = BTreeMap::new();
+            for event in &events {
+                let (heard, answered) = ready.entry(event.key / 2).or_default();
+                *(if event.key % 2 == 0 { heard } else { answered }) = true;
+            }
+            let Work { gateways, common, words, poller, clock, began, .. } = &mut self;
+            let mut lists = 0;
+            for (index, gateway) in gateways.iter_mut() {
+                let Ok(gateway) = gateway else { continue };
+                if gateway.frozen {
+                    continue;
+                }
+                let (heard, answered) = ready.get(index).copied().unwrap_or_default();
+                let now = began.elapsed();
+                if heard || gateway.carrier.node.due() <= now {
+                    gateway.turn(now, common);
+                }
+                // Who is left out is found ready, or due, in the next pass.
+                if lists < LISTS && (answered || gateway.listing.due() <= clock.read()) {
+                    lists += 1;
+                    gateway.watch(*index, clock, common, poller);
+                }
+                if let Some(goal) = gateway.progress.reached() {
+                    let _ = words.send(Word::Acted { gateway: *index, goal, at: Instant::now() });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// When a gateway has something to do next.
+    fn due(&self) -> Duration {
+        let (now, here) = (self.clock.read(), self.began.elapsed());
+        let awake = self.gateways.values().flatten().filter(|gateway| !gateway.frozen);
+        let due = awake.map(|gateway| {
+            let list = here + Duration::from_micros((gateway.listing.due() - now).0);
+            gateway.carrier.node.due().min(list)
+        });
+        due.min().unwrap_or(Duration::MAX)
+    }
+
+    fn follow(&mut self, order: Order) -> Result<(), String> {
+        match order {
+            Order::Start(identity, start) => {
+                let (index, name) = (identity.index, identity.name.clone());
+                let counts = match self.gateways.remove(&index) {
+                    Some(Ok(gateway)) => self.kill(&gateway),
+                    Some(Err(counts)) => counts,
+                    None => Counts::default(),
+                };
+                let gateway = self.open(*identity, start, counts).map_err(|e| format!("{name}: {e}"))?;
+                self.gateways.insert(index, Ok(Box::new(gateway)));
+            }
+            Order::Kill(index) => {
+                if let Some(Ok(gateway)) = self.gateways.remove(&index) {
+                    let counts = self.kill(&gateway);
+                    self.gateways.insert(index, Err(counts));
+                }
+            }
+            Order::Freeze(index, frozen) => {
+                if let Some(Ok(gateway)) = self.gateways.get_mut(&index) {
+                    let frozen = gateway.freeze(frozen, index, &self.poller);
+                    frozen.map_err(|e| format!("cannot wait for sockets: {e}"))?;
+                }
+            }
+            Order::Pursue(goal) => {
+                for gateway in self.gateways.values_mut().flatten() {
+                    gateway.progress.pursue(goal.clone());
+                }
+            }
+            Order::Configure => {
+                for gateway in self.gateways.values_mut().flatten() {
+                    gateway.configure(&self.common.configuration)?;
+                }
+            }
+            Order::Count(back) => {
+                let count = |(index, gateway): (&usize, &Result<Box<Gateway>, Counts>)| match gateway {
+                    Ok(gateway) => (*index, Counts { losses: gateway.progress.losses, ..gateway.counts }),
+                    Err(counts) => (*index, *counts),
+                };
+                let _ = back.send(self.gateways.iter().map(count).collect());
+            }
+        }
+        Ok(())
+    }
+
+    fn open(&self, identity: Identity, start: u64, counts: Counts) -> Result<Gateway, String> {
+        let said = |e: io::Error| e.to_string();
+        let Identity { index, name, region, fleet, file, seed } = identity;
+        let listen = fleet.listen.ok_or("no address")?;
+        let socket = UdpSocket::bind(listen).map_err(said)?;
+        socket.set_nonblocking(true).map_err(said)?;
+        let beginning = driver::Start { name, start, roles: self.common.roles.clone(), seed };
+        let (settings, slot) = driver::settings(&fleet, beginning)?.ok_or("no fleet")?;
+        let voter = slot.zip(file.as_deref().map(VoterFile::at));
+        let carrier = Carrier::new(settings, voter, Logger::root(Discard, o!()));
+        let added = self.poller.add_with_mode(&socket, Event::readable(datagrams(index)), PollMode::Level);
+        added.map_err(said)?;
+        let mut progress = Progress::new(index, region, self.common.gateways);
+        progress.losses = counts.losses;
+        let listing = Listing::new(&self.common, seed)?;
+        Ok(Gateway { region, carrier, socket, listing, progress, counts, frozen: false })
+    }
+
+    /// Its sockets close with it.
+    fn kill(&self, gateway: &Gateway) -> Counts {
+        let _ = self.poller.delete(&gateway.socket);
+        if let Some(call) = &gateway.listing.call {
+            let _ = self.poller.delete(&call.socket);
+        }
+        Counts { losses: gateway.progress.losses, ..gateway.counts }
+    }
+}
+
+impl Listing {
+    fn new(common: &Common, seed: u64) -> Result<Listing, String> {
+        let mut zones = Zones::default();
+        let mut in_force = InForce::default();
+        let taken = in_force.take(common.configuration.clone(), &mut zones);
+        let settings = taken.map_err(|fault| fault.of("configuration"))?.site.settings;
+        Ok(Listing {
+            watch: Watch::from(None),
+            call: None,
+            next: Micros(0),
+            dice: Pcg64Mcg::seed_from_u64(seed),
+            directory: Directory::new(zones),
+            in_force,
+            balancer: common.router.then(|| Balancer::new(settings.clone(), seed)),
+            settings,
+        })
+    }
+
+    fn due(&self) -> Micros {
+        self.call.as_ref().map_or(self.next, |call| call.until)
+    }
+
+    /// Calls discovery.
+    fn dial(&mut self, index: usize, now: Micros, common: &Common, poller: &Poller) -> io::Result<usize> {
+        let socket = Socket::new(Domain::for_address(common.discovery), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        match socket.connect(&common.discovery.into()) {
+            Err(e) if e.raw_os_error() != Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {
+                return Err(e)
+            }
+            _ => {}
+        }
+        let socket: TcpStream = socket.into();
+        poller.add_with_mode(&socket, Event::writable(call(index)), PollMode::Level)?;
+        let until = now + self.watch.timeout();
+        let text = self.watch.call(&common.discovery.to_string()).into_bytes();
+        let length = text.len();
+        self.call = Some(Call { socket, text, sent: 0, began: now, until });
+        Ok(length)
+    }
+
+    fn end_call(&mut self, poller: &Poller) -> Option<Call> {
+        self.call.take().inspect(|call| drop(poller.delete(&call.socket)))
+    }
+
+    /// A call has failed: when the next goes out is the watch's to say.
+    fn failed(&mut self, how: Failed, now: Micros, poller: &Poller) {
+        let spent = self.end_call(poller).map_or(Micros(0), |call| now - call.began);
+        let draw = f64::from(self.dice.next_u32()) / (f64::from(u32::MAX) + 1.0);
+        let Settings { drivers, drain_grace, .. } = self.settings;
+        self.next = now + self.watch.failed(how, drivers, drain_grace, spent, draw);
+    }
+}
+
+impl Gateway {
+    /// What comes meanwhile waits in the sockets, as it does before a process that is stopped.
+    fn freeze(&mut self, frozen: bool, index: usize, poller: &Poller) -> io::Result<()> {
+        self.frozen = frozen;
+        let heard = if frozen { Event::none } else { Event::readable };
+        poller.modify_with_mode(&self.socket, heard(datagrams(index)), PollMode::Level)?;
+        let Some(out) = &self.listing.call else { return Ok(()) };
+        let answered = match (frozen, out.sent < out.text.len()) {
+            (true, _) => Event::none,
+            (false, true) => Event::writable,
+            (false, false) => Event::readable,
+        };
+        poller.modify_with_mode(&out.socket, answered(call(index)), PollMode::Level)
+    }
+
+    fn turn(&mut self, now: Duration, common: &Common) {
+        let before = thread_cpu();
+        let Gateway { carrier, socket, counts, region, .. } = self;
+        carrier.turn(now, Counted { socket, counts, common, region: *region });
+        while let Some(event) = self.carrier.node.event() {
+            match event {
+                Told::Member(Change::Came(peer)) => {
+                    if let Some(other) = (common.number)(&peer.name) {
+                        self.progress.came(other, peer.start);
+                    }
+                }
+                Told::Member(Change::Went(peer)) => {
+                    if let Some(other) = (common.number)(&peer.name) {
+                        self.progress.went(other, Some(peer.start));
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.counts.fleet_cpu += thread_cpu() - before;
+    }
+
+    /// Goes on with the watch: writes the call, reads the answer, or calls again.
+    fn watch(&mut self, index: usize, clock: &Clock, common: &Common, poller: &Poller) {
+        let before = thread_cpu();
+        let now = clock.read();
+        match &self.listing.call {
+            Some(call) if call.until <= now => self.listing.failed(Failed::Lost, now, poller),
+            Some(_) => self.go_on(index, now, clock, poller),
+            None => {}
+        }
+        if self.listing.call.is_none() && self.listing.next <= now {
+            match self.listing.dial(index, now, common, poller) {
+                Ok(length) => self.counts.calls.add(length),
+                Err(_) => self.listing.failed(Failed::Empty, now, poller),
+            }
+        }
+        self.counts.list_cpu += thread_cpu() - before;
+    }
+
+    fn go_on(&mut self, index: usize, now: Micros, clock: &Clock, poller: &Poller) {
+        let listing = &mut self.listing;
+        let Some(out) = &mut listing.call else { return };
+        if out.sent < out.text.len() {
+            match out.socket.write(&out.text[out.sent..]) {
+                Ok(count) => out.sent += count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => return listing.failed(Failed::Empty, now, poller),
+            }
+            if out.sent == out.text.len() {
+                let changed =
+                    poller.modify_with_mode(&out.socket, Event::readable(call(index)), PollMode::Level);
+                if changed.is_err() {
+                    listing.failed(Failed::Lost, now, poller);
+                }
+            }
+            return;
+        }
+        let mut bytes = [0; 64 * 1024];
+        loop {
+            let Some(out) = &mut listing.call else { return };
+            let count = match out.socket.read(&mut bytes) {
+                Ok(count) => count,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => return listing.failed(Failed::Lost, now, poller),
+            };
+            self.counts.lists.bytes += count as u64;
+            match listing.watch.receive(&bytes[..count], count == 0) {
+                Ok(None) if count == 0 => return listing.failed(Failed::Lost, now, poller),
+                Ok(None) => {}
+                Ok(Some(list)) => {
+                    let (version, all) = (list.rev, list.all);
+                    let (entries, unread) = listing.directory.take(list, clock);
+                    if let Some(balancer) = &mut listing.balancer {
+                        balancer.members(now, all && unread == 0, entries);
+                    }
+                    self.counts.lists.messages += 1;
+                    self.progress.listed(version);
+                    listing.end_call(poller);
+                    listing.next = now;
+                    return;
+                }
+                Err(BadAnswer::Status(_)) => return listing.failed(Failed::Empty, now, poller),
+                Err(_) => return listing.failed(Failed::Lost, now, poller),
+            }
+        }
+    }
+
+    /// Reads the configuration anew, as a signal makes the program do.
+    fn configure(&mut self, text: &str) -> Result<(), String> {
+        let before = thread_cpu();
+        let listing = &mut self.listing;
+        let mut zones = listing.directory.zones().clone();
+        let taken = listing.in_force.take(text.to_string(), &mut zones);
+        let settings = taken.map_err(|fault| fault.of("configuration"))?.site.settings;
+        listing.directory.know_zones(zones);
+        if let Some(balancer) = &mut listing.balancer {
+            balancer.retune(settings.clone());
+        }
+        listing.settings = settings;
+        self.progress.configured();
+        self.counts.list_cpu += thread_cpu() - before;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/real.rs
@@ -0,0 +1,218 @@
+//! Gateways as processes of the program, each with its own settings and `TMPDIR`, watched by their logs and doors.
+
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use dunemount::fleet::status::Status;
+use rustix::process::{kill_process, Pid, Signal};
+
+use super::count;
+use super::goal::{Goal, Progress};
+use super::hollow::Word;
+
+/// What a process is started with.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Its number.
+    pub index: usize,
+    /// The program.
+    pub program: PathBuf,
+    /// Its own folder, with `config.json` and `settings.ini`.
+    pub folder: PathBuf,
+    /// Its door.
+    pub door: SocketAddr,
+    /// The number in a name.
+    pub number: fn(&str) -> Option<usize>,
+}
+
+/// A process that ends with this value.
+pub struct Process {
+    child: Child,
+    spec: Spec,
+    progress: Arc<Mutex<Progress>>,
+    words: Sender<Word>,
+    /// Its end is wanted.
+    to_end: Arc<AtomicBool>,
+    is_up: Arc<AtomicBool>,
+}
+
+/// Now, as a start's number.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+fn locked(progress: &Mutex<Progress>) -> std::sync::MutexGuard<'_, Progress> {
+    // Whoever panicked with it has at worst left a line out.
+    progress.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+impl Process {
+    /// Starts one.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start(spec: Spec, progress: Progress, words: Sender<Word>) -> io::Result<Process> {
+        let mut command = Command::new(&spec.program);
+        command.arg("serve").arg("--config").arg(spec.folder.join("config.json"));
+        command.arg("--settings").arg(spec.folder.join("settings.ini"));
+        for variable in
+            ["GW_CONFIG", "GW_SETTINGS", "GW_NAME", "GW_LISTEN", "GW_ADMIN_ADDR", "GW_DISCOVERY", "GW_LOG"]
+        {
+            command.env_remove(variable);
+        }
+        let errors = fs::File::create(spec.folder.join("stderr"))?;
+        command.env("TMPDIR", &spec.folder).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(errors);
+        let mut child = command.spawn()?;
+        let output = child.stdout.take();
+        let process = Process {
+            child,
+            progress: Arc::new(Mutex::new(progress)),
+            words,
+            to_end: Arc::default(),
+            is_up: Arc::default(),
+            spec,
+        };
+        let Some(output) = output else { return Err(io::Error::other("no output")) };
+        let log = Log {
+            gateway: process.spec.index,
+            number: process.spec.number,
+            progress: process.progress.clone(),
+            words: process.words.clone(),
+            is_up: process.is_up.clone(),
+            to_end: process.to_end.clone(),
+        };
+        // It ends with the output that it reads.
+        std::thread::Builder::new().name("log".into()).spawn(move || log.follow(output))?;
+        Ok(process)
+    }
+
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether it listens.
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::Relaxed)
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// The system's; one that has ended by itself is among them.
+    pub fn signal(&self, signal: Signal) -> Result<(), String> {
+        let sent = kill_process(Pid::from_child(&self.child), signal);
+        sent.map_err(|e| format!("gateway {}: cannot be signalled: {e}", self.spec.index))
+    }
+
+    /// It goes after this from now on.
+    pub fn pursue(&self, goal: Arc<Goal>) {
+        locked(&self.progress).pursue(goal);
+    }
+
+    /// Others that it has taken for gone, by its log.
+    pub fn losses(&self) -> u64 {
+        locked(&self.progress).losses
+    }
+
+    /// Asks at its door whom it knows: its log leaves out lines where many come in a second.
+    pub fn ask(&self, gateways: usize) {
+        let Ok(status) = Status::ask(self.spec.door) else { return };
+        let at = Instant::now();
+        let mut starts = vec![0; gateways];
+        for member in &status.members {
+            if let Some(start) = (self.spec.number)(&member.name).and_then(|other| starts.get_mut(other)) {
+                *start = member.start;
+            }
+        }
+        let mut progress = locked(&self.progress);
+        progress.adopt(starts);
+        if let Some(goal) = progress.reached() {
+            let _ = self.words.send(Word::Acted { gateway: self.spec.index, goal, at });
+        }
+    }
+
+    /// Processor time of the fleet's thread and of all threads, and memory in KiB.
+    pub fn sample(&self) -> (Duration, Duration, u64) {
+        let (fleet, all) = count::process_cpu(self.child.id(), "fleet");
+        (fleet, all, self.resident())
+    }
+
+    /// Memory in KiB; zero once it is gone.
+    pub fn resident(&self) -> u64 {
+        count::resident(&self.child.id().to_string()).unwrap_or(0)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.to_end.store(true, Ordering::Relaxed);
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Reads a process's log.
+struct Log {
+    gateway: usize,
+    number: fn(&str) -> Option<usize>,
+    progress: Arc<Mutex<Progress>>,
+    words: Sender<Word>,
+    is_up: Arc<AtomicBool>,
+    to_end: Arc<AtomicBool>,
+}
+
+/// The value that follows a key in a line of the log.
+fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    let rest = line.split(&format!(" {key}: ")).nth(1)?;
+    rest.split([',', ' ']).next()
+}
+
+impl Log {
+    fn follow(self, output: impl io::Read) {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            self.read(&line);
+        }
+        if !self.to_end.load(Ordering::Relaxed) {
+            let _ = self.words.send(Word::Failed(format!("gateway {} has ended by itself", self.gateway)));
+        }
+    }
+
+    fn read(&self, line: &str) {
+        let at = Instant::now();
+        let mut progress = locked(&self.progress);
+        let other = || value(line, "member").and_then(self.number);
+        if line.contains("fleet: member came") {
+            other().into_iter().for_each(|other| progress.came(other, unix_ms()));
+        } else if line.contains("fleet: member went") {
+            other().into_iter().for_each(|other| progress.went(other, None));
+        } else if line.contains("configuration read anew") {
+            progress.configured();
+        } else if line.contains(" list, ") {
+            let version = value(line, "rev").and_then(|text| text.parse().ok());
+            version.into_iter().for_each(|version| progress.listed(version));
+        } else if line.contains(" listening, ") {
+            self.is_up.store(true, Ordering::Relaxed);
+        }
+        if let Some(goal) = progress.reached() {
+            let _ = self.words.send(Word::Acted { gateway: self.gateway, goal, at });
+        }
+    }
+}
+
+/// Writes a process's files into its folder.
+///
+/// # Errors
+/// The system's.
+pub fn lay_out(folder: &Path, configuration: &str, settings: &str) -> io::Result<()> {
+    fs::create_dir_all(folder)?;
+    fs::write(folder.join("config.json"), configuration)?;
+    fs::write(folder.join("settings.ini"), settings)
+}
--- /dev/null
+++ b/crates/rig/src/scale/report.rs
@@ -0,0 +1,395 @@
+//! What a run gave, as text, CSV and one plot, and whether its budgets were kept.
+
+use std::fmt::Write;
+use std::path::Path;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use plotters::prelude::*;
+use serde::Serialize;
+
+use super::count::Counts;
+use super::plan::{Budget, Measure, Plan};
+use super::run::{Outcome, Phase, Row};
+
+/// Above this part of the machine's cores at work its times are the machine's.
+pub const BUSY: f64 = 2.0 / 3.0;
+
+/// Whether a budget was kept.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    /// Its key.
+    pub budget: String,
+    /// The phase that is looked at; `all` stands for everything after the join.
+    pub phase: String,
+    /// How much there may be.
+    pub most: f64,
+    /// How much there was, at the worst gateway; nothing if nobody told.
+    pub found: Option<f64>,
+    /// `kept`, `broken` or `not measured`.
+    pub verdict: &'static str,
+    /// What else has to be said of it.
+    pub note: String,
+}
+
+/// Least, median and most of some figures; none of none.
+pub fn spread(mut figures: Vec<f64>) -> Option<(f64, f64, f64)> {
+    figures.sort_by(f64::total_cmp);
+    Some((*figures.first()?, figures[figures.len() / 2], *figures.last()?))
+}
+
+/// Half, 99 in 100 and the last of the times of those that have acted, in seconds.
+pub fn quantiles(acted: &[(usize, Duration)]) -> Option<(f64, f64, f64)> {
+    let last = acted.iter().map(|(_, time)| *time).max()?;
+    let mut histogram: Histogram<u64> = Histogram::new_with_bounds(1, 3_600_000_000, 3).ok()?;
+    for (_, time) in acted {
+        histogram.saturating_record(time.as_micros() as u64);
+    }
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e6;
+    let last = last.as_secs_f64();
+    Some((at(0.5).min(last), at(0.99).min(last), last))
+}
+
+/// What a gateway came to over several phases, and their length.
+fn over(phases: &[&Phase], gateway: &Row) -> (Counts, f64) {
+    let mut sum = Counts::default();
+    let mut length = 0.0;
+    for phase in phases {
+        let Some(row) = phase.rows.iter().find(|row| row.gateway == gateway.gateway) else { continue };
+        sum.fleet_cpu += row.counts.fleet_cpu;
+        sum.list_cpu += row.counts.list_cpu;
+        sum.sent[0].bytes += row.counts.bytes();
+        length += phase.length.as_secs_f64();
+    }
+    (sum, length)
+}
+
+/// Holds the figures against the budgets.
+pub fn verdicts(plan: &Plan, outcome: &Outcome) -> Vec<Verdict> {
+    plan.budgets.iter().flat_map(|budget| judge(budget, outcome)).collect()
+}
+
+fn judge(budget: &Budget, outcome: &Outcome) -> Vec<Verdict> {
+    let measured: Vec<&Phase> = outcome.phases.iter().filter(|phase| phase.name != "join").collect();
+    if budget.measure == Measure::Last {
+        let of: Vec<&Phase> = outcome.phases.iter().filter(|phase| phase.name == budget.of).collect();
+        let judged = of.iter().map(|phase| {
+            let (wanted, acted) =
+                phase.acted.as_ref().map_or((0, &[][..]), |(wanted, acted)| (*wanted, acted));
+            let found = quantiles(acted).map(|(_, _, last)| last);
+            let whole = acted.len() == wanted;
+            let mut note = String::new();
+            if !whole {
+                let _ = write!(note, "{} of {wanted} have acted", acted.len());
+            }
+            verdict(budget, &phase.name, found, whole, note, phase.busy)
+        });
+        let judged: Vec<Verdict> = judged.collect();
+        return if judged.is_empty() {
+            vec![verdict(budget, "-", None, false, String::new(), 0.0)]
+        } else {
+            judged
+        };
+    }
+    let quiet: Vec<&Phase> = measured.iter().copied().filter(|phase| phase.name == "quiet").collect();
+    let mut judged = vec![("quiet", quiet.clone())];
+    if measured.len() > quiet.len() {
+        judged.push(("all", measured));
+    }
+    let judged = judged.into_iter().map(|(name, phases)| {
+        // Bytes of a process are not counted, and memory is one figure for all hollow ones.
+        let gateways = phases.iter().flat_map(|phase| &phase.rows);
+        let counted = |row: &&Row| {
+            (budget.of != "voter" || row.voter) && (budget.measure != Measure::Bytes || !row.real)
+        };
+        let figure = |row: &Row| {
+            let (sum, length) = over(&phases, row);
+            match budget.measure {
+                Measure::Core => sum.cpu().as_secs_f64() / length,
+                Measure::Memory => row.memory as f64 * 1024.0 / 1e6,
+                Measure::Bytes | Measure::Last => sum.sent[0].bytes as f64 / length,
+            }
+        };
+        let found = spread(gateways.filter(counted).map(figure).collect()).map(|(_, _, most)| most);
+        let length: f64 = phases.iter().map(|phase| phase.length.as_secs_f64()).sum();
+        let busy: f64 = phases.iter().map(|phase| phase.busy * phase.length.as_secs_f64()).sum::<f64>()
+            / length.max(1e-9);
+        verdict(budget, name, found, true, String::new(), busy)
+    });
+    judged.collect()
+}
+
+fn verdict(
+    budget: &Budget,
+    phase: &str,
+    found: Option<f64>,
+    whole: bool,
+    mut note: String,
+    busy: f64,
+) -> Verdict {
+    let verdict = match found {
+        None if whole || note.is_empty() => "not measured",
+        Some(found) if whole && found <= budget.most => "kept",
+        _ => "broken",
+    };
+    if busy > BUSY && matches!(budget.measure, Measure::Core | Measure::Last) {
+        let _ = write!(
+            note,
+            "{}machine {:.0}% busy: its time, not the gateways'",
+            if note.is_empty() { "" } else { "; " },
+            busy * 100.0
+        );
+    }
+    Verdict { budget: budget.key.clone(), phase: phase.to_string(), most: budget.most, found, verdict, note }
+}
+
+/// What is printed at the end.
+pub fn text(plan: &Plan, outcome: &Outcome) -> String {
+    let mut text = format!(
+        "{} hollow and {} real gateways, {} voters, {} hosts, {} roles, seed {}; most memory {} MiB\n",
+        plan.hollow, plan.real, plan.voters, plan.hosts, plan.roles, plan.seed, outcome.most_memory
+    );
+    text += "\nA gateway, least / median / most. Bytes are payload, sent and received.\n";
+    text += "phase          s    busy  kind    fleet % core             rest % core              messages/s            bytes/s                 MB                 most bytes in all\n";
+    for phase in &outcome.phases {
+        let length = phase.length.as_secs_f64();
+        for (real, voter) in [(false, false), (false, true), (true, false), (true, true)] {
+            let rows: Vec<&Row> =
+                phase.rows.iter().filter(|row| row.real == real && row.voter == voter).collect();
+            if rows.is_empty() {
+                continue;
+            }
+            let column = |figure: &dyn Fn(&Row) -> f64, decimals: usize| {
+                let found = spread(rows.iter().map(|row| figure(row)).collect()).unwrap_or_default();
+                format!("{:.decimals$} / {:.decimals$} / {:.decimals$}", found.0, found.1, found.2)
+            };
+            let kind = match (real, voter) {
+                (false, false) => "hollow",
+                (false, true) => "voter",
+                (true, false) => "real",
+                (true, true) => "real voter",
+            };
+            let counted = |text: String| if real { "not counted".to_string() } else { text };
+            let _ = writeln!(
+                text,
+                "{:12} {:5.1}  {:4.0}%  {:10} {:22}  {:22}  {:21}  {:22}  {:17}  {}",
+                phase.name,
+                length,
+                phase.busy * 100.0,
+                kind,
+                column(&|row| row.counts.fleet_cpu.as_secs_f64() / length * 100.0, 2),
+                column(&|row| row.counts.list_cpu.as_secs_f64() / length * 100.0, 2),
+                counted(column(&|row| row.counts.messages() as f64 / length, 1)),
+                counted(column(&|row| row.counts.bytes() as f64 / length, 0)),
+                column(&|row| row.memory as f64 * 1024.0 / 1e6, 1),
+                counted(rows.iter().map(|row| row.counts.bytes()).max().unwrap_or(0).to_string()),
+            );
+        }
+    }
+    text += "\nThe machine, in each phase. Datagrams and loopback are of all that runs on it.\n";
+    text += "phase          datagrams/s  loopback bytes/s  calls  lists  bytes told  taken for gone\n";
+    for phase in &outcome.phases {
+        let length = phase.length.as_secs_f64();
+        let losses: u64 = phase.rows.iter().map(|row| row.counts.losses).sum();
+        let _ = writeln!(
+            text,
+            "{:12}  {:11.0}  {:16.0}  {:5}  {:5}  {:10}  {losses}",
+            phase.name,
+            phase.traffic.0 as f64 / length,
+            phase.traffic.1 as f64 / length,
+            phase.told.0,
+            phase.told.1,
+            phase.told.2
+        );
+    }
+    text += "\nFrom an event to the last gateway that has acted, in seconds.\n";
+    text += "event         acted          p50      p99     last\n";
+    for phase in &outcome.phases {
+        let Some((wanted, acted)) = &phase.acted else { continue };
+        let times = quantiles(acted)
+            .map_or("-".to_string(), |(half, most, last)| format!("{half:7.3}  {most:7.3}  {last:7.3}"));
+        let partial =
+            if acted.len() < *wanted { "  partial: the others have not acted in their time" } else { "" };
+        let _ = writeln!(text, "{:12}  {:4} of {:4}  {times}{partial}", phase.name, acted.len(), wanted);
+    }
+    for phase in outcome.phases.iter().filter(|phase| phase.busy > BUSY) {
+        let _ = writeln!(
+            text,
+            "{}: the machine was {:.0}% busy: its times are the machine's, only counts and bytes hold",
+            phase.name,
+            phase.busy * 100.0
+        );
+    }
+    if !plan.budgets.is_empty() {
+        text += "\nbudget               phase         most     found  verdict\n";
+    }
+    for verdict in verdicts(plan, outcome) {
+        let found = verdict.found.map_or("-".to_string(), |found| format!("{found:.3}"));
+        let _ = writeln!(
+            text,
+            "{:20} {:9} {:9}  {found:>8}  {}{}{}",
+            verdict.budget,
+            verdict.phase,
+            verdict.most,
+            verdict.verdict,
+            if verdict.note.is_empty() { "" } else { ": " },
+            verdict.note
+        );
+    }
+    text
+}
+
+#[derive(Serialize)]
+struct GatewayLine<'a> {
+    phase: &'a str,
+    seconds: f64,
+    machine_busy: f64,
+    gateway: usize,
+    kind: &'a str,
+    voter: bool,
+    fleet_cpu_us: u128,
+    rest_cpu_us: u128,
+    memory_kib: u64,
+    member_sent: u64,
+    member_sent_bytes: u64,
+    member_received: u64,
+    member_received_bytes: u64,
+    call_sent: u64,
+    call_sent_bytes: u64,
+    call_received: u64,
+    call_received_bytes: u64,
+    reply_sent: u64,
+    reply_sent_bytes: u64,
+    reply_received: u64,
+    reply_received_bytes: u64,
+    order_sent: u64,
+    order_sent_bytes: u64,
+    order_received: u64,
+    order_received_bytes: u64,
+    held_back: u64,
+    discovery_calls: u64,
+    discovery_call_bytes: u64,
+    lists: u64,
+    list_bytes: u64,
+    taken_for_gone: u64,
+}
+
+#[derive(Serialize)]
+struct EventLine<'a> {
+    event: &'a str,
+    machine_busy: f64,
+    waited_for: usize,
+    acted: usize,
+    p50_s: Option<f64>,
+    p99_s: Option<f64>,
+    last_s: Option<f64>,
+}
+
+/// Writes `gateways.csv`, `events.csv`, `budgets.csv` and `events.svg` into a folder.
+///
+/// # Errors
+/// The system's, with the folder.
+pub fn write(plan: &Plan, outcome: &Outcome, out: &Path) -> Result<(), String> {
+    let place = |e: &dyn std::fmt::Display| format!("cannot write into {}: {e}", out.display());
+    std::fs::create_dir_all(out).map_err(|e| place(&e))?;
+    let gateways = outcome.phases.iter().flat_map(|phase| phase.rows.iter().map(move |row| line(phase, row)));
+    table(&out.join("gateways.csv"), gateways).map_err(|e| place(&e))?;
+    let events = outcome.phases.iter().filter_map(|phase| {
+        let (waited_for, acted) = phase.acted.as_ref()?;
+        let times = quantiles(acted);
+        Some(EventLine {
+            event: &phase.name,
+            machine_busy: phase.busy,
+            waited_for: *waited_for,
+            acted: acted.len(),
+            p50_s: times.map(|times| times.0),
+            p99_s: times.map(|times| times.1),
+            last_s: times.map(|times| times.2),
+        })
+    });
+    table(&out.join("events.csv"), events).map_err(|e| place(&e))?;
+    table(&out.join("budgets.csv"), verdicts(plan, outcome)).map_err(|e| place(&e))?;
+    draw(plan, outcome, &out.join("events.svg")).map_err(|e| place(&e))
+}
+
+fn table<T: Serialize>(path: &Path, lines: impl IntoIterator<Item = T>) -> Result<(), csv::Error> {
+    let mut table = csv::Writer::from_path(path)?;
+    for line in lines {
+        table.serialize(line)?;
+    }
+    Ok(table.flush()?)
+}
+
+fn line<'a>(phase: &'a Phase, row: &Row) -> GatewayLine<'a> {
+    let Counts { sent, received, held, calls, lists, fleet_cpu, list_cpu, losses } = row.counts;
+    GatewayLine {
+        phase: &phase.name,
+        seconds: phase.length.as_secs_f64(),
+        machine_busy: phase.busy,
+        gateway: row.gateway,
+        kind: if row.real { "real" } else { "hollow" },
+        voter: row.voter,
+        fleet_cpu_us: fleet_cpu.as_micros(),
+        rest_cpu_us: list_cpu.as_micros(),
+        memory_kib: row.memory,
+        member_sent: sent[0].messages,
+        member_sent_bytes: sent[0].bytes,
+        member_received: received[0].messages,
+        member_received_bytes: received[0].bytes,
+        call_sent: sent[1].messages,
+        call_sent_bytes: sent[1].bytes,
+        call_received: received[1].messages,
+        call_received_bytes: received[1].bytes,
+        reply_sent: sent[2].messages,
+        reply_sent_bytes: sent[2].bytes,
+        reply_received: received[2].messages,
+        reply_received_bytes: received[2].bytes,
+        order_sent: sent[3].messages,
+        order_sent_bytes: sent[3].bytes,
+        order_received: received[3].messages,
+        order_received_bytes: received[3].bytes,
+        held_back: held,
+        discovery_calls: calls.messages,
+        discovery_call_bytes: calls.bytes,
+        lists: lists.messages,
+        list_bytes: lists.bytes,
+        taken_for_gone: losses,
+    }
+}
+
+/// One line an event: which part of the gateways had acted after so many seconds.
+fn draw(plan: &Plan, outcome: &Outcome, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let times = outcome.phases.iter().filter_map(|phase| phase.acted.as_ref()).flat_map(|(_, acted)| acted);
+    let last = times.map(|(_, time)| time.as_secs_f64());
+    let last = last.fold(1.0, f64::max);
+    let area = SVGBackend::new(path, (960, 540)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let title = format!("{} hollow and {} real gateways, {} hosts", plan.hollow, plan.real, plan.hosts);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 20))
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..last * 1.02, 0.0..1.0)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds from the event")
+        .y_desc("part of the gateways that have acted")
+        .draw()?;
+    for (number, phase) in outcome.phases.iter().enumerate() {
+        let Some((wanted, acted)) = &phase.acted else { continue };
+        let colour = Palette99::pick(number).to_rgba();
+        let mut points = vec![(0.0, 0.0)];
+        for (place, (_, time)) in acted.iter().enumerate() {
+            let (time, wanted) = (time.as_secs_f64(), *wanted as f64);
+            points.extend([(time, place as f64 / wanted), (time, (place + 1) as f64 / wanted)]);
+        }
+        let drawn = chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
+        drawn
+            .label(phase.name.clone())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], colour.stroke_width(2)));
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE.mix(0.8)).draw()?;
+    area.present()?;
+    Ok(())
+}
