--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -462,14 +462,14 @@
 
     // ---- Gateways ----
 
+    /// The thread of a hollow gateway; none of a process.
     fn shard(&self, gateway: usize) -> Option<&Shard> {
+        if gateway >= self.plan.hollow {
+            return None;
+        }
         let voters = self.plan.voters.min(self.plan.hollow);
-        let at = if gateway < voters {
-            gateway
-        } else {
-            voters + gateway % self.plan.threads.min(self.plan.hollow)
-        };
-        self.shards.get(at).filter(|_| gateway < self.plan.hollow)
+        let shared = self.shards.len().saturating_sub(voters).max(1);
+        self.shards.get(if gateway < voters { gateway } else { voters + gateway % shared })
     }
 
     fn tell_all(&self, order: impl Fn() -> Order) {
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -364,3 +364,14 @@
     let ids: Vec<i32> = outcome.started.iter().map(|id| *id as i32).collect();
     assert_all_ended(&ids);
 }
+
+/// Guards runs without hollow gateways: processes alone are played, and their processor time is told.
+#[test]
+fn processes_alone_are_played() {
+    let program = Path::new(env!("CARGO_BIN_EXE_rig")).with_file_name("dunemount");
+    let outcome = played(&Plan { program, ..plan("[run]\nhollow = 0\nreal = 3\n[events]\na = list 1\n") });
+    assert_eq!(acted(phase(&outcome, "join")), (3, 3));
+    assert_eq!(acted(phase(&outcome, "list")), (3, 3));
+    let quiet = phase(&outcome, "quiet");
+    assert!(quiet.rows.iter().all(|row| row.real && row.counts.fleet_cpu > Duration::ZERO && row.memory > 0));
+}
