A capacity page whose tables a command prints, and the slopes behind it

Nothing said what the operators' size asks of each role, or what breaks first.

rig capacity prints the tables of docs/CAPACITY.md from four files (size, slopes, formulas, budgets); rig slope measures the slopes. Stand-in hosts and clients move to the rig's library, so that both load and slopes use them.

Not measured yet: membership at 710, reconnects of idle clients.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -40,18 +40,15 @@
 }
 
 /// Plays a client to its end.
+///
+/// # Errors
+/// What the socket says before the first statement.
 pub fn play(plan: Plan) -> std::io::Result<Seen> {
     let latency = Histogram::new_with_bounds(1, 60_000_000, 3).map_err(std::io::Error::other)?;
     let mut seen = Seen { served: 0, refused: 0, lost: 0, latency };
     let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
     let pause = Exp::new(plan.rate.max(1e-9)).map_err(std::io::Error::other)?;
-    let mut socket = TcpStream::connect(plan.gateway)?;
-    socket.set_nodelay(true)?;
-    let mut inbox = Inbox::default();
-    let mut out = Vec::new();
-    codec::startup(&mut out, "app", "shop");
-    socket.write_all(&out)?;
-    answer(&mut socket, &mut inbox)?;
+    let mut connection = Connection::open(plan.gateway)?;
     let start = Instant::now();
     let (mut due, mut number) = (Duration::ZERO, 0u64);
     while due < plan.time {
@@ -64,16 +61,8 @@
         if let Some(early) = due.checked_sub(start.elapsed()) {
             std::thread::sleep(early);
         }
-        let (seed, family) = (plan.seed, (plan.seed + number) % plan.families);
-        let text = match number % 10 {
-            0 => format!("INSERT INTO items (id, doc) VALUES ('s{seed}', '\\x9f') RETURNING doc /* id={seed:x}-{number:x},c=tally-write,d=2000,k={number:x},cluster={family} */"),
-            1..=3 => format!("SELECT doc FROM items WHERE id = 's{seed}' /* id={seed:x}-{number:x},c=own-read,d=1500,cluster={family} */"),
-            _ => format!("SELECT doc FROM items WHERE id = 's{seed}' /* id={seed:x}-{number:x},c=page-read,d=1000,cluster={family} */"),
-        };
-        out.clear();
-        codec::query(&mut out, &text);
-        socket.write_all(&out)?;
-        match answer(&mut socket, &mut inbox) {
+        let text = statement(plan.seed, number, (plan.seed + number) % plan.families);
+        match connection.ask(&text) {
             Ok(true) => seen.served += 1,
             Ok(false) => seen.refused += 1,
             Err(_) => {
@@ -87,19 +76,70 @@
     Ok(seen)
 }
 
-/// Reads to the next ReadyForQuery: whether a value came.
-fn answer(socket: &mut TcpStream, inbox: &mut Inbox) -> std::io::Result<bool> {
-    let mut bytes = [0; 4096];
-    let mut served = false;
-    loop {
-        match inbox.frame_within(|_| 64 * 1024) {
-            Ok(Some(frame)) if frame.tag == b'Z' => return Ok(served),
-            Ok(Some(frame)) => served |= frame.tag == b'C',
-            Ok(None) => match socket.read(&mut bytes)? {
-                0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
-                count => inbox.push(&bytes[..count]),
-            },
-            Err(_) => return Err(std::io::ErrorKind::InvalidData.into()),
+/// A client's statement: one in ten writes, three read what the client wrote.
+pub fn statement(seed: u64, number: u64, family: u64) -> String {
+    match number % 10 {
+        0 => format!("INSERT INTO items (id, doc) VALUES ('s{seed}', '\\x9f') RETURNING doc /* id={seed:x}-{number:x},c=tally-write,d=2000,k={number:x},cluster={family} */"),
+        1..=3 => format!("SELECT doc FROM items WHERE id = 's{seed}' /* id={seed:x}-{number:x},c=own-read,d=1500,cluster={family} */"),
+        _ => format!("SELECT doc FROM items WHERE id = 's{seed}' /* id={seed:x}-{number:x},c=page-read,d=1000,cluster={family} */"),
+    }
+}
+
+/// A client's connection.
+#[derive(Debug)]
+pub struct Connection {
+    socket: TcpStream,
+    inbox: Inbox,
+}
+
+impl Connection {
+    /// Connects and waits until statements are taken.
+    ///
+    /// # Errors
+    /// What the socket says, or that the connection ended.
+    pub fn open(gateway: SocketAddr) -> std::io::Result<Connection> {
+        let socket = TcpStream::connect(gateway)?;
+        socket.set_nodelay(true)?;
+        let mut connection = Connection { socket, inbox: Inbox::default() };
+        let mut out = Vec::new();
+        codec::startup(&mut out, "app", "shop");
+        connection.socket.write_all(&out)?;
+        connection.answer()?;
+        Ok(connection)
+    }
+
+    /// Sends a statement and waits for its answer: whether a value came.
+    ///
+    /// # Errors
+    /// What the socket says, or that the connection ended.
+    pub fn ask(&mut self, text: &str) -> std::io::Result<bool> {
+        let mut out = Vec::new();
+        codec::query(&mut out, text);
+        self.socket.write_all(&out)?;
+        self.answer()
+    }
+
+    /// Whether the gateway has closed it.
+    pub fn is_closed(&self) -> bool {
+        let quiet = self.socket.set_nonblocking(true).and_then(|()| self.socket.peek(&mut [0]));
+        let open = quiet.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        !open || self.socket.set_nonblocking(false).is_err()
+    }
+
+    /// Reads to the next ReadyForQuery: whether a value came.
+    fn answer(&mut self) -> std::io::Result<bool> {
+        let mut bytes = [0; 4096];
+        let mut served = false;
+        loop {
+            match self.inbox.frame_within(|_| 64 * 1024) {
+                Ok(Some(frame)) if frame.tag == b'Z' => return Ok(served),
+                Ok(Some(frame)) => served |= frame.tag == b'C',
+                Ok(None) => match self.socket.read(&mut bytes)? {
+                    0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+                    count => self.inbox.push(&bytes[..count]),
+                },
+                Err(_) => return Err(std::io::ErrorKind::InvalidData.into()),
+            }
         }
     }
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,5 +1,8 @@
-//! Deployments drawn at random and a virtual world that steps routers through them, every rule audited. Not part of
-//! the gateway.
+//! Deployments drawn at random and a virtual world that steps routers through them, every rule audited; stand-in hosts and
+//! clients on loopback; and what a size asks of each role. Not part of the gateway.
 
+pub mod capacity;
+pub mod clients;
 pub mod deployment;
+pub mod hosts;
 pub mod world;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,8 +1,5 @@
 //! `rig`: a small model of what dunemount balances, on loopback, with a load generator.
 
-mod clients;
-mod hosts;
-
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -11,8 +8,9 @@
 use std::time::{Duration, Instant};
 
 use clap::{Args, Parser, Subcommand};
-use clients::Plan;
-use hosts::{Family, Manner};
+use dunemount_rig::capacity::commands::{self, Capacity, Slope};
+use dunemount_rig::clients::{self, Plan};
+use dunemount_rig::hosts::{self, Family, Manner};
 use serde::Serialize;
 use serde_json::json;
 
@@ -37,6 +35,10 @@
         #[arg(long, default_value_t = 5)]
         rounds: u64,
     },
+    /// What a size asks of each role, as the tables of the capacity page.
+    Capacity(Capacity),
+    /// Measures slopes for that.
+    Slope(Slope),
 }
 
 #[derive(Args, Clone, Debug)]
@@ -96,6 +98,8 @@
     let done = match Cli::parse().command {
         Task::Load(load) => play(&load).map(|outcome| print(&load, &[outcome])),
         Task::Cores { load, rounds } => compare(&load, rounds),
+        Task::Capacity(given) => commands::capacity(&given),
+        Task::Slope(given) => commands::slope(&given),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
