--- a/crates/rig/src/capacity/commands.rs
+++ b/crates/rig/src/capacity/commands.rs
@@ -65,6 +65,9 @@
     /// Rounds at each size.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u32).range(1..=100))]
     rounds: u32,
+    /// Leave out sizes of membership above this: the largest takes minutes.
+    #[arg(long, default_value_t = usize::MAX)]
+    largest: usize,
     /// The gateway's program.
     #[arg(long, default_value = "target/release/dunemount")]
     gateway: PathBuf,
@@ -104,7 +107,12 @@
 /// # Errors
 /// Place and cause of what went wrong; what was measured before is written.
 pub fn slope(given: &Slope) -> Result<(), String> {
-    let setup = Setup { rounds: given.rounds, gateway: given.gateway.clone(), disk: given.disk.clone() };
+    let setup = Setup {
+        rounds: given.rounds,
+        largest: given.largest,
+        gateway: given.gateway.clone(),
+        disk: given.disk.clone(),
+    };
     let each = What::value_variants().iter().filter(|what| **what != What::All);
     for what in each.filter(|what| given.what == What::All || **what == given.what) {
         let points = match what {
--- a/crates/rig/src/capacity/measure/mod.rs
+++ b/crates/rig/src/capacity/measure/mod.rs
@@ -25,6 +25,8 @@
 pub struct Setup {
     /// Rounds at each size.
     pub rounds: u32,
+    /// Sizes of membership above this are left out.
+    pub largest: usize,
     /// The gateway's program.
     pub gateway: PathBuf,
     /// A folder on the disk that a voter's file would have.
