--- a/crates/rig/src/scale/count.rs
+++ b/crates/rig/src/scale/count.rs
@@ -52,6 +52,8 @@
     pub list_cpu: Duration,
     /// Others taken for gone.
     pub losses: u64,
+    /// Of these, the ones that nothing had ended.
+    pub mistaken: u64,
 }
 
 impl Counts {
@@ -75,6 +77,7 @@
             fleet_cpu: self.fleet_cpu.saturating_sub(before.fleet_cpu),
             list_cpu: self.list_cpu.saturating_sub(before.list_cpu),
             losses: self.losses.saturating_sub(before.losses),
+            mistaken: self.mistaken.saturating_sub(before.mistaken),
         }
     }
 
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -335,7 +335,7 @@
             }
             Order::Count(back) => {
                 let count = |(index, gateway): (&usize, &Result<Box<Gateway>, Counts>)| match gateway {
-                    Ok(gateway) => (*index, Counts { losses: gateway.progress.losses, ..gateway.counts }),
+                    Ok(gateway) => (*index, gateway.counted()),
                     Err(counts) => (*index, *counts),
                 };
                 let _ = back.send(self.gateways.iter().map(count).collect());
@@ -357,7 +357,7 @@
         let added = self.poller.add_with_mode(&socket, Event::readable(datagrams(index)), PollMode::Level);
         added.map_err(said)?;
         let mut progress = Progress::new(index, region, self.common.gateways);
-        progress.losses = counts.losses;
+        (progress.losses, progress.mistaken) = (counts.losses, counts.mistaken);
         let listing = Listing::new(&self.common, seed)?;
         Ok(Gateway { region, carrier, socket, listing, progress, counts, frozen: false })
     }
@@ -368,7 +368,7 @@
         for call in gateway.listing.calls() {
             let _ = self.poller.delete(&call.socket);
         }
-        Counts { losses: gateway.progress.losses, ..gateway.counts }
+        gateway.counted()
     }
 }
 
@@ -458,6 +458,11 @@
 }
 
 impl Gateway {
+    fn counted(&self) -> Counts {
+        let Progress { losses, mistaken, .. } = self.progress;
+        Counts { losses, mistaken, ..self.counts }
+    }
+
     /// What comes meanwhile waits in the sockets, as it does before a process that is stopped.
     fn freeze(&mut self, frozen: bool, index: usize, poller: &Poller) -> io::Result<()> {
         self.frozen = frozen;
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -274,6 +274,7 @@
     idle_bytes: u64,
     list_bytes: u64,
     taken_for_gone: u64,
+    mistaken: u64,
 }
 
 #[derive(Serialize)]
@@ -323,7 +324,8 @@
 }
 
 fn line<'a>(phase: &'a Phase, row: &Row) -> GatewayLine<'a> {
-    let Counts { sent, received, held, calls, lists, idle, fleet_cpu, list_cpu, losses } = row.counts;
+    let Counts { sent, received, held, calls, lists, idle, fleet_cpu, list_cpu, losses, mistaken } =
+        row.counts;
     GatewayLine {
         phase: &phase.name,
         seconds: phase.length.as_secs_f64(),
@@ -358,6 +360,7 @@
         idle_bytes: idle.bytes,
         list_bytes: lists.bytes,
         taken_for_gone: losses,
+        mistaken,
     }
 }
 
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -640,8 +640,9 @@
         for (gateway, process) in &self.processes {
             let (fleet, all, _) = process.sample();
             let list_cpu = all.saturating_sub(fleet);
-            let losses = process.losses();
-            counts.insert(*gateway, Counts { fleet_cpu: fleet, list_cpu, losses, ..Counts::default() });
+            let (losses, mistaken) = process.losses();
+            let counted = Counts { fleet_cpu: fleet, list_cpu, losses, mistaken, ..Counts::default() };
+            counts.insert(*gateway, counted);
         }
         Ok(counts)
     }
