Read again: late bytes are let go, a loss counted twice is seen, replies are held against calls heard

Bytes of a late answer that cannot be used stayed until the next silence (bounded, 8 MiB). The same test held replies against calls over phases, which leave out what lies between them: it failed once of 3 runs beside a release build (line of `no reply without a call`). Change: Progress keeps its goal; the test asks for one loss of the dead one at each and none of a live one, with probes of 1 s in place of 0.4; replies are held against the calls heard by the same gateway in the same phase, which a turn keeps exactly. Watch::receive_late lets its bytes go.

--- a/crates/rig/src/scale/goal.rs
+++ b/crates/rig/src/scale/goal.rs
@@ -37,7 +37,9 @@
     configured: bool,
     /// The number of the goal that was set last, reached or not.
     last: usize,
+    /// It stays once it is reached, so that what it wants gone is known as such until the next.
     goal: Option<Arc<Goal>>,
+    told: bool,
     lacks: usize,
     /// Others that it has taken for gone, over its whole life.
     pub losses: u64,
@@ -57,6 +59,7 @@
             configured: false,
             last: 0,
             goal: None,
+            told: false,
             lacks: 0,
             losses: 0,
             mistaken: 0,
@@ -129,15 +132,17 @@
             return;
         }
         self.goal = Some(goal);
+        self.told = false;
         self.configured = false;
         self.lacks = (0..self.starts.len()).filter(|other| self.is_lacking(*other)).count();
     }
 
     /// The goal's number, once it has been reached; told once.
     pub fn reached(&mut self) -> Option<usize> {
-        let goal = self.goal.as_ref()?;
+        let goal = self.goal.as_ref().filter(|_| !self.told)?;
         let configured = self.configured || !goal.configuration;
         let reached = self.lacks == 0 && self.version >= goal.version && configured;
-        reached.then(|| self.goal.take().map(|goal| goal.id))?
+        self.told = reached;
+        reached.then_some(goal.id)
     }
 }
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -131,7 +131,7 @@
 #[test]
 fn lists_and_deaths_are_counted_and_budgets_judged() {
     let plan = plan(
-        "[run]\nhollow = 12\n[list]\nrouter = yes\n[events]\na = list 1\nb = primary\nc = configuration\nd = death\n\
+        "[run]\nhollow = 12\n[fleet]\nprobe_ms = 1000\n[list]\nrouter = yes\n[events]\na = list 1\nb = primary\nc = configuration\nd = death\n\
          [budgets]\ngateway.bytes_s = 1\ngateway.mb = 4096\nvoter.bytes_s = 1000000000\nlist.last_s = 0\n\
          death.last_s = 60\nrack.last_s = 60\n",
     );
@@ -153,18 +153,23 @@
         .collect();
     // Both are the whole list: 20 lines of some 150 bytes.
     assert!(lengths.iter().all(|length| (2_000..6_000).contains(length)), "{lengths:?}");
-    // Each of the others gives the dead one up, once. Live ones that a busy machine kept from answering are counted apart.
+    // Each of the others gives the dead one up, once, and nobody else.
     let rows = &phase(&outcome, "death").rows;
-    let given_up: Vec<u64> = rows.iter().map(|row| row.counts.losses - row.counts.mistaken).collect();
-    assert_eq!(given_up.iter().sum::<u64>(), 11, "{given_up:?}");
-    assert!(given_up.iter().all(|count| *count <= 1), "{given_up:?}");
+    let given_up: Vec<(u64, u64)> =
+        rows.iter().map(|row| (row.counts.losses - row.counts.mistaken, row.counts.mistaken)).collect();
+    assert_eq!(given_up.iter().map(|(dead, _)| dead).sum::<u64>(), 11, "{given_up:?}");
+    assert!(given_up.iter().all(|(dead, live)| *dead <= 1 && *live == 0), "{given_up:?}");
     // Whoever calls is heard: nothing else than membership, calls and replies is said, and each reply follows a call.
     let all = |kind: usize, sent: bool| -> u64 {
         let rows = outcome.phases.iter().flat_map(|phase| &phase.rows);
         rows.map(|row| if sent { row.counts.sent[kind] } else { row.counts.received[kind] }.messages).sum()
     };
     assert!(all(0, true) > 0 && all(1, true) > 0 && all(2, true) > 0);
-    assert!(all(2, true) <= all(1, true), "no reply without a call");
+    // A node replies in the turn in which it hears, and counts are taken between turns: so of each gateway in each phase.
+    for row in outcome.phases.iter().flat_map(|phase| &phase.rows) {
+        let (calls, replies) = (row.counts.received[1].messages, row.counts.sent[2].messages);
+        assert!(replies <= calls, "{replies} replies to {calls} calls of gateway {}", row.gateway);
+    }
     assert_eq!((all(3, true), all(3, false)), (0, 0), "nobody orders");
 
     let verdicts = verdicts(&plan, &outcome);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -317,8 +317,11 @@
     /// call after it asked for that as well, and the older one is of no use any more.
     pub fn receive_late(&mut self, bytes: &[u8], ended: bool) -> Result<Option<Listing>, BadAnswer> {
         self.late.extend_from_slice(bytes);
-        let Some(listing) = read_answer(&self.late, ended)? else { return Ok(None) };
+        // What cannot be used is not kept: nobody reads on.
+        let answer = read_answer(&self.late, ended).inspect_err(|_| self.late = Vec::new());
+        let Some(listing) = answer? else { return Ok(None) };
         if self.known.is_some_and(|known| listing.rev <= known) {
+            self.late = Vec::new();
             return Err(BadAnswer::NotNewer);
         }
         *self = Watch::from(Some(listing.rev));
