Tests of processes wait for the process itself, not for whoever listens on its port

Seen: ports are chosen free, given up, and bound by the process later; tests run side by side, so another test's listener may take one in between. The wait asked only whether anybody listened there, before it looked whether its own process had ended, so the other's listener counted, and once that was dropped the client was refused. Ruled out: an end of the process by its own (its log line 'listening' comes after all listeners are bound, and no other test of that run failed). The refusal itself was not seen again; the cause is shown by a test that holds the port: the old condition is true there (asserted), while the process has ended.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -32,31 +32,49 @@
     fn start(name: &str, sockets: usize, discovery: SocketAddr, known: Value) -> Process {
         loop {
             let mut process = Process::spawn(name, sockets, discovery, &known);
-            loop {
-                if listens(process.address) {
-                    return process;
-                }
-                // Its ports were free when they were chosen; somebody else may have taken them since.
-                if process.child.try_wait().expect("its own child").is_some() {
-                    break;
-                }
-                std::thread::sleep(PAUSE);
+            if process.comes_up() {
+                return process;
             }
         }
     }
 
     /// Starts one on ports that are free now.
     fn spawn(name: &str, sockets: usize, discovery: SocketAddr, known: &Value) -> Process {
-        let folder = std::env::temp_dir().join(format!("dunemount-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
         // Both ports are held until both are known.
         let (listen, door) = (local(), local());
         let (address, admin) = (listen.local_addr().expect("bound"), door.local_addr().expect("bound"));
+        drop((listen, door));
+        Process::spawn_at(address, admin, name, sockets, discovery, known)
+    }
+
+    /// Waits until it says itself that it listens. False if it has ended instead: its ports were free when they were
+    /// chosen, and somebody else may have taken one since. That somebody listens there says nothing of who does.
+    fn comes_up(&mut self) -> bool {
+        loop {
+            if self.log().contains("listening") {
+                return true;
+            }
+            if self.child.try_wait().expect("its own child").is_some() {
+                return false;
+            }
+            std::thread::sleep(PAUSE);
+        }
+    }
+
+    fn spawn_at(
+        address: SocketAddr,
+        admin: SocketAddr,
+        name: &str,
+        sockets: usize,
+        discovery: SocketAddr,
+        known: &Value,
+    ) -> Process {
+        let folder = std::env::temp_dir().join(format!("dunemount-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
         let config = json!({"name": name, "listen": address.to_string(), "admin_addr": admin.to_string(),
             "discovery": discovery.to_string(), "seed": "1f", "limits": {"sockets": sockets, "memory_mb": 48},
             "known": known, "settings": settings()});
         std::fs::write(folder.join("config.json"), config.to_string()).expect("written");
-        drop((listen, door));
         let limited = format!("ulimit -n {sockets} && exec \"$0\"");
         let child = Command::new("sh")
             .args(["-c", &limited, env!("CARGO_BIN_EXE_dunemount")])
@@ -99,6 +117,19 @@
     }
 }
 
+/// Guards the tests of this file against ports that another one takes between their choice and a start: whoever else
+/// listens there is not taken for the process, and one that ends for it is started anew.
+#[test]
+fn a_port_that_somebody_else_has_is_not_taken_for_a_process_that_is_up() {
+    let (other, door) = (local(), local());
+    let (address, admin) = (other.local_addr().expect("bound"), door.local_addr().expect("bound"));
+    drop(door);
+    let known = listing(&[Host::new().address()]);
+    let mut process = Process::spawn_at(address, admin, "taken", 200, address, &known);
+    assert!(listens(address), "somebody does");
+    assert!(!process.comes_up(), "{}", process.log());
+}
+
 /// Guards a discovery that is down while idle clients fill all descriptors that clients may have: when it returns the
 /// list is taken in, the host that it names can be dialled, and a new client gets in and is served.
 #[test]
@@ -148,13 +179,10 @@
     let mut gateways: Vec<Process> =
         (0..12).map(|index| Process::spawn(&format!("start{index}"), 200, place, &known)).collect();
     for (index, line) in silent.iter().enumerate() {
-        while !listens(gateways[index].address) {
-            // Somebody else took its port: it starts once more.
-            if gateways[index].child.try_wait().expect("its own child").is_some() {
-                gateways[index].folder = PathBuf::new();
-                gateways[index] = Process::spawn(&format!("start{index}"), 200, place, &known);
-            }
-            std::thread::sleep(PAUSE);
+        while !gateways[index].comes_up() {
+            // It starts once more, in the folder where its line is.
+            gateways[index].folder = PathBuf::new();
+            gateways[index] = Process::spawn(&format!("start{index}"), 200, place, &known);
         }
         let gateway = &gateways[index];
         let mut client = gateway.client();
