The test of clients that are gone stops the process, so that the end lies behind the bytes

Cause, seen: the test wrote a request and then the end, and the gateway could look between both; an attempt then begins rightly and is called off while its connection comes up.

Change: the test moves to tests/processes.rs, where the process is stopped while bytes and end are written, and goes on once the system says that the end has arrived (FIN_WAIT2). Name, three forms and assertions are as they were.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -17,42 +17,7 @@
     talk.socket.shutdown(Shutdown::Both).expect("a socket");
 }
 
-/// Guards hosts against work for nobody: a client whose end lies in its socket begins no attempt, whether it left
-/// right behind its request, in the middle of one, or behind far more bytes than are read. The gateway is shown to
-/// be through with it by another client that is served after it.
-#[test]
-fn a_client_that_is_gone_when_its_request_is_read_begins_no_attempt() {
-    let host = Host::new();
-    let rig = gateway(&[&host], 1);
-    let mut whole = Vec::new();
-    codec::query(&mut whole, &read("gone"));
-    let half = whole[..whole.len() - 1].to_vec();
-    let mut flood = whole.clone();
-    // More than a turn reads, less than a message may have: the end lies behind it.
-    codec::query(&mut flood, &"x".repeat(100_000));
-    for bytes in [whole, half, flood] {
-        let mut hello = Vec::new();
-        codec::startup(&mut hello, "app", "shop");
-        hello.extend_from_slice(&bytes);
-        let mut socket = TcpStream::connect(rig.address).expect("accepted by the system");
-        // All in one go with the end behind it, before the gateway has greeted.
-        socket.write_all(&hello).expect("written");
-        socket.shutdown(Shutdown::Write).expect("a socket");
-        let _ = socket.read_to_end(&mut Vec::new());
-    }
-    let mut other = rig.client();
-    other.ask(&read("here"));
-    let mut link = host.welcomed();
-    let asked = link.asked().expect("an attempt");
-    assert!(asked.contains("'here'"), "{asked}");
-    link.say(&answer("master", None));
-    assert_eq!(other.answer().len(), 4);
-    drop(link);
-    assert_eq!(figure(rig.admin, "responses.look.tries"), 1);
-    rig.end();
-}
-
-/// Guards the same where the client leaves while its attempt's connection comes up: the greeting and the end are both
+/// Guards hosts against work for nobody where the client leaves while its attempt's connection comes up: the greeting and the end are both
 /// there when the gateway looks, and nothing is written.
 #[test]
 fn a_client_that_leaves_while_its_connection_comes_up_is_not_sent_on() {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -193,6 +193,56 @@
     drop(discovery);
 }
 
+/// Guards hosts against work for nobody: a client whose end lies in its socket begins no attempt, whether it left
+/// right behind its request, in the middle of one, or behind far more bytes than are read. The gateway is shown to
+/// be through with it by another client that is served after it.
+#[test]
+fn a_client_that_is_gone_when_its_request_is_read_begins_no_attempt() {
+    let (host, discovery) = (Host::new(), local());
+    let place = discovery.local_addr().expect("bound");
+    let gateway = Process::start("left", 200, place, listing(&[host.address()]));
+    let mut whole = Vec::new();
+    codec::query(&mut whole, &read("gone"));
+    let half = whole[..whole.len() - 1].to_vec();
+    let mut flood = whole.clone();
+    // More than a turn reads, less than a message may have: the end lies behind it.
+    codec::query(&mut flood, &"x".repeat(100_000));
+    for bytes in [whole, half, flood] {
+        let mut hello = Vec::new();
+        codec::startup(&mut hello, "app", "shop");
+        hello.extend_from_slice(&bytes);
+        // Stopped, it cannot look between the bytes and the end behind them.
+        gateway.signal(Signal::STOP);
+        let mut socket = TcpStream::connect(gateway.address).expect("accepted by the system");
+        socket.write_all(&hello).expect("written");
+        socket.shutdown(Shutdown::Write).expect("a socket");
+        while !is_end_acknowledged(&socket) {
+            std::thread::sleep(PAUSE);
+        }
+        gateway.signal(Signal::CONT);
+        let _ = socket.read_to_end(&mut Vec::new());
+    }
+    let mut other = gateway.client();
+    other.ask(&read("here"));
+    let mut link = host.welcomed();
+    let asked = link.asked().expect("an attempt");
+    assert!(asked.contains("'here'"), "{asked}");
+    link.say(&answer("master", None));
+    assert_eq!(other.answer().len(), 4);
+    drop(link);
+    assert_eq!(figure(gateway.admin, "responses.look.tries"), 1);
+}
+
+/// Whether the other side's system has the end that this socket has sent, read or not: `FIN_WAIT2` in `/proc/net/tcp`.
+fn is_end_acknowledged(socket: &TcpStream) -> bool {
+    let port = format!(":{:04X}", socket.local_addr().expect("bound").port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+    table.lines().any(|line| {
+        let mut words = line.split_whitespace().skip(1);
+        words.next().is_some_and(|own| own.ends_with(&port)) && words.nth(1) == Some("05")
+    })
+}
+
 /// Guards hosts against work for nobody where the request and its client's end are both there at the first look, and
 /// a connection to the host is open already: nothing is written on it.
 #[test]
