--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod lease;
 pub mod member;
 pub mod node;
+pub mod record;
 pub mod register;
 pub mod round;
 pub mod voter;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -13,6 +13,7 @@
 use crate::frame::{self, Bad, Kind};
 use crate::lease::{Change, Electorate, Seat, Terms};
 use crate::member::{self, Membership, Pace, Peer};
+use crate::record::Outcome;
 use crate::register::*;
 use crate::round::{Admission, Event as Told};
 use crate::voter::{Step, Voter};
@@ -77,6 +78,8 @@
     Refused(Order, Refused),
     /// This process's voter has been let in.
     VoterIn,
+    /// What a look at a register, or a change of it, has come to.
+    Record(Key, Outcome),
 }
 
 /// How often something was dropped.
@@ -202,6 +205,24 @@
         true
     }
 
+    /// Looks what a register holds; then [`Event::Record`] tells. Nothing happens while a change of it is under way.
+    pub fn look(&mut self, now: Duration, key: &str) {
+        let _ = (now, key);
+        todo!()
+    }
+
+    /// Begins to change a register that is no role's; then [`Event::Record`] tells. A look under way is given up.
+    pub fn change(&mut self, now: Duration, key: &str) {
+        let _ = (now, key);
+        todo!()
+    }
+
+    /// After [`Outcome::Promised`]: what the register is to hold, or none to leave it as it is.
+    pub fn propose(&mut self, now: Duration, key: &str, value: Option<Value>) {
+        let _ = (now, key, value);
+        todo!()
+    }
+
     /// Leaves in good order: roles are given back, and the others are told. The datagrams have to be sent, and time
     /// given to [`Node::tick`] until [`Node::has_left`].
     pub fn leave(&mut self, now: Duration) {
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -225,6 +225,7 @@
                     warn!(self.log, "fleet: order refused"; "why" => ?why, "epoch" => order.epoch, "role" => order.role);
                 }
                 Event::VoterIn => info!(self.log, "fleet: the voter is let in"),
+                Event::Record(..) => {}
             }
         }
     }
