Fleet: looks that tell only what was chosen, and changes of a register that is no role's

Cause: the roles' seats trust the latest accepted ballot of a majority, which need not be chosen; a configuration's version has to be. Change: a state machine beside Seat (record.rs) and Node::look, change and propose. A look whose majority does not agree is repaired by a change round that proposes the same value.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -371,7 +371,7 @@
         electorate.note(&event);
         electorate.stamps.book(&electorate.view, reply);
         match (event, purpose) {
-            (Event::Read(ballot, value), _) => self.looked(now, ballot, value.as_deref()),
+            (Event::Read { ballot, value, .. }, _) => self.looked(now, ballot, value.as_deref()),
             (Event::Prepared(value), Some(purpose)) => self.prepared(now, value, purpose, dice, out),
             (Event::Chosen(value), Some(purpose)) => self.chosen(now, &value, purpose),
             (Event::Outbid(by), _) => {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -13,16 +13,21 @@
 use crate::frame::{self, Bad, Kind};
 use crate::lease::{Change, Electorate, Seat, Terms};
 use crate::member::{self, Membership, Pace, Peer};
-use crate::record::Outcome;
+use crate::record::{Outcome, Record};
 use crate::register::*;
 use crate::round::{Admission, Event as Told};
 use crate::voter::{Step, Voter};
 
 /// So many members, by rank, look after a role; the others leave the voters alone.
 const CANDIDATES: usize = 3;
+/// Most registers, other than the roles', that a process looks at or changes.
+pub const MOST_RECORDS: usize = 4;
 /// Longest body of an order, in bytes.
 pub const LONGEST_ORDER: usize = 1_024;
 
+/// What is told of a look or a change that does not begin.
+const NOT_BEGUN: Outcome = Outcome::Failed { proposed: false, no_majority: false };
+
 /// What a process is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -103,6 +108,8 @@
     members: Membership,
     voter: Option<Voter>,
     seats: BTreeMap<Key, Seat>,
+    /// Registers that are no role's. None goes before the process does, so that no ballot is used again.
+    records: BTreeMap<Key, Record>,
     electorate: Electorate,
     admission: Option<(Admission, Duration)>,
     fence: Fence,
@@ -129,6 +136,7 @@
             was_blank: voter.as_ref().is_some_and(Voter::is_blank),
             voter,
             seats: BTreeMap::new(),
+            records: BTreeMap::new(),
             electorate,
             admission: None,
             fence: Fence::default(),
@@ -188,8 +196,9 @@
     /// When [`Node::tick`] has something to do next.
     pub fn due(&self) -> Duration {
         let seats = self.seats.values().map(Seat::due);
+        let records = self.records.values().filter_map(Record::due);
         let admission = self.admission.iter().map(|(_, at)| *at);
-        seats.chain(admission).fold(self.members.due(), Duration::min)
+        seats.chain(records).chain(admission).fold(self.members.due(), Duration::min)
     }
 
     /// Orders something in a role, at this moment. False if this process may not (any more): whoever has taken time
@@ -205,22 +214,61 @@
         true
     }
 
-    /// Looks what a register holds; then [`Event::Record`] tells. Nothing happens while a change of it is under way.
+    /// Looks what a register holds; then [`Event::Record`] tells. Nothing happens while a look or a change of it is under
+    /// way. Told at once to have failed: of a role's register, of more than [`MOST_RECORDS`], and while leaving.
     pub fn look(&mut self, now: Duration, key: &str) {
-        let _ = (now, key);
-        todo!()
+        if let Some(record) = self.record(key) {
+            record.look();
+            self.carry_records(now);
+        }
     }
 
-    /// Begins to change a register that is no role's; then [`Event::Record`] tells. A look under way is given up.
+    /// Begins to change a register that is no role's; then [`Event::Record`] tells. A look under way is given up. Told at
+    /// once to have failed where [`Node::look`] is.
     pub fn change(&mut self, now: Duration, key: &str) {
-        let _ = (now, key);
-        todo!()
+        if let Some(record) = self.record(key) {
+            record.change();
+            self.carry_records(now);
+        }
     }
 
-    /// After [`Outcome::Promised`]: what the register is to hold, or none to leave it as it is.
+    /// After [`Outcome::Promised`]: what the register is to hold, or none to leave it as it is. A value of more than
+    /// [`LONGEST_VALUE`] bytes is none, and told to have failed.
     pub fn propose(&mut self, now: Duration, key: &str, value: Option<Value>) {
-        let _ = (now, key, value);
-        todo!()
+        let Some(record) = self.records.get_mut(key) else { return };
+        let mut calls = Vec::new();
+        let too_long = value.as_ref().is_some_and(|value| value.len() > LONGEST_VALUE);
+        record.propose(now, value.filter(|_| !too_long), &mut calls);
+        if too_long {
+            self.events.push_back(Event::Record(key.to_string(), NOT_BEGUN));
+        }
+        self.call(calls);
+    }
+
+    /// A register's record, if one may be begun.
+    fn record(&mut self, key: &str) -> Option<&mut Record> {
+        // A seat and a record of one process would use the same ballots in a role's register.
+        let role = self.settings.roles.iter().any(|role| role == key) || self.seats.contains_key(key);
+        let full = self.records.len() >= MOST_RECORDS && !self.records.contains_key(key);
+        if role || full || self.leaving || key.len() > LONGEST_KEY {
+            self.events.push_back(Event::Record(key.to_string(), NOT_BEGUN));
+            return None;
+        }
+        let (me, terms) = (self.settings.me.node(), self.settings.terms);
+        Some(self.records.entry(key.to_string()).or_insert_with(|| Record::new(me, key.to_string(), terms)))
+    }
+
+    /// Lets time act on the records.
+    fn carry_records(&mut self, now: Duration) {
+        let (mut calls, mut events) = (Vec::new(), Vec::new());
+        for (key, record) in &mut self.records {
+            if record.due().is_some_and(|due| due <= now) {
+                let outcome = record.tick(now, &mut self.electorate, &mut self.dice, &mut calls);
+                events.extend(outcome.map(|outcome| Event::Record(key.clone(), outcome)));
+            }
+        }
+        self.events.extend(events);
+        self.call(calls);
     }
 
     /// Leaves in good order: roles are given back, and the others are told. The datagrams have to be sent, and time
@@ -354,6 +402,10 @@
             let change = seat.hear(now, reply, &mut self.electorate, &mut self.dice, &mut calls);
             events.extend(change.map(|change| Event::Role(role.clone(), change)));
         }
+        for (key, record) in &mut self.records {
+            let outcome = record.hear(now, reply, &mut self.electorate, &mut self.dice, &mut calls);
+            events.extend(outcome.map(|outcome| Event::Record(key.clone(), outcome)));
+        }
         self.events.extend(events);
         self.call(calls);
     }
@@ -362,6 +414,7 @@
     pub fn tick(&mut self, now: Duration) {
         self.members.tick(now);
         self.carry_members();
+        self.carry_records(now);
         let mut calls = Vec::new();
         let ranks: Vec<Option<u32>> = self.settings.roles.iter().map(|role| self.rank(role)).collect();
         for (role, rank) in self.settings.roles.clone().into_iter().zip(ranks) {
--- a/crates/fleet/src/round.rs
+++ b/crates/fleet/src/round.rs
@@ -42,8 +42,15 @@
 pub enum Event {
     /// Nothing yet.
     None,
-    /// What a majority has accepted last, in a look. It need not be chosen.
-    Read(Ballot, Option<Value>),
+    /// What a majority has accepted last, in a look.
+    Read {
+        /// The ballot of the value.
+        ballot: Ballot,
+        /// The latest that any of the majority has accepted.
+        value: Option<Value>,
+        /// All of the majority have accepted just this, so that it was chosen; else it need not be.
+        agreed: bool,
+    },
     /// A majority has promised, and this is the register's value: call [`Round::propose`].
     Prepared(Option<Value>),
     /// The register holds the proposed value.
@@ -110,6 +117,11 @@
         slots.map(|slot| (slot, call.clone())).collect()
     }
 
+    /// Whether a majority has promised, and [`Round::propose`] is waited for.
+    pub fn is_prepared(&self) -> bool {
+        self.phase == Phase::Asking
+    }
+
     /// Says what the register is to hold, after [`Event::Prepared`].
     pub fn propose(&mut self, value: Value) {
         if self.phase == Phase::Asking {
@@ -149,11 +161,13 @@
                     return Event::None;
                 }
                 let latest = told.values().max_by_key(|(accepted, _)| *accepted).cloned();
+                let agreed =
+                    told.values().all(|told| latest.as_ref().is_some_and(|(ballot, _)| told.0 == *ballot));
                 let (ballot, value) = latest.unwrap_or_default();
                 match std::mem::replace(&mut self.phase, Phase::Asking) {
                     Phase::Reading(_) => {
                         self.phase = Phase::Over;
-                        Event::Read(ballot, value)
+                        Event::Read { ballot, value, agreed }
                     }
                     _ => Event::Prepared(value),
                 }
--- a/crates/fleet/tests/nodes.rs
+++ b/crates/fleet/tests/nodes.rs
@@ -156,7 +156,7 @@
                 Event::Order(order, _) => self.obeyed.push((index, order.role, order.epoch)),
                 Event::Refused(..) => self.refused += 1,
                 Event::VoterIn => self.let_in += 1,
-                Event::Role(..) | Event::Member(_) => {}
+                Event::Role(..) | Event::Member(_) | Event::Record(..) => {}
             }
         }
     }
