--- a/crates/rollout/src/version.rs
+++ b/crates/rollout/src/version.rs
@@ -3,13 +3,19 @@
 use std::fmt;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 
 /// Longest document, in bytes.
 pub const LONGEST_DOCUMENT: usize = 256 * 1024;
 /// Versions that a ledger names: whoever proposed one finds it there as long as fewer others came after it.
 pub const NAMED: usize = 8;
 
+/// First bytes of a document's file: what it is, and the version of its form.
+const MAGIC: &[u8; 8] = b"DMCONF\x00\x01";
+/// Form of a ledger, its first byte.
+const LEDGER: u8 = 1;
+
 /// SHA-256 of a document (FIPS 180-4).
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Digest(pub [u8; 32]);
@@ -17,8 +23,7 @@
 impl Digest {
     /// A document's digest.
     pub fn of(document: &[u8]) -> Digest {
-        let _ = document;
-        todo!()
+        Digest(Sha256::digest(document).into())
     }
 }
 
@@ -44,6 +49,12 @@
     pub digest: Digest,
 }
 
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.number, self.digest)
+    }
+}
+
 /// A version with its bytes, which fit its digest.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Document {
@@ -54,8 +65,8 @@
 impl Document {
     /// A version with its bytes; none if they do not fit its digest or are too many.
     pub fn of(version: Version, bytes: Arc<[u8]>) -> Option<Document> {
-        let _ = (version, bytes);
-        todo!()
+        let fits = version.number > 0 && bytes.len() <= LONGEST_DOCUMENT;
+        (fits && Digest::of(&bytes) == version.digest).then_some(Document { version, bytes })
     }
 
     /// The version.
@@ -70,7 +81,7 @@
 
     /// As it is kept on a disk.
     pub fn file(&self) -> Vec<u8> {
-        todo!()
+        seal(MAGIC, &(self.version, &self.bytes))
     }
 
     /// Reads [`Document::file`].
@@ -78,11 +89,48 @@
     /// # Errors
     /// Why the bytes are no such file, in words for the operator.
     pub fn read(file: &[u8]) -> Result<Document, String> {
-        let _ = file;
-        todo!()
+        let (version, bytes) = unseal(MAGIC, file)?;
+        Document::of(version, bytes).ok_or_else(|| "the document does not fit its version".to_string())
     }
 }
 
+/// A file's bytes: what it is and its form, the length of what is inside, its SHA-256, and what is inside.
+pub(crate) fn seal(magic: &[u8; 8], inside: &impl Serialize) -> Vec<u8> {
+    // Writing into a vector cannot fail.
+    let body = postcard::to_stdvec(inside).unwrap_or_default();
+    let mut file = magic.to_vec();
+    file.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    file.extend_from_slice(&Digest::of(&body).0);
+    file.extend_from_slice(&body);
+    file
+}
+
+/// Reads what [`seal`] has made, whole: a file that is cut off or spoilt is no file.
+pub(crate) fn unseal<T: DeserializeOwned>(magic: &[u8; 8], file: &[u8]) -> Result<T, String> {
+    let (found, rest) = file.split_first_chunk::<8>().ok_or("cut off")?;
+    if found[..7] != magic[..7] {
+        return Err("not a file of this kind".to_string());
+    }
+    if found != magic {
+        return Err(format!("of form {}, which this program does not know", found[7]));
+    }
+    let (length, rest) = rest.split_first_chunk::<4>().ok_or("cut off")?;
+    let (digest, body) = rest.split_first_chunk::<32>().ok_or("cut off")?;
+    let length = u32::from_be_bytes(*length) as usize;
+    if body.len() < length {
+        return Err("cut off".to_string());
+    }
+    if body.len() > length || Digest::of(body).0 != *digest {
+        return Err("the checksum does not fit".to_string());
+    }
+    whole(body).ok_or_else(|| "what is inside cannot be read".to_string())
+}
+
+/// Reads a value that takes all the bytes.
+pub(crate) fn whole<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    postcard::take_from_bytes(bytes).ok().filter(|(_, rest)| rest.is_empty()).map(|(value, _)| value)
+}
+
 /// What the register holds: the last versions, and which proposal each came from.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -93,13 +141,22 @@
 impl Ledger {
     /// Reads a register's value; none has no versions. An unreadable one, of a later form say, is not to be written over.
     pub fn read(value: Option<&[u8]>) -> Option<Ledger> {
-        let _ = value;
-        todo!()
+        let Some(value) = value else { return Some(Ledger::default()) };
+        let (form, rest) = value.split_first()?;
+        let ledger: Ledger = (*form == LEDGER).then(|| whole(rest))??;
+        let rises = ledger.entries.windows(2).all(|pair| pair[0].0.number < pair[1].0.number);
+        let first = ledger.entries.first().is_none_or(|(version, _)| version.number > 0);
+        // Behind the last number there is none to give.
+        let last = ledger.entries.last().is_none_or(|(version, _)| version.number < u64::MAX);
+        (rises && first && last && ledger.entries.len() <= NAMED).then_some(ledger)
     }
 
-    /// What the register is to hold: fits into [1,024 bytes].
+    /// What the register is to hold: 418 bytes at most.
     pub fn write(&self) -> Vec<u8> {
-        todo!()
+        let mut value = vec![LEDGER];
+        // Writing into a vector cannot fail.
+        value.extend(postcard::to_stdvec(self).unwrap_or_default());
+        value
     }
 
     /// The newest version.
@@ -115,7 +172,10 @@
     /// With one version more, numbered behind the newest. The one place where a number is given.
     #[must_use]
     pub fn with(&self, digest: Digest, proposal: u64) -> Ledger {
-        let _ = (digest, proposal);
-        todo!()
+        let number = self.newest().map_or(0, |version| version.number).saturating_add(1);
+        let old = self.entries.len().saturating_sub(NAMED - 1);
+        let mut entries = self.entries[old..].to_vec();
+        entries.push((Version { number, digest }, proposal));
+        Ledger { entries }
     }
 }
--- a/crates/rollout/src/wire.rs
+++ b/crates/rollout/src/wire.rs
@@ -5,13 +5,19 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::version::{Digest, Document, Version};
+use crate::version::{whole, Digest, Document, Version, LONGEST_DOCUMENT};
 
 /// The form of the messages; another one is not talked to.
 pub const FORM: u8 = 1;
-/// Longest message, in bytes: a status of all gateways, or a document with what stands beside it.
-pub const LONGEST: usize = 512 * 1024;
-/// Most gateways in a status.
+/// Longest message, in bytes: a status of all gateways and members, which are the most that it names.
+pub const LONGEST: usize = 768 * 1024;
+/// Longest name of a fleet, a process or a zone, in bytes.
+pub const LONGEST_NAME: usize = 64;
+/// Longest [`Refusal::why`], in bytes.
+pub const LONGEST_WHY: usize = 256;
+/// Longest reason that the tool is told, in bytes.
+pub const LONGEST_ANSWER: usize = 2_048;
+/// Most gateways in a status, and most members.
 pub const MOST_GATEWAYS: usize = 1_024;
 
 /// Who begins a connection.
@@ -152,10 +158,65 @@
     Senseless,
 }
 
-/// A message's frame.
+/// Cuts words for the operator down to so many bytes, between two characters.
+pub(crate) fn cut(mut words: String, longest: usize) -> String {
+    let mut end = longest.min(words.len());
+    while !words.is_char_boundary(end) {
+        end -= 1;
+    }
+    words.truncate(end);
+    words
+}
+
+impl Message {
+    /// Whether everything in it is within its bounds.
+    fn fits(&self) -> bool {
+        let name = |name: &String| name.len() <= LONGEST_NAME;
+        let refusal = |refused: &Option<Refusal>| refused.as_ref().is_none_or(|r| r.why.len() <= LONGEST_WHY);
+        match self {
+            Message::Hello(Hello { fleet, who, .. }) => {
+                name(fleet)
+                    && match who {
+                        Who::Gateway { name: own, zone } => name(own) && name(zone),
+                        Who::Control { name: own } => name(own),
+                        Who::Tool => true,
+                    }
+            }
+            Message::InForce { refused, .. } => refusal(refused),
+            Message::Newest(_, bytes)
+            | Message::Given(_, bytes)
+            | Message::Keep(bytes)
+            | Message::Put(bytes) => bytes.len() <= LONGEST_DOCUMENT,
+            Message::NotAccepted { why, .. } | Message::NotShown(why) => why.len() <= LONGEST_ANSWER,
+            Message::Status(status) => {
+                let seen = |seen: &Seen| name(&seen.name) && name(&seen.zone) && refusal(&seen.refused);
+                let count = |count: usize| count <= MOST_GATEWAYS;
+                name(&status.name)
+                    && name(&status.zone)
+                    && count(status.peers.len())
+                    && count(status.gateways.len())
+                    && count(status.members.len())
+                    && status.peers.iter().chain(&status.members).all(name)
+                    && status.gateways.iter().all(seen)
+            }
+            Message::Alive { .. }
+            | Message::Kept(_)
+            | Message::Chosen(_)
+            | Message::Want(_)
+            | Message::Accepted(_)
+            | Message::Show(_)
+            | Message::Ask => true,
+        }
+    }
+}
+
+/// A message's frame. One that is not within its bounds is closed upon by whoever gets it.
 pub fn frame(message: &Message) -> Arc<[u8]> {
-    let _ = message;
-    todo!()
+    // Writing into a vector cannot fail.
+    let body = postcard::to_stdvec(message).unwrap_or_default();
+    let mut frame = (body.len() as u32).to_be_bytes().to_vec();
+    frame.extend_from_slice(&body);
+    frame.into()
 }
 
 /// What a version is shown as, whoever asks: the answer to [`Message::Show`].
@@ -164,13 +225,32 @@
 }
 
 /// Bytes of a connection that are no whole frame yet, at most [`LONGEST`] and a read's.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Inbox {
     bytes: Vec<u8>,
+    /// So many of them have been read.
+    read: usize,
+    longest: usize,
+}
+
+impl Default for Inbox {
+    fn default() -> Self {
+        Inbox::of(LONGEST)
+    }
 }
 
 impl Inbox {
-    /// Takes bytes in.
+    /// For frames of so many bytes at most: whoever has no long messages to send takes no room for them.
+    pub fn of(longest: usize) -> Inbox {
+        Inbox { bytes: Vec::new(), read: 0, longest: longest.min(LONGEST) }
+    }
+
+    /// From now on, frames of so many bytes at most.
+    pub fn limit(&mut self, longest: usize) {
+        self.longest = longest.min(LONGEST);
+    }
+
+    /// Takes bytes in. [`Inbox::next`] has to be called after it until nothing is left.
     pub fn push(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
     }
@@ -180,6 +260,24 @@
     /// # Errors
     /// The connection makes no sense, and is to be closed.
     pub fn next(&mut self) -> Result<Option<Message>, Bad> {
-        todo!()
+        let rest = self.bytes.get(self.read..).unwrap_or_default();
+        let Some((length, rest)) = rest.split_first_chunk::<4>() else { return Ok(self.wait()) };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > self.longest {
+            return Err(Bad::TooLong);
+        }
+        let Some(body) = rest.get(..length) else { return Ok(self.wait()) };
+        self.read += 4 + length;
+        whole(body).filter(Message::fits).map(Some).ok_or(Bad::Senseless)
+    }
+
+    /// What has been read goes; what is left waits for more.
+    fn wait(&mut self) -> Option<Message> {
+        self.bytes.drain(..self.read);
+        self.read = 0;
+        if self.bytes.is_empty() {
+            self.bytes.shrink_to(4_096);
+        }
+        None
     }
 }
