--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -493,6 +493,7 @@
     }
 
     /// What is to be done next.
+    #[allow(clippy::should_implement_trait)] // It may have more later.
     pub fn next(&mut self) -> Option<Out> {
         self.out.pop_front()
     }
--- a/crates/rollout/src/wire.rs
+++ b/crates/rollout/src/wire.rs
@@ -259,6 +259,7 @@
     ///
     /// # Errors
     /// The connection makes no sense, and is to be closed.
+    #[allow(clippy::should_implement_trait)] // It may have more later.
     pub fn next(&mut self) -> Result<Option<Message>, Bad> {
         let rest = self.bytes.get(self.read..).unwrap_or_default();
         let Some((length, rest)) = rest.split_first_chunk::<4>() else { return Ok(self.wait()) };
