Fleet: looks and changes of a register are played over bad links, with a variant that is found out

Cause: Record had no tests. Change: tests/records.rs: several processes look and change in virtual time while links lose and cut; every word told is held against those told before it was asked for. Whole nodes once, and what begins at all.

--- /dev/null
+++ b/crates/fleet/tests/records.rs
@@ -0,0 +1,521 @@
+//! Looks at a register and changes of it by several processes, in virtual time, over links that lose and cut: what is told
+//! never contradicts what was told before.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dunemount_fleet::lease::{Electorate, Terms};
+use dunemount_fleet::member::{Pace, Peer};
+use dunemount_fleet::node::{Disk, Event, Node, Settings, MOST_RECORDS};
+use dunemount_fleet::record::{Outcome, Record};
+use dunemount_fleet::register::*;
+use dunemount_fleet::round::{Event as Told, Round, Stamps};
+use dunemount_fleet::voter::{Step, Voter};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const KEY: &str = "config/version";
+const STEP: Duration = Duration::from_millis(5);
+const TERMS: Terms =
+    Terms { length: Duration::from_secs(3), drift: 0.05, resend: Duration::from_millis(150) };
+
+enum Post {
+    Ask { from: usize, call: Call, voter: usize },
+    Reply { to: usize, reply: Reply },
+}
+
+struct Process {
+    record: Record,
+    electorate: Electorate,
+    /// A look that trusts the latest that a majority has accepted, when it began, and when it is given up.
+    trusting: Option<(Round, Duration)>,
+    /// A change that it wants: a number that no other has, and whether it was proposed.
+    wants: Option<u8>,
+    /// When it proposed last.
+    proposed: Duration,
+    busy: bool,
+}
+
+/// What was told to whom: it was asked for at the first time, and told at the second.
+#[derive(Debug)]
+struct Word {
+    asked: Duration,
+    told: Duration,
+    value: Value,
+}
+
+struct World {
+    now: Duration,
+    voters: Vec<Voter>,
+    processes: Vec<Process>,
+    queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
+    posts: Vec<Option<Post>>,
+    cut: BTreeSet<(usize, usize)>,
+    loss: f64,
+    dice: Pcg64Mcg,
+    words: Vec<Word>,
+    outcomes: Vec<(usize, Outcome)>,
+    changes: u8,
+}
+
+impl World {
+    fn new(count: usize, seed: u64) -> World {
+        let process = |index: usize| Process {
+            record: Record::new(NodeId(index as u64 + 1), KEY.to_string(), TERMS),
+            electorate: Electorate::of(3, (index as u64 + 1) << 32),
+            trusting: None,
+            wants: None,
+            proposed: Duration::ZERO,
+            busy: false,
+        };
+        World {
+            now: Duration::ZERO,
+            voters: (0..3).map(|slot| Voter::founding(Slot(slot))).collect(),
+            processes: (0..count).map(process).collect(),
+            queue: BinaryHeap::new(),
+            posts: Vec::new(),
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            dice: Pcg64Mcg::seed_from_u64(seed),
+            words: Vec::new(),
+            outcomes: Vec::new(),
+            changes: 0,
+        }
+    }
+
+    fn part(&mut self) -> f64 {
+        f64::from(self.dice.next_u32()) / f64::from(u32::MAX)
+    }
+
+    fn post(&mut self, from: usize, voter: usize, post: Post) {
+        if self.cut.contains(&(from, voter)) || self.part() < self.loss {
+            return;
+        }
+        let delay = Duration::from_millis(1).mul_f64(1.0 + 40.0 * self.part());
+        self.posts.push(Some(post));
+        self.queue.push(Reverse((self.now + delay, self.posts.len() as u64, self.posts.len() - 1)));
+    }
+
+    fn send(&mut self, from: usize, calls: Vec<(Slot, Call)>) {
+        for (slot, call) in calls {
+            let voter = usize::from(slot.0);
+            self.post(from, voter, Post::Ask { from, call, voter });
+        }
+    }
+
+    fn look(&mut self, index: usize, trusting: bool) {
+        let now = self.now;
+        let process = &mut self.processes[index];
+        if trusting {
+            let (nonce, view) = (process.electorate.nonce(), process.electorate.view.clone());
+            let round = Round::look(KEY.to_string(), view, nonce, 3, Stamps::default());
+            let calls = round.calls();
+            process.trusting = Some((round, now));
+            return self.send(index, calls);
+        }
+        process.record.look();
+    }
+
+    fn change(&mut self, index: usize) {
+        self.changes += 1;
+        self.processes[index].wants = Some(self.changes);
+        self.processes[index].record.change();
+    }
+
+    fn told(&mut self, index: usize, outcome: Outcome) {
+        self.outcomes.push((index, outcome.clone()));
+        let now = self.now;
+        let process = &mut self.processes[index];
+        match outcome {
+            Outcome::Holds(value, asked) => {
+                process.busy = false;
+                self.words.push(Word { asked, told: now, value: value.unwrap_or_default() });
+            }
+            Outcome::Promised(value) => {
+                let mut value = value.unwrap_or_default();
+                let wants = process.wants.expect("a change");
+                if !value.contains(&wants) {
+                    value.push(wants);
+                }
+                let mut calls = Vec::new();
+                process.proposed = now;
+                process.record.propose(now, Some(value), &mut calls);
+                self.send(index, calls);
+            }
+            Outcome::Chosen(value) => {
+                process.busy = false;
+                process.wants = None;
+                // It was chosen some time since.
+                let asked = process.proposed;
+                self.words.push(Word { asked, told: now, value });
+            }
+            Outcome::Failed { .. } => {
+                process.busy = false;
+                if process.wants.is_some() {
+                    process.busy = true;
+                    process.record.change();
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, lasts: Duration) {
+        let until = self.now + lasts;
+        while self.now < until {
+            self.now += STEP;
+            while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= self.now) {
+                let Some(Reverse((_, _, post))) = self.queue.pop() else { break };
+                match self.posts[post].take() {
+                    Some(Post::Ask { from, call, voter }) => {
+                        let reply = match self.voters[voter].ask(call) {
+                            Step::Reply(reply) => reply,
+                            Step::Store(pending) => pending.stored(),
+                        };
+                        self.post(from, voter, Post::Reply { to: from, reply });
+                    }
+                    Some(Post::Reply { to, reply }) => self.hear(to, &reply),
+                    None => {}
+                }
+            }
+            for index in 0..self.processes.len() {
+                let process = &mut self.processes[index];
+                if process.trusting.as_ref().is_some_and(|(_, asked)| self.now >= *asked + TERMS.resend * 4) {
+                    (process.trusting, process.busy) = (None, false);
+                }
+                if process.record.due().is_some_and(|due| due <= self.now) {
+                    let mut calls = Vec::new();
+                    let Process { record, electorate, .. } = process;
+                    let outcome = record.tick(self.now, electorate, &mut self.dice, &mut calls);
+                    self.send(index, calls);
+                    outcome.into_iter().for_each(|outcome| self.told(index, outcome));
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, index: usize, reply: &Reply) {
+        let now = self.now;
+        let process = &mut self.processes[index];
+        if let Some((round, asked)) = &mut process.trusting {
+            if let Told::Read { value, .. } = round.hear(reply) {
+                let word = Word { asked: *asked, told: now, value: value.unwrap_or_default() };
+                (process.trusting, process.busy) = (None, false);
+                self.words.push(word);
+            }
+        }
+        let mut calls = Vec::new();
+        let Process { record, electorate, .. } = &mut self.processes[index];
+        let outcome = record.hear(now, reply, electorate, &mut self.dice, &mut calls);
+        self.send(index, calls);
+        outcome.into_iter().for_each(|outcome| self.told(index, outcome));
+    }
+
+    /// What contradicts what, if anything does. A change adds a number to the end, so whatever is told after something
+    /// else had been told begins with that.
+    fn fault(&self) -> Option<String> {
+        for word in &self.words {
+            for later in self.words.iter().filter(|later| later.asked > word.told) {
+                if !later.value.starts_with(&word.value) {
+                    return Some(format!("{word:?} and then {later:?}"));
+                }
+            }
+            let values: BTreeSet<u8> = word.value.iter().copied().collect();
+            if values.len() < word.value.len() {
+                return Some(format!("a change counted twice: {word:?}"));
+            }
+        }
+        None
+    }
+}
+
+/// A run of four processes that look and change over bad links, then a quiet end with everything told by all.
+fn play(seed: u64, trusting: bool) -> World {
+    let mut world = World::new(4, seed);
+    world.loss = 0.1;
+    for _ in 0..150 {
+        for index in 0..4 {
+            let draw = world.part();
+            if world.processes[index].busy || draw > 0.3 {
+                continue;
+            }
+            world.processes[index].busy = true;
+            if draw < 0.08 && world.changes < 100 {
+                world.change(index);
+            } else {
+                world.look(index, trusting);
+            }
+        }
+        let pair = (world.dice.next_u32() as usize % 4, world.dice.next_u32() as usize % 3);
+        if !world.cut.remove(&pair) {
+            world.cut.insert(pair);
+        }
+        world.run(Duration::from_millis(60));
+    }
+    (world.loss, world.cut) = (0.0, BTreeSet::new());
+    world.run(Duration::from_secs(5));
+    for index in 0..4 {
+        // One after the other: two that repair at once may outbid each other.
+        world.look(index, trusting);
+        world.run(Duration::from_secs(1));
+    }
+    world
+}
+
+/// Guards looks and changes over bad links: nothing told contradicts what was told before, no change is lost or counted
+/// twice, and all agree in the end.
+#[test]
+fn what_is_told_never_contradicts_what_was_told() {
+    let (mut looks, mut changes) = (0, 0);
+    for seed in 0..150 {
+        let world = play(seed, false);
+        assert_eq!(world.fault(), None, "seed {seed}");
+        let last = &world.words[world.words.len() - 1].value;
+        assert_eq!(last.len(), usize::from(world.changes), "seed {seed}: every change is there");
+        for (_, outcome) in &world.outcomes[world.outcomes.len() - 4..] {
+            assert!(matches!(outcome, Outcome::Holds(Some(value), _) if value == last), "seed {seed}");
+        }
+        looks += world.outcomes.iter().filter(|(_, told)| matches!(told, Outcome::Holds(..))).count();
+        changes += last.len();
+    }
+    println!("{looks} looks, {changes} changes");
+    assert!(looks > 1_000 && changes > 1_000);
+}
+
+/// Guards the audit: a look that trusts the latest of a majority tells what was never chosen, and is found out.
+#[test]
+fn a_look_that_trusts_the_latest_is_found_out() {
+    let found = (0..150).filter(|seed| play(*seed, true).fault().is_some()).count();
+    println!("found out in {found} of 150 runs");
+    assert!(found > 0);
+}
+
+/// The first value is chosen by all, the next one is accepted by the first voter alone.
+fn minority() -> World {
+    let mut world = World::new(3, 3);
+    world.change(0);
+    world.run(Duration::from_secs(1));
+    assert!(matches!(world.outcomes.last(), Some((0, Outcome::Chosen(value))) if *value == [1]));
+    world.change(0);
+    while !matches!(world.outcomes.last(), Some((0, Outcome::Promised(_)))) {
+        world.run(STEP);
+    }
+    // Its proposal is on its way to all; that to the first one arrives.
+    world.cut.extend([(0, 1), (0, 2)]);
+    for post in world.posts.iter_mut() {
+        post.take_if(|post| matches!(post, Post::Ask { voter, .. } if *voter > 0));
+    }
+    world.processes[0].wants = None;
+    world.run(Duration::from_secs(2));
+    let failed = Outcome::Failed { proposed: true, no_majority: true };
+    assert_eq!(world.outcomes.last(), Some(&(0, failed)), "it may still be chosen");
+    world
+}
+
+/// Guards a value that a minority has accepted: whoever meets it has it chosen before it is told, and everybody is told the
+/// same from then on; whoever does not meet it is not told of it.
+#[test]
+fn a_minority_s_value_is_told_only_once_it_is_chosen() {
+    let mut world = minority();
+    world.cut.insert((1, 2));
+    let began = world.now;
+    world.look(1, false);
+    world.run(Duration::from_secs(1));
+    let Some((1, Outcome::Holds(Some(value), at))) = world.outcomes.last() else {
+        panic!("{:?}", world.outcomes)
+    };
+    assert_eq!(*value, [1, 2]);
+    assert!(*at >= began && *at <= began + STEP * 2, "the time at which the look began");
+    world.cut.insert((2, 0));
+    world.look(2, false);
+    world.run(Duration::from_secs(1));
+    assert!(matches!(world.outcomes.last(), Some((2, Outcome::Holds(Some(value), _))) if *value == [1, 2]));
+
+    let mut world = minority();
+    world.cut.insert((2, 0));
+    world.look(2, false);
+    world.run(Duration::from_secs(1));
+    assert!(matches!(world.outcomes.last(), Some((2, Outcome::Holds(Some(value), _))) if *value == [1]));
+    assert_eq!(world.fault(), None);
+}
+
+/// Guards two changers at once: two values, one after the other, whoever is first.
+#[test]
+fn two_at_once_give_two_values() {
+    let mut firsts = BTreeSet::new();
+    for seed in 0..100 {
+        let mut world = World::new(2, seed);
+        world.change(0);
+        world.change(1);
+        world.run(Duration::from_secs(10));
+        let chosen = world.outcomes.iter().filter_map(|(index, told)| match told {
+            Outcome::Chosen(value) => Some((*index, value.clone())),
+            _ => None,
+        });
+        let chosen: Vec<_> = chosen.collect();
+        assert_eq!(chosen.len(), 2, "seed {seed}: {:?}", world.outcomes);
+        assert_eq!((chosen[0].1.len(), chosen[1].1.len()), (1, 2), "seed {seed}");
+        assert!(chosen[1].1.starts_with(&chosen[0].1), "seed {seed}");
+        firsts.insert(chosen[0].0);
+    }
+    assert_eq!(firsts.len(), 2, "either may be first");
+}
+
+/// Guards what is said without a majority, and that a value's register goes on once there is one.
+#[test]
+fn without_a_majority_nothing_is_told_and_it_says_so() {
+    let mut world = World::new(1, 5);
+    world.cut.extend([(0, 1), (0, 2)]);
+    let failed = |proposed| (0, Outcome::Failed { proposed, no_majority: true });
+    world.look(0, false);
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.outcomes, [failed(false)]);
+    world.processes[0].record.change();
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.outcomes.last(), Some(&failed(false)));
+    world.cut.clear();
+    world.look(0, false);
+    world.run(Duration::from_secs(1));
+    assert!(matches!(world.outcomes.last(), Some((0, Outcome::Holds(None, _)))));
+}
+
+/// Guards a change whose owner never says what the register is to hold: it ends, and not for want of a majority.
+#[test]
+fn a_promise_that_nobody_uses_ends() {
+    let mut world = World::new(1, 6);
+    let process = &mut world.processes[0];
+    process.record.change();
+    let (mut calls, mut now) = (Vec::new(), STEP);
+    let Process { record, electorate, .. } = process;
+    assert_eq!(record.tick(now, electorate, &mut world.dice, &mut calls), None);
+    let mut told = Vec::new();
+    for (slot, call) in calls {
+        let reply = match world.voters[usize::from(slot.0)].ask(call) {
+            Step::Reply(reply) => reply,
+            Step::Store(pending) => pending.stored(),
+        };
+        told.extend(record.hear(now, &reply, electorate, &mut world.dice, &mut Vec::new()));
+    }
+    assert_eq!(told, [Outcome::Promised(None)], "once");
+    while let Some(due) = record.due() {
+        now = due;
+        told.extend(record.tick(now, electorate, &mut world.dice, &mut Vec::new()));
+    }
+    assert_eq!(told[1..], [Outcome::Failed { proposed: false, no_majority: false }]);
+    let mut calls = Vec::new();
+    record.propose(now, Some(vec![1]), &mut calls);
+    assert!(calls.is_empty(), "too late");
+}
+
+/// A disk that forgets.
+struct Nowhere;
+
+impl Disk for Nowhere {
+    fn store(&mut self, _: &[u8]) -> bool {
+        true
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, index as u8 + 1], 7400))
+}
+
+fn nodes() -> Vec<Node> {
+    let voters: Vec<Peer> = (0..3).map(|index| Peer::at(&format!("gw-{index}"), address(index))).collect();
+    let node = |index: usize| {
+        let settings = Settings {
+            fleet: "test".into(),
+            me: Peer { start: 1, ..voters[index].clone() },
+            seeds: voters.clone(),
+            voters: voters.clone(),
+            size: 3,
+            roles: vec!["survey/1".to_string()],
+            terms: TERMS,
+            pace: Pace {
+                probe: Duration::from_millis(500),
+                answer: Duration::from_millis(150),
+                suspicion: Duration::from_millis(1_500),
+                remembered: Duration::from_secs(60),
+            },
+            seed: index as u64 + 1,
+        };
+        Node::new(settings, Some(Voter::founding(Slot(index as u8))))
+    };
+    (0..3).map(node).collect()
+}
+
+/// Carries datagrams, and lets time act; what was told of registers meanwhile.
+fn carry(nodes: &mut [Node], now: &mut Duration, lasts: Duration) -> Vec<(usize, Key, Outcome)> {
+    let (until, mut told) = (*now + lasts, Vec::new());
+    while *now < until {
+        *now += STEP;
+        for index in 0..nodes.len() {
+            if nodes[index].due() <= *now {
+                nodes[index].tick(*now);
+            }
+            while let Some((to, datagram)) = nodes[index].send() {
+                let Some(to) = (0..nodes.len()).find(|other| address(*other) == to) else { continue };
+                nodes[to].hear(*now, address(index), &datagram, &mut Nowhere).expect("this fleet's");
+            }
+            while let Some(event) = nodes[index].event() {
+                if let Event::Record(key, outcome) = event {
+                    told.push((index, key, outcome));
+                }
+            }
+        }
+    }
+    told
+}
+
+/// Guards a register's way through whole nodes: looked at, changed, and looked at by another; with what begins at all.
+#[test]
+fn nodes_look_and_change() {
+    let (mut nodes, mut now) = (nodes(), Duration::ZERO);
+    carry(&mut nodes, &mut now, Duration::from_secs(5));
+    let second = Duration::from_secs(1);
+    nodes[0].look(now, KEY);
+    let told = carry(&mut nodes, &mut now, second);
+    assert!(matches!(&told[..], [(0, key, Outcome::Holds(None, _))] if key == KEY), "{told:?}");
+    nodes[0].look(now, KEY);
+    nodes[0].change(now, KEY);
+    let told = carry(&mut nodes, &mut now, second / 10);
+    assert!(matches!(&told[..], [(0, _, Outcome::Promised(None))]), "the look is given up: {told:?}");
+    nodes[0].propose(now, KEY, Some(b"one".to_vec()));
+    let told = carry(&mut nodes, &mut now, second);
+    assert_eq!(told, [(0, KEY.to_string(), Outcome::Chosen(b"one".to_vec()))]);
+    let began = now;
+    nodes[2].look(now, KEY);
+    let told = carry(&mut nodes, &mut now, second);
+    assert_eq!(told, [(2, KEY.to_string(), Outcome::Holds(Some(b"one".to_vec()), began))]);
+
+    // Withdrawn: nothing is told, and others go on.
+    nodes[1].change(now, KEY);
+    carry(&mut nodes, &mut now, second / 10);
+    nodes[1].propose(now, KEY, None);
+    assert_eq!(carry(&mut nodes, &mut now, second), []);
+    nodes[0].look(now, KEY);
+    assert_eq!(carry(&mut nodes, &mut now, second).len(), 1);
+
+    let not_begun = Outcome::Failed { proposed: false, no_majority: false };
+    nodes[1].change(now, KEY);
+    carry(&mut nodes, &mut now, second / 10);
+    nodes[1].propose(now, KEY, Some(vec![0; LONGEST_VALUE + 1]));
+    assert_eq!(carry(&mut nodes, &mut now, second), [(1, KEY.to_string(), not_begun.clone())], "too long");
+    nodes[1].look(now, "survey/1");
+    let told = carry(&mut nodes, &mut now, second);
+    assert_eq!(
+        told,
+        [(1, "survey/1".to_string(), not_begun.clone())],
+        "a role's register is its seat's alone"
+    );
+    for register in 1..=MOST_RECORDS {
+        nodes[1].look(now, &format!("other/{register}"));
+        let told = carry(&mut nodes, &mut now, second);
+        assert_eq!(told[0].2 == not_begun, register == MOST_RECORDS, "bounded: {told:?}");
+    }
+    nodes[0].leave(now);
+    nodes[0].look(now, KEY);
+    let told = carry(&mut nodes, &mut now, second);
+    assert_eq!(told, [(0, KEY.to_string(), not_begun)], "whoever leaves begins none");
+}
