--- a/crates/rollout/src/follower.rs
+++ b/crates/rollout/src/follower.rs
@@ -230,7 +230,12 @@
 
     /// Bytes have come.
     pub fn received(&mut self, now: Duration, link: Link, bytes: &[u8]) {
+        let silent = self.settings.pace.silent;
         let Some(line) = self.line_of(link).filter(|line| line.up.is_some()) else { return };
+        if now >= line.ends(silent) {
+            // Whoever wakes up late finds in its socket what was the newest when it fell asleep.
+            return self.leave(now, link);
+        }
         line.heard = now;
         line.inbox.push(bytes);
         // A message may end the connection.
