Rollout: a document that may get a number outlives those that have one; bytes that all have lost can be put again

And a newest version without bytes anywhere would have kept every operator out. Change: sixteen wait, and those that have a number go first; a machine that has asked all others twice in vain accepts a document, and the same document put again mends the version.

--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -21,6 +21,9 @@
 const MAGIC: &[u8; 8] = b"DMKEEP\x00\x01";
 /// Versions that are kept: the newest, and one before it.
 const VERSIONS: usize = 2;
+/// Documents without a number that are kept at most: those of changes under way, one a machine, and those of changes that
+/// were given up and may still be chosen.
+pub const WAITING: usize = 16;
 /// Most connections of others: gateways, control machines, the operators' tool, and those that have not said who they are.
 const MOST_LINKS: usize = MOST_GATEWAYS + 64;
 /// Longest message of a gateway, and of whoever has not said who it is.
@@ -73,7 +76,7 @@
 pub struct Keeping {
     /// The newest version and the one before, newest last.
     pub versions: Vec<Document>,
-    /// Documents that may have got a number, oldest first; [`crate::version::NAMED`] at most.
+    /// Documents that may have got a number, oldest first; [`WAITING`] at most.
     pub waiting: Vec<(Digest, Arc<[u8]>)>,
 }
 
@@ -103,7 +106,7 @@
         let versions = versions.ok_or("a document does not fit its version")?;
         let rises = versions.windows(2).all(|pair| pair[0].version().number < pair[1].version().number);
         let long = waiting.iter().any(|bytes| bytes.len() > LONGEST_DOCUMENT);
-        if !rises || long || versions.len() > VERSIONS || waiting.len() > NAMED {
+        if !rises || long || versions.len() > VERSIONS || waiting.len() > WAITING {
             return Err("more than is ever kept, or in another order".to_string());
         }
         let waiting = waiting.into_iter().map(|bytes| (Digest::of(&bytes), bytes)).collect();
@@ -122,13 +125,15 @@
         all.find(|(known, _)| *known == digest).map(|(_, bytes)| bytes)
     }
 
-    /// With a document that may get a number. The oldest of those goes if there are too many.
-    fn with_waiting(&self, digest: Digest, bytes: Arc<[u8]>) -> Keeping {
+    /// With a document that may get a number. If there are too many, the oldest that has one by now goes, else the oldest.
+    fn with_waiting(&self, digest: Digest, bytes: Arc<[u8]>, numbered: &VecDeque<Digest>) -> Keeping {
         let mut next = self.clone();
         next.waiting.retain(|(known, _)| *known != digest);
+        while next.waiting.len() >= WAITING {
+            let spent = next.waiting.iter().position(|(known, _)| numbered.contains(known));
+            next.waiting.remove(spent.unwrap_or_default());
+        }
         next.waiting.push((digest, bytes));
-        let old = next.waiting.len().saturating_sub(NAMED);
-        next.waiting.drain(..old);
         next
     }
 
@@ -309,6 +314,8 @@
     /// What is wrong with the register's value: nothing is given out or accepted meanwhile.
     fault: Option<String>,
     want: Option<Want>,
+    /// Digests that have got a number, the last ones.
+    numbered: VecDeque<Digest>,
     put: Option<Put>,
     puts: VecDeque<Put>,
     gateways: BTreeMap<String, Known>,
@@ -339,6 +346,7 @@
             no_majority: false,
             fault: None,
             want: None,
+            numbered: VecDeque::new(),
             put: None,
             puts: VecDeque::new(),
             gateways: BTreeMap::new(),
@@ -608,7 +616,7 @@
             (End::Asker(_), Message::Keep(bytes)) => {
                 let digest = Digest::of(&bytes);
                 let last = self.kept.waiting.last().is_some_and(|(last, _)| *last == digest);
-                if last || self.store(now, desk, self.kept.with_waiting(digest, bytes)) {
+                if last || self.store(now, desk, self.kept.with_waiting(digest, bytes, &self.numbered)) {
                     self.say(link, &Message::Kept(digest));
                 }
             }
@@ -760,8 +768,8 @@
         }
         self.fault = None;
         self.looked = self.looked.max(Some(began));
-        if let Some(newest) = ledger.newest() {
-            self.adopt(now, newest, None);
+        for version in ledger.versions() {
+            self.adopt(now, version, None);
         }
     }
 
@@ -783,6 +791,11 @@
         if self.clashes(version) {
             return self.doubt(format!("number {} has two digests", version.number));
         }
+        if !self.numbered.contains(&version.digest) {
+            self.numbered.push_back(version.digest);
+            let old = self.numbered.len().saturating_sub(NAMED * 2);
+            self.numbered.drain(..old);
+        }
         if self.known().is_none_or(|known| known.number < version.number) {
             self.newest = Some((version, now));
             let next = self.routes.iter().position(|route| Some(route.machine) == teller).unwrap_or_default();
@@ -881,15 +894,20 @@
             return true;
         }
         let told = self.is_fresh(now) && self.looked.is_some_and(|looked| looked >= after);
-        let here = self.known().is_none() || self.held().is_some();
+        // If nobody has the newest one's bytes, an operator has to be able to put others.
+        let turns = self.routes.len() * 2;
+        let lost = self.want.as_ref().is_some_and(|want| want.asked >= turns.max(1));
+        let here = self.known().is_none() || self.held().is_some() || lost || self.routes.is_empty();
         let Some(put) = self.put.as_ref().filter(|_| told && here) else { return false };
         let (digest, bytes) = (put.digest, put.bytes.clone());
-        if let Err(fault) = desk.check(&bytes, self.held()) {
+        if let Err(fault) = desk.check(&bytes, self.kept.newest()) {
             self.answer_no(fault);
             return true;
         }
-        let (before, same) = (self.known(), self.known().is_some_and(|known| known.digest == digest));
-        if !same && !self.store(now, desk, self.kept.with_waiting(digest, bytes.clone())) {
+        let before = self.known();
+        let same = before.is_some_and(|known| known.digest == digest);
+        let held = same && self.held().is_some();
+        if !held && !self.store(now, desk, self.kept.with_waiting(digest, bytes.clone(), &self.numbered)) {
             self.answer_no("this control machine cannot store it".to_string());
             return true;
         }
--- a/crates/rollout/src/version.rs
+++ b/crates/rollout/src/version.rs
@@ -164,6 +164,11 @@
         self.entries.last().map(|(version, _)| *version)
     }
 
+    /// The versions that it names, oldest first.
+    pub fn versions(&self) -> impl Iterator<Item = Version> + '_ {
+        self.entries.iter().map(|(version, _)| *version)
+    }
+
     /// The version that came from a proposal, if it is still named.
     pub fn of(&self, proposal: u64) -> Option<Version> {
         self.entries.iter().find(|(_, by)| *by == proposal).map(|(version, _)| *version)
--- a/crates/rollout/tests/rollout.rs
+++ b/crates/rollout/tests/rollout.rs
@@ -169,6 +169,25 @@
     }
 }
 
+/// Guards the worst of losses: no control machine has the newest version's bytes. Gateways go on with what they have, the
+/// same document put again mends it, and so does another one.
+#[test]
+fn bytes_that_all_have_lost_are_put_again() {
+    for (again, expected) in [("good second", 2), ("good third", 3)] {
+        let mut world = settled(3, &spread(12), Weather::FAIR, Variant::Nothing);
+        world.kill(G(5));
+        put(&mut world, 1, "good second");
+        (0..MACHINES).for_each(|index| world.lose_disk(index));
+        world.start(G(5));
+        world.run(SECOND * 5);
+        assert_eq!(world.behind(), [5]);
+        let status = world.machines[2].control.as_ref().expect("up").status(world.now);
+        assert!(status.fresh && !status.has_document);
+        assert_eq!(number(&put(&mut world, 4, again)), Some(expected));
+        assert_eq!((world.behind(), world.faults), (vec![], vec![]));
+    }
+}
+
 /// The rule that nothing goes back: a control machine sleeps over several versions in a zone that is cut off as it wakes
 /// up, and a gateway of that zone has lost what it kept.
 fn late_machine(seed: u64, variant: Variant) -> World {
--- a/crates/rollout/tests/world/mod.rs
+++ b/crates/rollout/tests/world/mod.rs
@@ -411,6 +411,13 @@
         self.cut_off.extend(3..6);
     }
 
+    /// A control machine is started anew with an empty disk.
+    pub fn lose_disk(&mut self, index: usize) {
+        self.kill(M(index));
+        self.machines[index].shelf.file.clear();
+        self.start(M(index));
+    }
+
     fn state(&self, who: Process) -> State {
         match who {
             M(index) => self.machines[index].state,
