Rollout: parts and pieces by themselves; no proposal is made a second time over others

The parts' tests found that a look of the same instant counted as one after a promise, that a gateway went back to what is older than what it refused, and that a line heard in the instant it came up did not count as heard.

--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -260,8 +260,8 @@
     before: Option<Version>,
     /// It is on the disks that it has to be on.
     kept: bool,
-    /// It was proposed at some time, so that it may become a version by itself.
-    proposed: bool,
+    /// It was proposed at some time, so that it may become a version by itself: behind this number, none being 0.
+    proposed: Option<u64>,
     /// When the register's change is tried again, and how often it failed.
     again: Duration,
     fails: u32,
@@ -269,8 +269,8 @@
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
-    /// To be checked against the newest version, as a look tells it that began then or later.
-    Judge(Duration),
+    /// To be checked against the newest version; whether a look has to tell it anew first.
+    Judge(bool),
     /// Other machines are asked to keep it.
     Spread,
     /// The register is asked.
@@ -424,6 +424,9 @@
                 }
                 self.look_at = now + self.settings.look.mul_f64(0.9 + 0.1 * part(&mut self.dice));
                 self.learn(now, value.as_deref(), began);
+                if let Some(put) = self.put.as_mut().filter(|put| put.stage == Stage::Judge(true)) {
+                    put.stage = Stage::Judge(false);
+                }
             }
             Told::Promised(value) => {
                 let asked = self.asking == Asking::Change;
@@ -511,9 +514,7 @@
         let millis = |since: Duration| now.saturating_sub(since).as_millis() as u64;
         let zone = self.me.map(|me| self.settings.machines[me].zone.clone()).unwrap_or_default();
         let there = |peer: &Peer| match peer.end {
-            End::Asked(machine) if peer.up && peer.heard > peer.since => {
-                Some(self.settings.machines[machine].name.clone())
-            }
+            End::Asked(machine) if peer.up => Some(self.settings.machines[machine].name.clone()),
             _ => None,
         };
         let seen = |(name, known): (&String, &Known)| Seen {
@@ -862,10 +863,10 @@
             digest,
             proposal,
             since: now,
-            stage: Stage::Judge(Duration::ZERO),
+            stage: Stage::Judge(false),
             before: None,
             kept: false,
-            proposed: false,
+            proposed: None,
             again: now,
             fails: 0,
         });
@@ -879,7 +880,7 @@
                 self.put = self.puts.pop_front();
             }
             match self.put.as_ref().map(|put| put.stage) {
-                Some(Stage::Judge(after)) if self.judge(now, after, desk) => {}
+                Some(Stage::Judge(false)) if self.judge(now, desk) => {}
                 _ => break,
             }
         }
@@ -887,18 +888,17 @@
     }
 
     /// Checks the document against the newest version, and has it kept. True if it has come further, or is refused.
-    fn judge(&mut self, now: Duration, after: Duration, desk: &mut impl Desk) -> bool {
+    fn judge(&mut self, now: Duration, desk: &mut impl Desk) -> bool {
         if let Some(fault) = &self.fault {
             let why = format!("no change is accepted: {fault}");
             self.answer_no(why);
             return true;
         }
-        let told = self.is_fresh(now) && self.looked.is_some_and(|looked| looked >= after);
         // If nobody has the newest one's bytes, an operator has to be able to put others.
         let turns = self.routes.len() * 2;
         let lost = self.want.as_ref().is_some_and(|want| want.asked >= turns.max(1));
         let here = self.known().is_none() || self.held().is_some() || lost || self.routes.is_empty();
-        let Some(put) = self.put.as_ref().filter(|_| told && here) else { return false };
+        let Some(put) = self.put.as_ref().filter(|_| here && self.is_fresh(now)) else { return false };
         let (digest, bytes) = (put.digest, put.bytes.clone());
         if let Err(fault) = desk.check(&bytes, self.kept.newest()) {
             self.answer_no(fault);
@@ -967,12 +967,20 @@
         if named || same {
             return Some(ledger.write());
         }
+        let number = |version: Option<Version>| version.map_or(0, |version| version.number);
+        if put.proposed.is_some_and(|behind| number(ledger.versions().next()) > behind + 1) {
+            // It may have been one of those that are not named any more, and is not to come back over them.
+            self.answer_no(
+                "so many others came since that nothing tells whether it was a version".to_string(),
+            );
+            return None;
+        }
         if ledger.newest() == put.before && put.kept {
-            put.proposed = true;
+            put.proposed = put.proposed.or(Some(number(ledger.newest())));
             return Some(ledger.with(put.digest, put.proposal).write());
         }
         // Another version has come between: the document is checked against that one first.
-        put.stage = Stage::Judge(now);
+        put.stage = Stage::Judge(true);
         self.look_at = now;
         None
     }
@@ -1007,7 +1015,7 @@
     fn answer_no(&mut self, why: String) {
         if let Some(put) = self.put.take() {
             let why = cut(why, LONGEST_ANSWER);
-            self.say(put.link, &Message::NotAccepted { why, uncertain: put.proposed });
+            self.say(put.link, &Message::NotAccepted { why, uncertain: put.proposed.is_some() });
         }
     }
 
--- a/crates/rollout/src/follower.rs
+++ b/crates/rollout/src/follower.rs
@@ -97,7 +97,7 @@
     pub machine: Option<usize>,
     /// Since when no fresh control machine has been heard; zero while one is.
     pub cut_off: Duration,
-    /// Versions that were offered and are older than the one in force.
+    /// Versions that were offered and are older than the one in force, or than one that was refused.
     pub older: u64,
     /// A number that came with two digests: told to the operators, nothing is taken.
     pub conflicts: u64,
@@ -112,6 +112,8 @@
     up: Option<Duration>,
     /// When it was heard last; before it is up, when it was begun.
     heard: Duration,
+    /// It has said something.
+    said: bool,
     /// When it last said that it is fresh.
     fresh: Option<Duration>,
     inbox: Inbox,
@@ -236,7 +238,7 @@
             // Whoever wakes up late finds in its socket what was the newest when it fell asleep.
             return self.leave(now, link);
         }
-        line.heard = now;
+        (line.heard, line.said) = (now, true);
         line.inbox.push(bytes);
         // A message may end the connection.
         while let Some(line) = self.line_of(link) {
@@ -323,7 +325,7 @@
     /// How it stands.
     pub fn standing(&self, now: Duration) -> Standing {
         let silent = self.settings.pace.silent;
-        let line = self.line.as_ref().filter(|line| line.up.is_some_and(|up| line.heard > up));
+        let line = self.line.as_ref().filter(|line| line.said);
         let hears = line.is_some_and(|line| line.fresh.is_some_and(|fresh| now < fresh + silent));
         let cut_off = if hears { Duration::ZERO } else { now.saturating_sub(self.fresh) };
         Standing {
@@ -353,7 +355,7 @@
         self.links += 1;
         let link = self.links;
         self.out.push_back(Out::Connect(link, machine));
-        Some(Line { link, machine, up: None, heard: now, fresh: None, inbox: Inbox::default() })
+        Some(Line { link, machine, up: None, heard: now, said: false, fresh: None, inbox: Inbox::default() })
     }
 
     /// Closes a connection, and goes on as if it had ended.
@@ -456,7 +458,9 @@
 
     /// A version is offered. False if its bytes do not fit it: whoever says so is left.
     fn offered(&mut self, now: Duration, version: Version, bytes: Arc<[u8]>) -> bool {
-        let known = [self.in_force, self.taking, self.waiting.as_ref().map(Document::version)];
+        // What is older than one that was refused is not gone back to either.
+        let refused = self.refused.as_ref().map(|refused| refused.version);
+        let known = [self.in_force, self.taking, self.waiting.as_ref().map(Document::version), refused];
         for known in known.into_iter().flatten() {
             if known == version || self.clash(now, known, version) {
                 return true;
