--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -840,10 +840,10 @@
 
     /// The newest version's document goes on the disk as such, and to whoever lacks it.
     fn settle(&mut self, now: Duration, desk: &mut impl Desk) {
-        if let (Some(newest), None) = (self.known(), self.held()) {
+        if let (Some(newest), None, true) = (self.known(), self.held(), now >= self.store_at) {
             let document =
                 self.kept.find(newest.digest).and_then(|bytes| Document::of(newest, bytes.clone()));
-            if let Some(document) = document.filter(|_| now >= self.store_at) {
+            if let Some(document) = document {
                 self.store(now, desk, self.kept.with_version(document));
             }
         }
--- a/crates/rollout/tests/rollout.rs
+++ b/crates/rollout/tests/rollout.rs
@@ -116,6 +116,29 @@
     assert!(versions > 150 && uncertain > 0, "{versions} versions, {uncertain} uncertain");
 }
 
+/// What breaks a rule in the first of the runs above that shows it, with that run's number.
+fn first_fault(variant: Variant) -> Option<(u64, String)> {
+    (0..24).find_map(|seed| {
+        let world = play(seed, variant);
+        Some((seed, world.faults.first().cloned().or_else(|| world.denied())?))
+    })
+}
+
+/// Guards the bytes of what is named, and what operators are told: the runs above find a disk that lies, an answer that says
+/// more than is known, and one that rests on what a promise told.
+#[test]
+fn variants_of_disks_and_answers_are_found() {
+    for (variant, word) in [
+        (Variant::DiskLies, "on 0 disks"),
+        (Variant::Certain, "told for certain"),
+        (Variant::TrustsPromise, "never chosen"),
+    ] {
+        let found = first_fault(variant);
+        println!("{variant:?}: {found:?}");
+        assert!(found.is_some_and(|(_, fault)| fault.contains(word)), "{variant:?}");
+    }
+}
+
 /// The rule of all or nothing: a bad document, and one that a third of the gateways cannot use.
 fn good_and_bad(variant: Variant) -> World {
     let mut world = settled(1, &spread(12), Weather::FAIR, variant);
--- a/crates/rollout/tests/world/mod.rs
+++ b/crates/rollout/tests/world/mod.rs
@@ -43,6 +43,12 @@
     OwnRegister,
     /// Gateways come home at once.
     AllAtOnce,
+    /// A disk says that it has stored, and has not.
+    DiskLies,
+    /// An operator is told that a document is none, whatever may become of it.
+    Certain,
+    /// What a promise tells counts as chosen.
+    TrustsPromise,
 }
 
 /// What may go wrong by itself, as parts of one.
@@ -81,6 +87,7 @@
     file: Vec<u8>,
     broken: bool,
     checks: bool,
+    lies: bool,
 }
 
 impl Desk for Shelf {
@@ -92,7 +99,7 @@
     }
 
     fn store(&mut self, kept: &Keeping) -> bool {
-        if !self.broken {
+        if !self.broken && !self.lies {
             self.file = kept.file();
         }
         !self.broken
@@ -106,8 +113,9 @@
     start: u64,
     /// The register's promise that it has.
     ticket: u64,
-    /// The register's value that it saw last.
+    /// The register's value that it saw last, and the one that was told with the last promise.
     saw: Option<Vec<u8>>,
+    promised: Option<Vec<u8>>,
 }
 
 pub struct GatewayRun {
@@ -218,11 +226,17 @@
         }
         let machine = || MachineRun {
             control: None,
-            shelf: Shelf { file: Vec::new(), broken: false, checks: variant != Variant::ToolAlone },
+            shelf: Shelf {
+                file: Vec::new(),
+                broken: false,
+                checks: variant != Variant::ToolAlone,
+                lies: variant == Variant::DiskLies,
+            },
             state: State::Down,
             start: 0,
             ticket: 0,
             saw: None,
+            promised: None,
         };
         let gateway = |zone: &usize| GatewayRun {
             follower: None,
@@ -701,6 +715,14 @@
                 return;
             }
         }
+        if self.variant == Variant::Certain {
+            let mut inbox = Inbox::default();
+            inbox.push(&bytes);
+            if let Ok(Some(Message::NotAccepted { why, uncertain: true })) = inbox.next() {
+                let certain = frame(&Message::NotAccepted { why, uncertain: false });
+                return self.put(id, 1 - side, Item::Bytes(certain));
+            }
+        }
         self.put(id, 1 - side, Item::Bytes(bytes));
     }
 
@@ -728,7 +750,12 @@
 
     /// A register's value that numbers one more by itself, for the variants.
     fn by_itself(&mut self, machine: usize, ask: Ask) -> Option<Told> {
+        let as_it_is = match &ask {
+            Ask::Propose(value) => self.machines[machine].promised.as_ref() == Some(value),
+            _ => false,
+        };
         let alone = match self.variant {
+            Variant::TrustsPromise => as_it_is,
             Variant::OwnRegister => true,
             Variant::ByItself => self.cut_off.contains(&machine),
             Variant::LateSpeaker => matches!(ask, Ask::Look(_)) && self.machines[machine].saw.is_some(),
@@ -838,6 +865,7 @@
                 register.ticket += 1;
                 self.machines[machine].ticket = register.ticket;
                 let latest = register.pending.clone().filter(|_| meets).or(register.value.clone());
+                self.machines[machine].promised = latest.clone();
                 match lost {
                     true => (failed(true), true),
                     false => (Told::Promised(latest), false),
