Fleet: whole nodes are held to one round a ballot

Cause: a ballot that is used again may name two values; nothing looked for that. Change: tests/nodes.rs books each proposal's ballot in all its runs; lib.rs names the record.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //!   (compare-and-swap on ballots, one round of promises and one of acceptance, as in the published CASPaxos);
 //! - [`round`]: one change as its proposer drives it, and how a voter that has lost its file is let in again;
 //! - [`lease`]: a role in a register, held by one process at a time under an epoch that only rises;
+//! - [`record`]: a register that is no role's: looks that tell only what was chosen, and changes of it;
 //! - [`fence`]: what a receiver of orders keeps, so that an owner that wakes up late does no harm;
 //! - [`node`]: all of these as one process of the fleet.
 
--- a/crates/fleet/tests/nodes.rs
+++ b/crates/fleet/tests/nodes.rs
@@ -6,10 +6,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dunemount_fleet::frame::{self, Kind};
 use dunemount_fleet::lease::{Change, Terms};
 use dunemount_fleet::member::{Pace, Peer};
 use dunemount_fleet::node::{Disk, Event, Node, Settings};
-use dunemount_fleet::register::Slot;
+use dunemount_fleet::register::{Ballot, Call, Key, Request, Slot};
 use dunemount_fleet::voter::Voter;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -51,6 +52,8 @@
     obeyed: Vec<(usize, String, u64)>,
     refused: usize,
     let_in: usize,
+    /// Per register and ballot, the rounds that proposed under it.
+    ballots: BTreeMap<(Key, Ballot), BTreeSet<u64>>,
 }
 
 impl Fleet {
@@ -70,6 +73,7 @@
             obeyed: Vec::new(),
             refused: 0,
             let_in: 0,
+            ballots: BTreeMap::new(),
         };
         for slot in 0..fleet.voters {
             fleet.files[slot].0 = Voter::founding(Slot(slot as u8)).file();
@@ -145,6 +149,12 @@
 
     fn carry(&mut self, index: usize) {
         while let Some((to, datagram)) = self.nodes[index].as_mut().and_then(Node::send) {
+            if let Ok((Kind::Call, message)) = frame::open(frame::tag("test"), &datagram) {
+                let call: Call = postcard::from_bytes(message).expect("a call");
+                if let Request::Prepare { key, ballot } = call.request {
+                    self.ballots.entry((key, ballot)).or_default().insert(call.nonce);
+                }
+            }
             let delay = Duration::from_micros(200 + u64::from(self.dice.next_u32() % 5_000));
             self.post(peer(index, 0).address, to, datagram, delay);
         }
@@ -174,6 +184,9 @@
         for ((role, epoch), owners) in &self.owners {
             assert_eq!(owners.len(), 1, "{role} under {epoch}");
         }
+        for ((role, ballot), rounds) in &self.ballots {
+            assert_eq!(rounds.len(), 1, "{role}: {ballot:?} is used again, for another value perhaps");
+        }
         let mut highest = BTreeMap::new();
         for (receiver, role, epoch) in &self.obeyed {
             let seen = highest.entry((receiver, role)).or_insert(*epoch);
