--- a/crates/rollout/tests/world/mod.rs
+++ b/crates/rollout/tests/world/mod.rs
@@ -1,6 +1,5 @@
 //! Control machines, gateways and operators in virtual time: disks, a register that many change, links that delay, cut and
 //! die, processes that are killed, stopped and woken up late. One seed, one run; what breaks a rule is kept as a fault.
-#![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -137,7 +136,6 @@
 
 pub struct ToolRun {
     machine: usize,
-    link: Link,
     request: Message,
     inbox: Inbox,
     pub sent: Duration,
@@ -461,7 +459,6 @@
         let tool = self.tools.len();
         self.tools.push(ToolRun {
             machine,
-            link: tool as Link + 1,
             request,
             inbox: Inbox::default(),
             sent: self.now,
