Fleet: a process that looks after a role again uses no ballot again

Cause: found while reading for the records: a seat that was removed and made anew began below the rounds that it had used, as far as the voters that it hears know nothing of them. One ballot may then name two values, and two majorities may tell different ones. Change: the node keeps the highest round of each role that it does not look after any more, and a seat made anew goes on above it. tests/nodes.rs brings it about: one voter alone hears of the ballots, then the two others.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -225,6 +225,17 @@
         }
     }
 
+    /// The highest round of a ballot that it has used or heard of.
+    pub fn highest(&self) -> u64 {
+        self.highest
+    }
+
+    /// A seat that goes on above a round: one that begins anew in the same process would use its ballots again.
+    #[must_use]
+    pub fn above(self, highest: u64) -> Seat {
+        Seat { highest, ..self }
+    }
+
     /// The epoch under which this process may order at this moment. To be asked right before each order, and
     /// again after whatever may have taken time.
     pub fn order(&self, now: Duration) -> Option<u64> {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -108,6 +108,8 @@
     members: Membership,
     voter: Option<Voter>,
     seats: BTreeMap<Key, Seat>,
+    /// Per role that it has looked after, and does not now, the highest round of a ballot: none is used again.
+    rounds: BTreeMap<Key, u64>,
     /// Registers that are no role's. None goes before the process does, so that no ballot is used again.
     records: BTreeMap<Key, Record>,
     electorate: Electorate,
@@ -136,6 +138,7 @@
             was_blank: voter.as_ref().is_some_and(Voter::is_blank),
             voter,
             seats: BTreeMap::new(),
+            rounds: BTreeMap::new(),
             records: BTreeMap::new(),
             electorate,
             admission: None,
@@ -420,7 +423,8 @@
         for (role, rank) in self.settings.roles.clone().into_iter().zip(ranks) {
             let (me, terms) = (self.settings.me.node(), self.settings.terms);
             if rank.is_some() && !self.seats.contains_key(&role) {
-                self.seats.insert(role.clone(), Seat::new(me, role.clone(), terms));
+                let highest = self.rounds.remove(&role).unwrap_or_default();
+                self.seats.insert(role.clone(), Seat::new(me, role.clone(), terms).above(highest));
             }
             let Some(seat) = self.seats.get_mut(&role) else { continue };
             if seat.due() <= now {
@@ -428,6 +432,7 @@
                 self.events.extend(change.map(|change| Event::Role(role.clone(), change)));
             }
             if rank.is_none() && !seat.is_held() {
+                self.rounds.insert(role.clone(), seat.highest());
                 self.seats.remove(&role);
             }
         }
--- a/crates/fleet/tests/nodes.rs
+++ b/crates/fleet/tests/nodes.rs
@@ -52,6 +52,9 @@
     obeyed: Vec<(usize, String, u64)>,
     refused: usize,
     let_in: usize,
+    /// Who proposes nothing, and which voters hear nothing.
+    mute: BTreeSet<usize>,
+    deaf: BTreeSet<usize>,
     /// Per register and ballot, the rounds that proposed under it.
     ballots: BTreeMap<(Key, Ballot), BTreeSet<u64>>,
 }
@@ -73,6 +76,8 @@
             obeyed: Vec::new(),
             refused: 0,
             let_in: 0,
+            mute: BTreeSet::new(),
+            deaf: BTreeSet::new(),
             ballots: BTreeMap::new(),
         };
         for slot in 0..fleet.voters {
@@ -150,6 +155,10 @@
     fn carry(&mut self, index: usize) {
         while let Some((to, datagram)) = self.nodes[index].as_mut().and_then(Node::send) {
             if let Ok((Kind::Call, message)) = frame::open(frame::tag("test"), &datagram) {
+                let deaf = |voter: &usize| peer(*voter, 0).address == to;
+                if self.mute.contains(&index) || self.deaf.iter().any(deaf) {
+                    continue;
+                }
                 let call: Call = postcard::from_bytes(message).expect("a call");
                 if let Request::Prepare { key, ballot } = call.request {
                     self.ballots.entry((key, ballot)).or_default().insert(call.nonce);
@@ -360,3 +369,26 @@
     }
     fleet.check();
 }
+
+/// Guards ballots, which name one value each: a process that has lost its place among a role's candidates and has it again
+/// goes on above those that it has used, also if the voters that it hears now know nothing of them.
+#[test]
+fn no_ballot_is_used_again_by_who_looks_after_a_role_again() {
+    let mut fleet = Fleet::of(7, 16, 13);
+    fleet.mute = (0..7).filter(|index| *index != 3).collect();
+    (4..7).for_each(|index| fleet.nodes[index] = None);
+    fleet.run(LEASE * 3);
+    // One voter alone hears what it proposes, again and again.
+    fleet.deaf = BTreeSet::from([1, 2]);
+    fleet.run(LEASE * 5);
+    // It is no candidate for some roles any more, and then it is again, with the two others.
+    fleet.deaf = BTreeSet::from([0, 1, 2]);
+    (4..7).for_each(|index| fleet.start(index));
+    fleet.run(LEASE * 2);
+    (4..7).for_each(|index| fleet.nodes[index] = None);
+    fleet.run(LEASE * 3);
+    fleet.deaf = BTreeSet::from([0]);
+    fleet.run(LEASE * 5);
+    assert!(fleet.ballots.len() > 200, "{}", fleet.ballots.len());
+    fleet.check();
+}
