A gateway's connections to its control machines, one turn of their loop

Cause: the follower of crates/rollout has no connections, and the rig's hollow gateways need the same ones as the real gateway. Change: src/fleet/rollout/links.rs (Carrier, at most three connections under three keys) over connections.rs: TCP without waiting, unsent bytes bounded by four longest messages, reads bounded by turn. dial moved to src/net so that both use it. Result: builds; nothing uses it yet, the core's bodies are to come (adopt and finish are the control machine's).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,4 +4,5 @@
 pub mod carrier;
 pub mod driver;
 pub mod file;
+pub mod rollout;
 pub mod status;
--- /dev/null
+++ b/src/fleet/rollout/mod.rs
@@ -0,0 +1,5 @@
+//! A configuration's version on its way to all gateways: what carries `dunemount-rollout` over TCP. Without machines in
+//! `[control]` nothing of it is started.
+
+mod connections;
+pub mod links;
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -1,15 +1,14 @@
 //! The loop's part for hosts: connections to them, what they say, and probes.
 
 use std::io;
-use std::net::{SocketAddr, TcpStream};
 
 use slog::{debug, warn};
-use socket2::{Domain, Protocol, Socket, Type};
 
 use super::slots::{Key, Link, Slot};
 use super::timers::Timer;
 use super::Gateway;
 use crate::balancer::{Ended, Said, Ticket};
+use crate::net::dial;
 use crate::pg::host::{self, Answer, Host, Turn};
 use crate::request::{Broken, Cause, Reach};
 use crate::{MemberId, Micros, Role};
@@ -205,14 +204,3 @@
         (role, position)
     }
 }
-
-/// Starts a connection without waiting for it.
-pub(super) fn dial(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    socket.set_nodelay(true)?;
-    match socket.connect(&address.into()) {
-        Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) => Err(e),
-        _ => Ok(socket.into()),
-    }
-}
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -8,11 +8,11 @@
 use slog::{info, warn};
 
 use super::crew::Letter;
-use super::hosts::dial;
 use super::slots::{Key, Link};
 use super::timers::Timer;
 use super::Gateway;
 use crate::balance::chance::unit;
+use crate::net::dial;
 use crate::net::discovery::{BadAnswer, Failed, Listing, Watch};
 use crate::pg::codec::Outbox;
 use crate::settings::Site;
