The gateway takes versions: settings, the follower's thread, the hand-over to the loop

Cause: a configuration reaches each gateway by its own file and SIGHUP alone. Change: [control] in the settings (machines, zone, file), each fault with its line; a thread that follows the control machines, keeps the version in force and hands new ones to the loop, which takes them through InForce::take as it takes a file, but leaves discovery's watch alone where its address stays; GET /ops/fleet shows how the gateway stands. config/version.rs says what a version is and lays it over the own file. Files are put in place by one function for voters and versions. Result: builds; without [control] nothing of it is started.

--- a/src/check.rs
+++ b/src/check.rs
@@ -36,16 +36,23 @@
     }
     let options = options(files.settings.as_deref())?;
     options.fleet.voter(&file.name)?;
+    gateway(&options, files.settings.as_deref())?;
     let (classes, hosts) = (site.classes.len(), file.known.len());
     Ok(format!("usable: {classes} classes, {hosts} hosts known, {} cores", options.cores))
 }
 
-/// Lays out the file of a voter of a new fleet.
-pub fn found(files: &Files) -> Result<String, String> {
-    let path = files.config.as_deref().ok_or("--config or GW_CONFIG must name the configuration")?;
-    let fault = |fault: Fault| fault.of(&path.display().to_string());
-    let taken = InForce::default().take(read(path)?, &mut Zones::default()).map_err(fault)?;
-    let name = std::env::var("GW_NAME").unwrap_or(taken.file.name);
+/// A gateway's zone and file for the configuration's versions, by the settings that were read from this path; none if
+/// these name no control machines.
+pub fn gateway<'a>(options: &'a Options, path: Option<&Path>) -> Result<Option<(&'a str, &'a Path)>, String> {
+    options.control.gateway().map_err(|fault| fault.of(&path.unwrap_or(Path::new("")).display().to_string()))
+}
+
+/// Lays out the file of a voter of a new fleet, whose name the configuration tells unless it is given.
+pub fn found(files: &Files, name: Option<&str>) -> Result<String, String> {
+    let name = match name {
+        Some(name) => name.to_string(),
+        None => configured_name(files)?,
+    };
     let fleet = options(files.settings.as_deref())?.fleet;
     let voter = fleet.voter(&name)?;
     let (place, file) = voter.ok_or(format!("{name} is none of the voters that [fleet] names"))?;
@@ -53,3 +60,10 @@
     done.map_err(|e| format!("cannot lay out {}: {e}", file.display()))?;
     Ok(format!("{}: laid out for voter {place} of a new fleet", file.display()))
 }
+
+fn configured_name(files: &Files) -> Result<String, String> {
+    let path = files.config.as_deref().ok_or("--config or GW_CONFIG must name the configuration")?;
+    let fault = |fault: Fault| fault.of(&path.display().to_string());
+    let taken = InForce::default().take(read(path)?, &mut Zones::default()).map_err(fault)?;
+    Ok(std::env::var("GW_NAME").unwrap_or(taken.file.name))
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -42,7 +42,14 @@
 pub enum Fleet {
     /// Lay out this gateway's file as a voter of a NEW fleet. Never for a voter that has lost its file: the others let
     /// it in again by themselves.
-    Found(Files),
+    Found {
+        /// The files that name it and its fleet.
+        #[command(flatten)]
+        files: Files,
+        /// The voter's name, where the configuration does not tell it: a control machine has none.
+        #[arg(long, value_name = "NAME")]
+        name: Option<String>,
+    },
     /// Tell what a gateway knows of its fleet: members, voters, roles with their owners and epochs.
     Status {
         /// The gateway's admin_addr.
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,4 +1,4 @@
-//! The configuration file: read whole, taken whole or not at all.
+//! The configuration file: read whole, taken whole or not at all. [`version`] is the part of it that all gateways share.
 
 use std::net::SocketAddr;
 
@@ -9,6 +9,8 @@
 use crate::net::discovery::Listing;
 use crate::settings::{Params, Site, Zones};
 
+pub mod version;
+
 /// The file as it stands.
 #[derive(Deserialize)]
 pub struct File {
--- a/src/fleet/file.rs
+++ b/src/fleet/file.rs
@@ -1,4 +1,4 @@
-//! A voter's file: put in place whole, so that a crash leaves the old one or the new one.
+//! Files that are put in place whole, so that a crash leaves the old one or the new one; and a voter's.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
@@ -8,6 +8,53 @@
 use dunemount_fleet::register::Slot;
 use dunemount_fleet::voter::Voter;
 
+/// A file that has arrived on the disk beside the one whose place it is to take.
+#[derive(Debug)]
+pub struct Staged {
+    beside: PathBuf,
+    path: PathBuf,
+}
+
+/// Writes beside a file, and makes sure that it has arrived.
+///
+/// # Errors
+/// It has not, and nothing has changed.
+pub fn stage(path: &Path, bytes: &[u8]) -> io::Result<Staged> {
+    let mut beside = path.as_os_str().to_owned();
+    beside.push(".next");
+    let staged = Staged { beside: beside.into(), path: path.to_path_buf() };
+    let mut next = OpenOptions::new().write(true).create(true).truncate(true).open(&staged.beside)?;
+    next.write_all(bytes)?;
+    next.sync_all()?;
+    Ok(staged)
+}
+
+impl Staged {
+    /// Puts it in place.
+    ///
+    /// # Errors
+    /// It is not certain that it stays there.
+    pub fn settle(self) -> io::Result<()> {
+        fs::rename(&self.beside, &self.path)?;
+        // The name must arrive as well.
+        let folder = self.path.parent().filter(|folder| !folder.as_os_str().is_empty());
+        File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
+    }
+
+    /// Removes it; one that cannot be removed is written over by the next.
+    pub fn discard(self) {
+        let _ = fs::remove_file(self.beside);
+    }
+}
+
+/// Puts a file in place, whole.
+///
+/// # Errors
+/// It is not certain that it stays there.
+pub fn put(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    stage(path, bytes)?.settle()
+}
+
 /// Where a voter keeps what it has promised.
 #[derive(Debug)]
 pub struct VoterFile {
@@ -44,26 +91,13 @@
         if self.path.exists() {
             return Err(io::ErrorKind::AlreadyExists.into());
         }
-        self.put(&Voter::founding(slot).file().unwrap_or_default())
-    }
-
-    /// Writes beside the file, makes sure that it has arrived, and only then puts it in place.
-    fn put(&self, bytes: &[u8]) -> io::Result<()> {
-        let mut beside = self.path.as_os_str().to_owned();
-        beside.push(".new");
-        let mut new = OpenOptions::new().write(true).create(true).truncate(true).open(&beside)?;
-        new.write_all(bytes)?;
-        new.sync_all()?;
-        fs::rename(&beside, &self.path)?;
-        // The name must arrive as well.
-        let folder = self.path.parent().filter(|folder| !folder.as_os_str().is_empty());
-        File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
+        put(&self.path, &Voter::founding(slot).file().unwrap_or_default())
     }
 }
 
 impl Disk for VoterFile {
     fn store(&mut self, bytes: &[u8]) -> bool {
-        self.failed = self.put(bytes).err();
+        self.failed = put(&self.path, bytes).err();
         self.failed.is_none()
     }
 }
--- a/src/fleet/rollout/mod.rs
+++ b/src/fleet/rollout/mod.rs
@@ -2,4 +2,6 @@
 //! `[control]` nothing of it is started.
 
 mod connections;
+pub mod gateway;
+pub mod handover;
 pub mod links;
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -4,12 +4,13 @@
 use std::fmt;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use dunemount_fleet::member::Peer;
 use dunemount_fleet::node::Node;
 use dunemount_fleet::register::{NodeId, Slot};
+use dunemount_rollout::follower::{Machine, Standing};
 use serde::{Deserialize, Serialize};
 
 /// How long the door may take to answer.
@@ -52,6 +53,56 @@
     pub present: bool,
 }
 
+/// A version of the configuration that a gateway could not take.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// Its number.
+    pub version: u64,
+    /// The first bytes of its digest, in hexadecimal.
+    pub digest: String,
+    /// Why.
+    pub why: String,
+}
+
+/// How a gateway stands with the configuration's versions.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// The number of the version in force; none before the first one.
+    pub version: Option<u64>,
+    /// The first bytes of its digest, in hexadecimal.
+    pub digest: Option<String>,
+    /// The control machine that it hears.
+    pub machine: Option<String>,
+    /// Since when no fresh control machine has been heard, in milliseconds; zero while one is.
+    pub cut_off_ms: u64,
+    /// The last version that could not be taken, if that is newer.
+    pub refused: Option<Refused>,
+    /// Versions that were offered and are older than the one in force.
+    pub older: u64,
+    /// Numbers that came with two digests.
+    pub conflicts: u64,
+}
+
+impl Configuration {
+    /// How a gateway stands that hears this control machine.
+    pub fn of(standing: &Standing, machine: Option<&Machine>) -> Configuration {
+        let refused = standing.refused.as_ref().map(|refused| Refused {
+            version: refused.version.number,
+            digest: refused.version.digest.to_string(),
+            why: refused.why.clone(),
+        });
+        Configuration {
+            version: standing.in_force.map(|version| version.number),
+            digest: standing.in_force.map(|version| version.digest.to_string()),
+            machine: machine.map(|machine| machine.name.clone()),
+            cut_off_ms: u64::try_from(standing.cut_off.as_millis()).unwrap_or(u64::MAX),
+            refused,
+            older: standing.older,
+            conflicts: standing.conflicts,
+        }
+    }
+}
+
 /// The state of a node.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -79,6 +130,9 @@
     pub too_long: u64,
     /// Replies of voters that cannot store, or came back with an older copy of their file.
     pub unfit: u64,
+    /// How it stands with the configuration's versions, if it gets them from control machines.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<Configuration>,
 }
 
 /// Where a node's thread puts its status, and the door finds it.
@@ -86,15 +140,26 @@
 pub struct Board(Arc<Mutex<Status>>);
 
 impl Board {
-    /// Puts up a new status.
+    /// Puts up a new status; what another thread tells of the configuration's versions stays.
     pub fn put(&self, status: Status) {
-        // A reader that panicked has changed nothing.
-        *self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = status;
+        let mut board = self.lock();
+        let configuration = board.configuration.take();
+        *board = Status { configuration, ..status };
+    }
+
+    /// Puts up how this gateway stands with the configuration's versions.
+    pub fn configure(&self, configuration: Configuration) {
+        self.lock().configuration = Some(configuration);
     }
 
     /// The status as it stands.
     pub fn get(&self) -> Status {
-        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Status> {
+        // Whoever panicked over it has changed it whole or not at all.
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
 
@@ -138,6 +203,7 @@
             refused: dropped.orders,
             too_long: dropped.too_long,
             unfit: node.electorate().unfit,
+            configuration: None,
         }
     }
 
@@ -165,6 +231,29 @@
     Ok(text)
 }
 
+impl fmt::Display for Configuration {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.version, &self.digest) {
+            (Some(version), Some(digest)) => {
+                write!(f, "configuration: version {version} ({digest}) in force")?
+            }
+            _ => write!(f, "configuration: no version in force, the gateway's own file")?,
+        }
+        match &self.machine {
+            Some(machine) if self.cut_off_ms == 0 => writeln!(f, ", heard from {machine}")?,
+            _ => writeln!(f, ", cut off from all control machines for {} ms", self.cut_off_ms)?,
+        }
+        if let Some(Refused { version, digest, why }) = &self.refused {
+            writeln!(f, "refused: version {version} ({digest}): {why}")?;
+        }
+        let Configuration { older, conflicts, .. } = self;
+        match older + conflicts {
+            0 => Ok(()),
+            _ => writeln!(f, "offered and not taken: {older} older; numbers with two digests: {conflicts}"),
+        }
+    }
+}
+
 impl fmt::Display for Status {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let voting = match self.voting {
@@ -178,6 +267,9 @@
         if *unfit > 0 {
             writeln!(f, "replies of voters that cannot store or have an older copy of their file: {unfit}")?;
         }
+        if let Some(configuration) = &self.configuration {
+            write!(f, "{configuration}")?;
+        }
         writeln!(f, "\n{:<24} {:<24} START", "MEMBER", "ADDRESS")?;
         for member in std::iter::once(&self.me).chain(&self.members) {
             writeln!(f, "{:<24} {:<24} {}", member.name, member.address, member.start)?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,14 +11,17 @@
 use clap::Parser;
 use dunemount::check;
 use dunemount::cli::{Cli, Command, Fleet, Serve};
+use dunemount::config::version::Source;
 use dunemount::config::{self, File, InForce, Taken};
-use dunemount::fault::Fault;
 use dunemount::fleet::driver;
+use dunemount::fleet::rollout::gateway;
 use dunemount::fleet::status::Status;
 use dunemount::logging;
 use dunemount::net::event_loop::{Config, Gateway, Signals};
 use dunemount::settings::Zones;
 use dunemount::upgrade::line;
+use dunemount_rollout::follower;
+use dunemount_rollout::version::Document;
 use slog::{info, warn, Level};
 
 /// How long the process before may take to hand over.
@@ -34,7 +37,9 @@
             true => println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default()),
             false => print!("{status}"),
         }),
-        Some(Command::Fleet(Fleet::Found(files))) => check::found(&files).map(|done| println!("{done}")),
+        Some(Command::Fleet(Fleet::Found { files, name })) => {
+            check::found(&files, name.as_deref()).map(|done| println!("{done}"))
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -48,6 +53,7 @@
 fn serve(how: Serve) -> Result<(), String> {
     let path = how.files.config.ok_or("GW_CONFIG does not name a configuration file, nor does --config")?;
     let options = check::options(how.files.settings.as_deref())?;
+    let follows = check::gateway(&options, how.files.settings.as_deref())?;
     let named_path = path.display().to_string();
     let read = check::read(&path);
     let said = |name: &str| std::env::var(name).ok();
@@ -70,10 +76,35 @@
         zones = before.estate.directory.zones().clone();
         taken = in_force.take(before.estate.config.clone(), &mut zones).ok();
     }
-    let new = read.and_then(|text| in_force.take(text, &mut zones).map_err(|fault| fault.of(&named_path)));
-    let Taken { file, seed, site, .. } = match (new, taken) {
+    // A version that cannot be read or used is as none: the newest one comes from the control machines again.
+    let mut unusable = None;
+    let kept = follows.and_then(|(_, path)| {
+        gateway::kept(path).unwrap_or_else(|why| {
+            unusable = Some(why);
+            None
+        })
+    });
+    let (mut own, mut version) = (in_force.text().to_string(), None);
+    let new = read.and_then(|text| {
+        own = text;
+        if let Some(document) = kept {
+            let whole = config::version::overlay(&own, document.bytes());
+            match whole.and_then(|whole| in_force.take(whole, &mut zones)) {
+                Ok(taken) => {
+                    version = Some(document);
+                    return Ok(taken);
+                }
+                Err(why) => unusable = Some(format!("version {}: {why}", document.version().number)),
+            }
+        }
+        in_force.take(own.clone(), &mut zones).map_err(|fault| fault.of(&named_path))
+    });
+    let Taken { file, seed, site, discovery: named } = match (new, taken) {
         (Ok(new), _) => new,
-        (Err(_), Some(taken)) => taken,
+        (Err(_), Some(taken)) => {
+            own = in_force.text().to_string();
+            taken
+        }
         (Err(why), None) => return Err(why),
     };
     let needed = |name: &str, or: &String| config::address(name, said(name).as_ref().unwrap_or(or));
@@ -93,17 +124,6 @@
         inherited,
         fleet: None,
     };
-    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-    let signals = Signals {
-        end: pipe_of(&[SIGTERM, SIGINT]).map_err(|e| format!("cannot watch for signals: {e}"))?,
-        reload: pipe_of(&[SIGHUP]).map_err(|e| format!("cannot watch for signals: {e}"))?,
-        // The file is the latest word: what the environment said at the start is over with it.
-        reread: Box::new(move |zones| {
-            let text = check::read(&path).map_err(|what| Fault::at(0, what))?;
-            let taken = in_force.take(text, zones)?;
-            Ok((in_force.text().to_string(), taken))
-        }),
-    };
     // `GW_LOG=debug` adds a line for each attempt that broke.
     let level = if said("GW_LOG").as_deref() == Some("debug") { Level::Debug } else { Level::Info };
     let fleet_name = name.clone().unwrap_or_else(|| file.name.clone());
@@ -111,12 +131,15 @@
     if let Some(e) = missed {
         warn!(log, "the process before did not hand over, starting alone"; "error" => %e);
     }
+    if let Some(why) = unusable {
+        warn!(log, "rollout: the version kept cannot be used, starting without"; "why" => why);
+    }
     let listen = config.listen;
     let mut groups: Vec<u32> = config.known.groups().collect();
     groups.sort_unstable();
     groups.dedup();
     let start = driver::Start {
-        name: fleet_name,
+        name: fleet_name.clone(),
         start: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64),
         roles: groups.into_iter().map(|group| format!("survey/{group}")).collect(),
         seed: RandomState::new().hash_one(std::process::id()),
@@ -124,11 +147,47 @@
     let fleet =
         driver::start(&options.fleet, start, &log).map_err(|e| format!("cannot join the fleet: {e}"))?;
     config.fleet = fleet.as_ref().map(|fleet| fleet.board.clone());
+    let rollout = match (follows, fleet.as_ref()) {
+        (Some((zone, file)), Some(fleet)) => {
+            let start = gateway::Start {
+                settings: follower::Settings {
+                    fleet: options.fleet.name.clone().unwrap_or_default(),
+                    name: fleet_name,
+                    zone: zone.to_string(),
+                    machines: options.control.machines.iter().map(|(machine, _)| machine.clone()).collect(),
+                    pace: follower::Pace::default(),
+                    seed: RandomState::new().hash_one(std::process::id()),
+                },
+                machines: options.control.machines.iter().map(|(_, address)| *address).collect(),
+                file: file.to_path_buf(),
+                in_force: version.as_ref().map(Document::version),
+                board: fleet.board.clone(),
+            };
+            Some(
+                gateway::start(start, &log)
+                    .map_err(|e| format!("cannot follow the control machines: {e}"))?,
+            )
+        }
+        _ => None,
+    };
+    let (rollout, versions) = rollout.unzip();
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+    let used = config.discovery;
+    let mut source = Source { path, own, in_force, version, named, used };
+    let signals = Signals {
+        end: pipe_of(&[SIGTERM, SIGINT]).map_err(|e| format!("cannot watch for signals: {e}"))?,
+        reload: pipe_of(&[SIGHUP]).map_err(|e| format!("cannot watch for signals: {e}"))?,
+        versions,
+        reread: Box::new(move |new, zones| source.take(new, zones)),
+    };
     let workers = Gateway::open_all(config, signals, log.clone(), options.cores)
         .map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     info!(log, "listening"; "address" => %listen, "version" => env!("CARGO_PKG_VERSION"),
         "cores" => options.cores);
     let ended = Gateway::run_all(workers).map_err(|e| format!("cannot wait for events: {e}"));
+    if let Some(rollout) = rollout {
+        rollout.end();
+    }
     if let Some(fleet) = fleet {
         fleet.end();
     }
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dunemount_rollout::version::Document;
 use polling::{Event, PollMode, Poller};
 use slab::Slab;
 use slog::{error, info, o, Logger};
@@ -39,6 +40,7 @@
 use crate::classes::Classes;
 use crate::config::Taken;
 use crate::fault::Fault;
+use crate::fleet::rollout::handover;
 use crate::fleet::status::Board;
 use crate::ops::figures::Figures;
 use crate::pg::codec;
@@ -53,6 +55,7 @@
 const RELOAD: usize = usize::MAX - 3;
 const DOOR: usize = usize::MAX - 4;
 const HEIRS: usize = usize::MAX - 5;
+const VERSIONS: usize = usize::MAX - 6;
 /// From here on: the lines to other processes of this gateway.
 const PEERS: usize = usize::MAX / 2;
 /// Descriptors kept back: standard streams, poller, signals, listeners, discovery, callers, connections that are
@@ -104,8 +107,8 @@
     pub fleet: Option<Board>,
 }
 
-/// Reads the configuration anew, with the zones that are known.
-pub type Reread = Box<dyn FnMut(&mut Zones) -> Result<(String, Taken), Fault> + Send>;
+/// Takes a version of the configuration, or reads the file anew where there is none; with the zones that are known.
+pub type Reread = Box<dyn FnMut(Option<&Document>, &mut Zones) -> Result<(String, Taken), Fault> + Send>;
 
 /// What comes from outside while the gateway runs.
 pub struct Signals {
@@ -113,6 +116,8 @@
     pub end: UnixStream,
     /// Becomes readable when the configuration is to be read anew.
     pub reload: UnixStream,
+    /// Where versions of the configuration come from, if they do.
+    pub versions: Option<handover::Inbox>,
     /// Reads the configuration anew: its text and what it brings, or why it cannot be used.
     pub reread: Reread,
 }
@@ -238,7 +243,8 @@
             first.log = log;
         }
         first.poller.add_with_mode(&listener, Event::readable(LISTENER), PollMode::Level)?;
-        for (pipe, key) in [(&signals.end, SIGNALS), (&signals.reload, RELOAD)] {
+        let versions = signals.versions.as_ref().map(|inbox| (&inbox.pipe, VERSIONS));
+        for (pipe, key) in [(&signals.end, SIGNALS), (&signals.reload, RELOAD)].into_iter().chain(versions) {
             pipe.set_nonblocking(true)?;
             first.poller.add_with_mode(pipe, Event::readable(key), PollMode::Level)?;
         }
@@ -365,6 +371,7 @@
             HEIRS => self.on_heir(),
             SIGNALS => self.on_signal(),
             RELOAD => self.on_reload(),
+            VERSIONS => self.on_version(),
             place if place >= PEERS => self.push_on(place - PEERS),
             place => {
                 let Some(key) = self.key_at(place) else { return };
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 
+use dunemount_rollout::version::Document;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use slog::{info, warn};
@@ -12,6 +13,7 @@
 use super::timers::Timer;
 use super::Gateway;
 use crate::balance::chance::unit;
+use crate::fault::Fault;
 use crate::net::dial;
 use crate::net::discovery::{BadAnswer, Failed, Listing, Watch};
 use crate::pg::codec::Outbox;
@@ -154,26 +156,49 @@
         let mut bytes = [0; 16];
         let Some(signals) = &mut self.signals else { return };
         let _ = signals.reload.read(&mut bytes);
-        let mut zones = self.directory.zones().clone();
-        match (signals.reread)(&mut zones) {
-            Ok((text, taken)) => {
-                info!(self.log, "configuration read anew"; "discovery" => %taken.discovery,
-                    "classes" => taken.site.classes.len());
-                let letter = || Letter::Settings(Box::new(taken.site.clone()), zones.clone());
-                self.crew.deliver_others(self.me, letter);
-                self.directory.know_zones(zones);
-                self.config = text;
-                self.figures.config_applied += 1;
-                self.settle_in(taken.site);
-                self.follow_discovery(taken.discovery);
-            }
+        match self.take_configuration(None) {
+            Ok(discovery) => self.follow_discovery(discovery),
             Err(why) => {
                 warn!(self.log, "new configuration not usable, the old one stays"; "why" => %why);
-                self.figures.config_rejected += 1;
             }
         }
     }
 
+    /// Takes a version of the configuration as [`Gateway::on_reload`] takes a file, and says what became of it. A watch
+    /// on a discovery that stays where it is goes on: at each version of all gateways it would ask for the whole list.
+    pub(super) fn on_version(&mut self) {
+        let versions = self.signals.as_mut().and_then(|signals| signals.versions.as_mut());
+        let Some(offer) = versions.and_then(|versions| versions.next()) else { return };
+        match self.take_configuration(Some(&offer.document)) {
+            Ok(discovery) => {
+                if discovery != self.watching.address {
+                    self.follow_discovery(discovery);
+                }
+                offer.answer(Ok(()));
+            }
+            Err(why) => offer.answer(Err(why.what)),
+        }
+    }
+
+    /// Takes a version, or the file anew: where discovery is from now on.
+    fn take_configuration(&mut self, version: Option<&Document>) -> Result<SocketAddr, Fault> {
+        let mut zones = self.directory.zones().clone();
+        let Some(signals) = &mut self.signals else { return Err(Fault::at(0, "not the first worker")) };
+        let (text, taken) = (signals.reread)(version, &mut zones).inspect_err(|_| {
+            self.figures.config_rejected += 1;
+        })?;
+        let what =
+            if version.is_some() { "configuration's version taken" } else { "configuration read anew" };
+        info!(self.log, "{}", what; "discovery" => %taken.discovery, "classes" => taken.site.classes.len());
+        let letter = || Letter::Settings(Box::new(taken.site.clone()), zones.clone());
+        self.crew.deliver_others(self.me, letter);
+        self.directory.know_zones(zones);
+        self.config = text;
+        self.figures.config_applied += 1;
+        self.settle_in(taken.site);
+        Ok(taken.discovery)
+    }
+
     /// Goes on under new settings.
     pub(super) fn settle_in(&mut self, site: Site) {
         let mut settings = site.settings;
--- a/src/options.rs
+++ b/src/options.rs
@@ -4,10 +4,13 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use dunemount_rollout::follower::Machine;
 use ini::Ini;
 
 use crate::fault::Fault;
 
+/// Most control machines: one a zone of the largest fleet, and room to move one.
+pub const MOST_MACHINES: usize = 16;
 /// Most worker threads that may be asked for.
 pub const MOST_CORES: u64 = 64;
 
@@ -18,6 +21,8 @@
     pub cores: usize,
     /// `[fleet]`: talk between gateways, none unless it is named.
     pub fleet: FleetOptions,
+    /// `[control]`: where a configuration's versions come from, nowhere unless machines are named.
+    pub control: ControlOptions,
 }
 
 /// A gateway's name and where it hears the others of its fleet.
@@ -50,6 +55,19 @@
     pub file: Option<PathBuf>,
 }
 
+/// `[control]`: what a gateway, a control machine and the operators' tool are told of a configuration's versions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ControlOptions {
+    /// `machines`: the control machines and where they listen (TCP), in the same order everywhere.
+    pub machines: Vec<(Machine, SocketAddr)>,
+    /// `zone`: a gateway's.
+    pub zone: Option<String>,
+    /// `file`: where a gateway keeps the version in force, and a control machine what it needs.
+    pub file: Option<PathBuf>,
+    /// The line on which the section starts, where machines are named.
+    pub line: usize,
+}
+
 impl Default for Options {
     fn default() -> Self {
         let fleet = FleetOptions {
@@ -62,7 +80,7 @@
             probe_ms: 500,
             file: None,
         };
-        Options { cores: 1, fleet }
+        Options { cores: 1, fleet, control: ControlOptions::default() }
     }
 }
 
@@ -121,7 +139,19 @@
     number("fleet", "lease_ms", (300, 600_000), |o, n| o.fleet.lease_ms = n),
     number("fleet", "probe_ms", (50, 60_000), |o, n| o.fleet.probe_ms = n),
     text("fleet", "file", |o, text| {
-        o.fleet.file = Some(PathBuf::from(text));
+        o.fleet.file = Some(path(text)?);
+        Ok(())
+    }),
+    text("control", "machines", |o, text| {
+        o.control.machines = machines(text)?;
+        Ok(())
+    }),
+    text("control", "zone", |o, text| {
+        o.control.zone = Some(word(text, "a zone's name")?);
+        Ok(())
+    }),
+    text("control", "file", |o, text| {
+        o.control.file = Some(path(text)?);
         Ok(())
     }),
 ];
@@ -135,6 +165,13 @@
     }
 }
 
+fn path(text: &str) -> Result<PathBuf, String> {
+    match text {
+        "" => Err("a path is empty".into()),
+        _ => Ok(PathBuf::from(text)),
+    }
+}
+
 fn address(text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{text:?} is no address with a port"))
 }
@@ -153,6 +190,23 @@
     Ok(places)
 }
 
+/// `ZONE/NAME@ADDRESS:PORT`, separated by commas.
+fn machines(text: &str) -> Result<Vec<(Machine, SocketAddr)>, String> {
+    let parts: Vec<&str> = text.split(',').map(str::trim).collect();
+    if parts.len() > MOST_MACHINES {
+        return Err(format!("{} machines, {MOST_MACHINES} at most", parts.len()));
+    }
+    let mut zones = Vec::new();
+    let mut rest = Vec::new();
+    for part in parts {
+        let (zone, place) = part.split_once('/').ok_or(format!("{part:?} is not ZONE/NAME@ADDRESS:PORT"))?;
+        zones.push(word(zone, "a zone's name")?);
+        rest.push(place);
+    }
+    let places = places(&rest.join(","))?.into_iter();
+    Ok(places.zip(zones).map(|(Place { name, address }, zone)| (Machine { name, zone }, address)).collect())
+}
+
 impl Options {
     /// Reads a file's text, or names the first line of it that cannot be used.
     pub fn read(text: &str) -> Result<Options, Fault> {
@@ -186,6 +240,13 @@
             return Err(first);
         }
         options.fleet.whole().map_err(|what| Fault::at(line_of(text, "fleet", None, 0), what))?;
+        if !options.control.machines.is_empty() {
+            options.control.line = line_of(text, "control", None, 0);
+            if options.fleet.name.is_none() {
+                let what = "[control] machines: [fleet] name is missing, which each connection says first";
+                return Err(Fault::at(options.control.line, what));
+            }
+        }
         Ok(options)
     }
 
@@ -235,6 +296,32 @@
     }
 }
 
+impl ControlOptions {
+    /// A gateway's zone and where it keeps the version in force; none without machines.
+    ///
+    /// # Errors
+    /// A key that is missing.
+    pub fn gateway(&self) -> Result<Option<(&str, &Path)>, Fault> {
+        if self.machines.is_empty() {
+            return Ok(None);
+        }
+        let zone = self.zone.as_deref().ok_or_else(|| self.missing("zone"))?;
+        Ok(Some((zone, self.kept()?)))
+    }
+
+    /// Where versions are kept.
+    ///
+    /// # Errors
+    /// It is not named.
+    pub fn kept(&self) -> Result<&Path, Fault> {
+        self.file.as_deref().ok_or_else(|| self.missing("file"))
+    }
+
+    fn missing(&self, key: &str) -> Fault {
+        Fault::at(self.line, format!("[control] {key}: missing"))
+    }
+}
+
 /// Whether a line by itself is a comment, a section's head or a key with a value.
 fn is_ini(line: &str) -> bool {
     let line = line.trim();
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -18,6 +18,7 @@
 use dunemount::pg::codec::{self, Frame, Inbox};
 use dunemount::settings::Zones;
 use dunemount::upgrade::line::Inheritance;
+use dunemount_rollout::version::Document;
 use serde_json::{json, Value};
 
 pub fn settings() -> Value {
@@ -269,11 +270,11 @@
             inherited,
             fleet: None,
         };
-        let reread = Box::new(move |zones: &mut Zones| {
+        let reread = Box::new(move |_: Option<&Document>, zones: &mut Zones| {
             let text: String = read.recv().expect("a file");
             in_force.take(text.clone(), zones).map(|taken| (text, taken))
         });
-        let signals = Signals { end, reload: anew, reread };
+        let signals = Signals { end, reload: anew, versions: None, reread };
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let workers = Gateway::open_all(config, signals, log, cores).expect("it opens");
         let address = workers[0].address().expect("it listens");
