--- a/src/cli.rs
+++ b/src/cli.rs
@@ -59,6 +59,61 @@
         #[arg(long)]
         json: bool,
     },
+    /// Run a control machine, which takes, keeps and gives out the configuration's versions, until a signal ends it.
+    Control {
+        /// Its name, one of `[control] machines`.
+        #[arg(long, value_name = "NAME")]
+        name: String,
+        /// The settings that name it, the others and the fleet.
+        #[command(flatten)]
+        settings: Settings,
+        /// Form of the log's lines.
+        #[arg(long, value_enum, value_name = "FORM", env = "GW_LOG_FORM", default_value_t = Form::Text)]
+        log: Form,
+    },
+    /// The configuration's versions at the fleet's control machines.
+    #[command(subcommand)]
+    Config(Version),
+}
+
+/// What may be asked for of the configuration's versions.
+#[derive(Debug, Subcommand)]
+pub enum Version {
+    /// Check a configuration, and have what all gateways share of it become the next version. Exit status 0: accepted;
+    /// 1: not; 3: uncertain, `status` tells.
+    Put {
+        /// A whole configuration, or the part of it that all gateways share.
+        file: PathBuf,
+        /// The settings that name the control machines.
+        #[command(flatten)]
+        settings: Settings,
+    },
+    /// Print the newest version, or an older one that is still kept.
+    Show {
+        /// Its number.
+        #[arg(long, value_name = "N")]
+        number: Option<u64>,
+        /// The settings that name the control machines.
+        #[command(flatten)]
+        settings: Settings,
+    },
+    /// Tell which version is the newest, and which gateways have it in force, lag, have refused it or are silent.
+    Status {
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+        /// The settings that name the control machines.
+        #[command(flatten)]
+        settings: Settings,
+    },
+}
+
+/// The project's own settings alone.
+#[derive(Args, Debug)]
+pub struct Settings {
+    /// The project's own settings, an INI file.
+    #[arg(long, value_name = "FILE", env = "GW_SETTINGS")]
+    pub settings: Option<PathBuf>,
 }
 
 /// How to serve.
--- a/src/fleet/driver.rs
+++ b/src/fleet/driver.rs
@@ -25,7 +25,7 @@
 /// Time between two tries to have the address, which the process before may still have.
 const BIND_PAUSE: Duration = Duration::from_millis(250);
 /// How long a node takes at most to give its roles back.
-const LEAVE: Duration = Duration::from_millis(600);
+pub(super) const LEAVE: Duration = Duration::from_millis(600);
 /// Time between two states put on the board.
 const BOARD: Duration = Duration::from_millis(200);
 const SOCKET: usize = 0;
@@ -199,34 +199,36 @@
 
     fn tell(&mut self) {
         while let Some(event) = self.carrier.node.event() {
-            match event {
-                Event::Member(member::Change::Came(peer)) => {
-                    info!(self.log, "fleet: member came"; "member" => &peer.name, "address" => %peer.address);
-                }
-                Event::Member(member::Change::Went(peer)) => {
-                    info!(self.log, "fleet: member went"; "member" => &peer.name, "address" => %peer.address);
-                }
-                Event::Member(member::Change::Superseded) => {
-                    warn!(
-                        self.log,
-                        "fleet: a process with this name has started later, this one is no member any more"
-                    );
-                }
-                Event::Role(role, Change::Took { epoch }) => {
-                    info!(self.log, "fleet: role taken"; "epoch" => epoch, "role" => role);
-                }
-                Event::Role(role, Change::Ended { epoch, why }) => {
-                    info!(self.log, "fleet: role ended"; "why" => ?why, "epoch" => epoch, "role" => role);
-                }
-                Event::Order(order, first) => {
-                    info!(self.log, "fleet: order"; "first" => first, "epoch" => order.epoch, "role" => order.role);
-                }
-                Event::Refused(order, why) => {
-                    warn!(self.log, "fleet: order refused"; "why" => ?why, "epoch" => order.epoch, "role" => order.role);
-                }
-                Event::VoterIn => info!(self.log, "fleet: the voter is let in"),
-                Event::Record(..) => {}
-            }
+            log_event(&self.log, event);
+        }
+    }
+}
+
+/// Tells operators of an event. What became of a register is told by whoever asked for it.
+pub(super) fn log_event(log: &Logger, event: Event) {
+    match event {
+        Event::Member(member::Change::Came(peer)) => {
+            info!(log, "fleet: member came"; "member" => &peer.name, "address" => %peer.address);
+        }
+        Event::Member(member::Change::Went(peer)) => {
+            info!(log, "fleet: member went"; "member" => &peer.name, "address" => %peer.address);
+        }
+        Event::Member(member::Change::Superseded) => {
+            warn!(log, "fleet: a process with this name has started later, this one is no member any more");
+        }
+        Event::Role(role, Change::Took { epoch }) => {
+            info!(log, "fleet: role taken"; "epoch" => epoch, "role" => role);
+        }
+        Event::Role(role, Change::Ended { epoch, why }) => {
+            info!(log, "fleet: role ended"; "why" => ?why, "epoch" => epoch, "role" => role);
+        }
+        Event::Order(order, first) => {
+            info!(log, "fleet: order"; "first" => first, "epoch" => order.epoch, "role" => order.role);
+        }
+        Event::Refused(order, why) => {
+            warn!(log, "fleet: order refused"; "why" => ?why, "epoch" => order.epoch, "role" => order.role);
         }
+        Event::VoterIn => info!(log, "fleet: the voter is let in"),
+        Event::Record(..) => {}
     }
 }
--- /dev/null
+++ b/src/fleet/rollout/machine.rs
@@ -0,0 +1,261 @@
+//! A control machine: a node of the fleet, the connections for the configuration's versions, and the file that keeps them,
+//! all on one thread. It decides nothing.
+
+use std::fs;
+use std::io::{self, ErrorKind, Read};
+use std::net::{TcpListener, UdpSocket};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dunemount_fleet::node::{Event, Node};
+use dunemount_fleet::record::Outcome;
+use dunemount_rollout::control::{self, Control, Keeping, Out, Settings, Told, REGISTER};
+use dunemount_rollout::follower::{Machine, Pace};
+use dunemount_rollout::version::Document;
+use dunemount_rollout::wire::MOST_GATEWAYS;
+use polling::{Event as Poll, PollMode, Poller};
+use slog::{info, warn, Logger};
+
+use super::connections::{Connections, Heard};
+use crate::config::version;
+use crate::fleet::carrier::Carrier;
+use crate::fleet::driver::{self, LEAVE};
+use crate::fleet::file::{put, VoterFile};
+use crate::options::{Options, MOST_MACHINES};
+
+/// Between two looks at the register. One has time to fail and another to do well before the knowledge is stale.
+const LOOK: Duration = Duration::from_millis(500);
+const FRESH: Duration = Duration::from_secs(2);
+/// How long an operator waits for a version's acceptance at most.
+pub(super) const ACCEPT: Duration = Duration::from_secs(5);
+/// Most connections: gateways, the others' and those to them, operators and some to spare.
+const MOST: usize = MOST_GATEWAYS + 4 * MOST_MACHINES;
+/// Most connections taken in one turn.
+const ACCEPTS: usize = 64;
+/// Most times that what was said leads to more in one turn; the rest waits for the next.
+const STEPS: usize = 100;
+const SOCKET: usize = usize::MAX - 1;
+const LISTENER: usize = usize::MAX - 2;
+const END: usize = usize::MAX - 3;
+
+/// What a control machine is started with beside the options.
+pub struct Start {
+    /// Its name, one of `[control] machines`.
+    pub name: String,
+    /// As for a gateway's node.
+    pub start: u64,
+    /// For random numbers.
+    pub seed: u64,
+    /// Becomes readable when it is to end.
+    pub end: UnixStream,
+}
+
+/// Judges documents and keeps them in its file.
+struct Desk {
+    file: PathBuf,
+    log: Logger,
+}
+
+impl control::Desk for Desk {
+    fn check(&mut self, document: &[u8], before: Option<&Document>) -> Result<(), String> {
+        version::check(document, before.map(|before| &before.bytes()[..])).map_err(|fault| fault.what)
+    }
+
+    fn store(&mut self, kept: &Keeping) -> bool {
+        let done = put(&self.file, &kept.file());
+        if let Err(e) = &done {
+            warn!(self.log, "rollout: versions cannot be kept"; "error" => %e, "file" => %self.file.display());
+        }
+        done.is_ok()
+    }
+}
+
+/// Reads what a control machine keeps: blank where there is no file.
+///
+/// # Errors
+/// Why the file cannot be used, in words for the operator.
+fn kept(path: &Path) -> Result<Keeping, String> {
+    match fs::read(path) {
+        Ok(bytes) => Keeping::read(&bytes),
+        Err(e) if e.kind() == ErrorKind::NotFound => Ok(Keeping::default()),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+/// Runs a control machine until it is to end.
+///
+/// # Errors
+/// Settings that lack something, and what the system does not give, in words for the operator.
+pub fn run(options: &Options, start: Start, log: &Logger) -> Result<(), String> {
+    let machines: Vec<Machine> =
+        options.control.machines.iter().map(|(machine, _)| machine.clone()).collect();
+    let place = machines.iter().position(|machine| machine.name == start.name);
+    let place = place.ok_or(format!("{} is none of [control] machines", start.name))?;
+    let file = options.control.kept().map_err(|fault| fault.to_string())?.to_path_buf();
+    let own =
+        driver::Start { name: start.name.clone(), start: start.start, roles: Vec::new(), seed: start.seed };
+    let node = driver::settings(&options.fleet, own)?;
+    let (Some((node, slot)), Some(hear)) = (node, options.fleet.listen) else {
+        return Err("[fleet] name: missing".into());
+    };
+    let voter = options.fleet.voter(&start.name)?.map(|(_, path)| VoterFile::at(path));
+    let keeping = kept(&file).unwrap_or_else(|why| {
+        warn!(log, "rollout: what was kept cannot be used, the others have to give it"; "why" => why);
+        Keeping::default()
+    });
+    let settings = Settings {
+        fleet: node.fleet.clone(),
+        name: start.name,
+        machines,
+        pace: Pace::default(),
+        look: LOOK,
+        fresh: FRESH,
+        accept: ACCEPT,
+        seed: start.seed,
+    };
+    let (zone, listen) = (settings.machines[place].zone.clone(), options.control.machines[place].1);
+    let failed = |what: &str, e: io::Error| format!("cannot {what}: {e}");
+    let socket = UdpSocket::bind(hear).map_err(|e| failed(&format!("hear datagrams at {hear}"), e))?;
+    let listener = TcpListener::bind(listen).map_err(|e| failed(&format!("listen on {listen}"), e))?;
+    let poller = Arc::new(Poller::new().map_err(|e| failed("wait for events", e))?);
+    let set = socket.set_nonblocking(true).and_then(|()| listener.set_nonblocking(true));
+    let set = set.and_then(|()| start.end.set_nonblocking(true));
+    let set = set
+        .and_then(|()| poller.add_with_mode(&socket, Poll::readable(SOCKET), PollMode::Level))
+        .and_then(|()| poller.add_with_mode(&listener, Poll::readable(LISTENER), PollMode::Level))
+        .and_then(|()| poller.add_with_mode(&start.end, Poll::readable(END), PollMode::Level));
+    set.map_err(|e| failed("wait for events", e))?;
+    let desk = Desk { file, log: log.clone() };
+    let addresses = options.control.machines.iter().map(|(_, address)| *address).collect();
+    let running = Running {
+        carrier: Carrier::new(node, slot.zip(voter), log.clone()),
+        control: Control::new(settings, keeping, Duration::ZERO),
+        connections: Connections::new(poller.clone(), 0, MOST),
+        desk,
+        addresses,
+        socket,
+        listener,
+        end: start.end,
+        poller,
+        began: Instant::now(),
+        log: log.clone(),
+    };
+    info!(log, "control machine"; "hears" => %hear, "listens" => %listen, "zone" => zone);
+    running.run();
+    Ok(())
+}
+
+struct Running {
+    carrier: Carrier,
+    control: Control,
+    connections: Connections,
+    desk: Desk,
+    /// The control machines', in the settings' order.
+    addresses: Vec<std::net::SocketAddr>,
+    socket: UdpSocket,
+    listener: TcpListener,
+    end: UnixStream,
+    poller: Arc<Poller>,
+    began: Instant,
+    log: Logger,
+}
+
+impl Running {
+    fn run(mut self) {
+        let mut ready = Vec::new();
+        let mut until: Option<Duration> = None;
+        let mut more = true;
+        while until.is_none_or(|until| self.now() < until && !self.carrier.node.has_left()) {
+            let due = self.carrier.node.due().min(self.control.due());
+            let left = if more { Duration::ZERO } else { due.saturating_sub(self.now()) };
+            ready.clear();
+            // What comes of it is looked at whatever woke the thread.
+            let _ = self.poller.wait(&mut ready, Some(left));
+            let now = self.now();
+            self.carrier.turn(now, &self.socket);
+            self.hear(now, &ready);
+            self.control.tick(now);
+            more = (0..STEPS).all(|_| self.carry_out(now));
+            if until.is_none() && self.end.read(&mut [0]).is_ok() {
+                info!(self.log, "signal to end");
+                self.carrier.node.leave(now);
+                self.carrier.node.tick(now);
+                until = Some(now + LEAVE);
+            }
+            self.carrier.send(&self.socket);
+        }
+        self.connections.close_all();
+        info!(self.log, "ended");
+    }
+
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    fn hear(&mut self, now: Duration, ready: &[Poll]) {
+        let Running { control, desk, .. } = self;
+        self.connections.turn(ready, |link, heard| match heard {
+            Heard::Opened => control.opened(now, link),
+            Heard::Bytes(bytes) => control.received(now, link, bytes, desk),
+        });
+        for _ in 0..ACCEPTS {
+            let Ok((socket, _)) = self.listener.accept() else { return };
+            if let Some(link) = self.control.accepted(now) {
+                self.connections.adopt(link, socket);
+            }
+        }
+    }
+
+    /// Carries out what the control machine's part and the node say; whether that was anything.
+    fn carry_out(&mut self, now: Duration) -> bool {
+        let mut done = false;
+        while let Some(out) = self.control.next() {
+            done = true;
+            let node = &mut self.carrier.node;
+            match out {
+                Out::Connect(link, place) => match self.addresses.get(place) {
+                    Some(address) => self.connections.connect(link, *address),
+                    None => self.control.closed(now, link),
+                },
+                Out::Send(link, bytes) => self.connections.send(link, bytes),
+                Out::Close(link) => self.connections.finish(link),
+                Out::Look => node.look(now, REGISTER),
+                Out::Change => node.change(now, REGISTER),
+                Out::Propose(value) => node.propose(now, REGISTER, Some(value)),
+                Out::Withdraw => node.propose(now, REGISTER, None),
+                Out::Note(text) => info!(self.log, "rollout: {}", text),
+            }
+        }
+        while let Some(link) = self.connections.lost() {
+            done = true;
+            self.control.closed(now, link);
+        }
+        while let Some(event) = self.carrier.node.event() {
+            done = true;
+            match event {
+                Event::Record(key, outcome) if key == REGISTER => {
+                    self.control.told(now, told(outcome), &mut self.desk);
+                }
+                event => driver::log_event(&self.log, event),
+            }
+        }
+        done
+    }
+}
+
+fn told(outcome: Outcome) -> Told {
+    match outcome {
+        Outcome::Holds(value, began) => Told::Holds(value, began),
+        Outcome::Promised(value) => Told::Promised(value),
+        Outcome::Chosen(value) => Told::Chosen(value),
+        Outcome::Failed { proposed, no_majority } => Told::Failed { proposed, no_majority },
+    }
+}
+
+/// The members that the node knows, itself among them.
+fn members(node: &Node) -> Vec<String> {
+    let members = node.members();
+    members.present().chain([members.me()]).map(|peer| peer.name.clone()).collect()
+}
--- a/src/fleet/rollout/mod.rs
+++ b/src/fleet/rollout/mod.rs
@@ -5,3 +5,5 @@
 pub mod gateway;
 pub mod handover;
 pub mod links;
+pub mod machine;
+pub mod tool;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,20 +1,22 @@
 //! The dunemount gateway: reads its configuration, opens its log and runs the loop.
 
 use std::collections::hash_map::RandomState;
+use std::fmt::Display;
 use std::hash::BuildHasher;
 use std::io::ErrorKind;
 use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::Parser;
 use dunemount::check;
-use dunemount::cli::{Cli, Command, Fleet, Serve};
+use dunemount::cli::{Cli, Command, Fleet, Form, Serve, Version};
 use dunemount::config::version::Source;
 use dunemount::config::{self, File, InForce, Taken};
 use dunemount::fleet::driver;
-use dunemount::fleet::rollout::gateway;
+use dunemount::fleet::rollout::tool::{Failed, Tool};
+use dunemount::fleet::rollout::{gateway, machine};
 use dunemount::fleet::status::Status;
 use dunemount::logging;
 use dunemount::net::event_loop::{Config, Gateway, Signals};
@@ -22,34 +24,85 @@
 use dunemount::upgrade::line;
 use dunemount_rollout::follower;
 use dunemount_rollout::version::Document;
+use serde::Serialize;
 use slog::{info, warn, Level};
 
+/// Exit status of what may or may not have been done.
+const UNCERTAIN: u8 = 3;
 /// How long the process before may take to hand over.
 const ESTATE_PATIENCE: Duration = Duration::from_secs(3);
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
-        None => serve(cli.serve),
-        Some(Command::Serve(how)) => serve(how),
-        Some(Command::Check(files)) => check::check(&files).map(|found| println!("{found}")),
-        Some(Command::Fleet(Fleet::Status { admin, json })) => Status::ask(admin).map(|status| match json {
-            true => println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default()),
-            false => print!("{status}"),
-        }),
-        Some(Command::Fleet(Fleet::Found { files, name })) => {
-            check::found(&files, name.as_deref()).map(|done| println!("{done}"))
+        None => serve(cli.serve).map_err(Failed::from),
+        Some(Command::Serve(how)) => serve(how).map_err(Failed::from),
+        Some(Command::Check(files)) => {
+            check::check(&files).map(|found| println!("{found}")).map_err(Failed::from)
         }
+        Some(Command::Fleet(fleet)) => fleet_command(fleet),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("dunemount: {message}");
+        Err(Failed { why, uncertain }) => {
+            eprintln!("dunemount: {why}");
+            if uncertain {
+                eprintln!("dunemount: uncertain: it may still become a version, `fleet config status` tells");
+                return ExitCode::from(UNCERTAIN);
+            }
             ExitCode::FAILURE
         }
     }
 }
 
+fn fleet_command(command: Fleet) -> Result<(), Failed> {
+    match command {
+        Fleet::Found { files, name } => println!("{}", check::found(&files, name.as_deref())?),
+        Fleet::Status { admin, json } => print_as(&Status::ask(admin)?, json),
+        Fleet::Control { name, settings, log } => control(name, settings.settings.as_deref(), log)?,
+        Fleet::Config(Version::Put { file, settings }) => {
+            println!("{}", Tool::of(settings.settings.as_deref())?.put(&file)?);
+        }
+        Fleet::Config(Version::Show { number, settings }) => {
+            let document = Tool::of(settings.settings.as_deref())?.show(number)?;
+            let shown = document.version();
+            eprintln!("version {}, digest {}", shown.number, shown.digest);
+            println!("{}", String::from_utf8_lossy(document.bytes()));
+        }
+        Fleet::Config(Version::Status { json, settings }) => {
+            print_as(&Tool::of(settings.settings.as_deref())?.status()?, json);
+        }
+    }
+    Ok(())
+}
+
+/// Prints for people, or as JSON.
+fn print_as(told: &(impl Serialize + Display), json: bool) {
+    match json {
+        true => println!("{}", serde_json::to_string_pretty(told).unwrap_or_default()),
+        false => print!("{told}"),
+    }
+}
+
+/// Runs a control machine.
+fn control(name: String, settings: Option<&Path>, form: Form) -> Result<(), String> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let options = check::options(settings)?;
+    let start = machine::Start {
+        name: name.clone(),
+        start: start_number(),
+        seed: RandomState::new().hash_one(std::process::id()),
+        end: pipe_of(&[SIGTERM, SIGINT]).map_err(|e| format!("cannot watch for signals: {e}"))?,
+    };
+    let (log, _flushed_at_end) = logging::open(name, form, Level::Info);
+    machine::run(&options, start, &log)
+}
+
+/// Rises with each start.
+fn start_number() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
 fn serve(how: Serve) -> Result<(), String> {
     let path = how.files.config.ok_or("GW_CONFIG does not name a configuration file, nor does --config")?;
     let options = check::options(how.files.settings.as_deref())?;
@@ -140,7 +193,7 @@
     groups.dedup();
     let start = driver::Start {
         name: fleet_name.clone(),
-        start: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64),
+        start: start_number(),
         roles: groups.into_iter().map(|group| format!("survey/{group}")).collect(),
         seed: RandomState::new().hash_one(std::process::id()),
     };
