--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -88,7 +88,7 @@
 }
 
 /// A toy host that tells the test each statement it gets. What it does hangs on the quoted key.
-fn toy_host(index: u8, heard: Sender<String>, mood: Arc<Mood>) -> SocketAddr {
+pub fn toy_host(index: u8, heard: Sender<String>, mood: Arc<Mood>) -> SocketAddr {
     let listener = local();
     let address = listener.local_addr().expect("bound");
     std::thread::spawn(move || {
@@ -284,13 +284,7 @@
     }
 
     pub fn client(&self) -> Talk {
-        let mut socket = TcpStream::connect(self.address).expect("accepted");
-        let mut hello = Vec::new();
-        codec::startup(&mut hello, "app", "shop");
-        socket.write_all(&hello).expect("written");
-        let mut talk = Talk { socket, inbox: Inbox::default() };
-        assert_eq!(talk.answer().pop().map(|frame| frame.tag), Some(b'Z'));
-        talk
+        Talk::to(self.address)
     }
 
     /// Replaces the configuration file and sends the signal, as operators do.
@@ -324,6 +318,17 @@
 }
 
 impl Talk {
+    /// A client that a gateway has let in.
+    pub fn to(address: SocketAddr) -> Talk {
+        let mut socket = TcpStream::connect(address).expect("accepted");
+        let mut hello = Vec::new();
+        codec::startup(&mut hello, "app", "shop");
+        socket.write_all(&hello).expect("written");
+        let mut talk = Talk { socket, inbox: Inbox::default() };
+        assert_eq!(talk.answer().pop().map(|frame| frame.tag), Some(b'Z'));
+        talk
+    }
+
     pub fn ask(&mut self, text: &str) {
         let mut bytes = Vec::new();
         codec::query(&mut bytes, text);
