rollout core: a gateway that wakes up late takes the newest of the versions that wait for it

Cause: a control machine sends each version as it comes, so a stopped gateway finds several in its socket; the follower handed out the first of them as soon as it was read, and the newest after it. Change: what is to be taken is handed out by Follower::next when nothing else is left, so that all bytes of a turn count before.

--- a/crates/rollout/src/follower.rs
+++ b/crates/rollout/src/follower.rs
@@ -307,7 +307,12 @@
     /// What is to be done next.
     #[allow(clippy::should_implement_trait)] // It may have more later.
     pub fn next(&mut self) -> Option<Out> {
-        self.out.pop_front()
+        // What is taken is decided last: one that wakes up late finds several versions, and takes the newest alone.
+        self.out.pop_front().or_else(|| {
+            let document = self.waiting.take_if(|_| self.taking.is_none())?;
+            self.taking = Some(document.version());
+            Some(Out::Take(document))
+        })
     }
 
     /// How it stands.
@@ -463,7 +468,7 @@
         true
     }
 
-    /// Takes a version that is newer than all that are known, or has it wait for the one that is being taken.
+    /// Has a version that is newer than all that are known wait until it can be taken.
     fn take(&mut self, document: Document) {
         let version = document.version();
         let refused = self.refused.as_ref().is_some_and(|refused| refused.version == version);
@@ -471,12 +476,7 @@
         if refused || !newer {
             return;
         }
-        if self.taking.is_some() {
-            self.waiting = Some(document);
-            return;
-        }
-        self.taking = Some(version);
-        self.out.push_back(Out::Take(document));
+        self.waiting = Some(document);
     }
 }
 
