Control machine: tells the members, and its file is named with the settings' line

Cause: fleet config status is to name members that no control machine has heard; a missing [control] file was told without its place. Change: members go to the control machine's part at each change; check::kept names file and line.

--- a/src/check.rs
+++ b/src/check.rs
@@ -44,7 +44,16 @@
 /// A gateway's zone and file for the configuration's versions, by the settings that were read from this path; none if
 /// these name no control machines.
 pub fn gateway<'a>(options: &'a Options, path: Option<&Path>) -> Result<Option<(&'a str, &'a Path)>, String> {
-    options.control.gateway().map_err(|fault| fault.of(&path.unwrap_or(Path::new("")).display().to_string()))
+    options.control.gateway().map_err(|fault| of_settings(fault, path))
+}
+
+/// Where a control machine keeps versions, by the settings that were read from this path.
+pub fn kept<'a>(options: &'a Options, path: Option<&Path>) -> Result<&'a Path, String> {
+    options.control.kept().map_err(|fault| of_settings(fault, path))
+}
+
+fn of_settings(fault: Fault, path: Option<&Path>) -> String {
+    fault.of(&path.unwrap_or(Path::new("")).display().to_string())
 }
 
 /// Lays out the file of a voter of a new fleet, whose name the configuration tells unless it is given.
--- a/src/fleet/rollout/gateway.rs
+++ b/src/fleet/rollout/gateway.rs
@@ -115,7 +115,11 @@
         let Start { settings, machines, file, board, .. } = start;
         let follower = Follower::new(settings, in_force, now);
         let carrier = Carrier::new(follower, machines, poller.clone(), 0);
-        let told = Told::default();
+        let told = Told { standing: Standing { in_force, ..Standing::default() }, cut_off: false };
+        if let Some(version) = in_force {
+            info!(log, "rollout: goes on with the version kept"; "digest" => %version.digest,
+                "version" => version.number);
+        }
         Driver { carrier, end, poller, outbox, began, file, taking: None, told, board, log }.run();
     }
 
@@ -178,7 +182,6 @@
 }
 
 /// What operators have been told.
-#[derive(Default)]
 struct Told {
     standing: Standing,
     cut_off: bool,
--- a/src/fleet/rollout/machine.rs
+++ b/src/fleet/rollout/machine.rs
@@ -44,6 +44,8 @@
 pub struct Start {
     /// Its name, one of `[control] machines`.
     pub name: String,
+    /// Where it keeps versions.
+    pub file: PathBuf,
     /// As for a gateway's node.
     pub start: u64,
     /// For random numbers.
@@ -93,7 +95,6 @@
         options.control.machines.iter().map(|(machine, _)| machine.clone()).collect();
     let place = machines.iter().position(|machine| machine.name == start.name);
     let place = place.ok_or(format!("{} is none of [control] machines", start.name))?;
-    let file = options.control.kept().map_err(|fault| fault.to_string())?.to_path_buf();
     let own =
         driver::Start { name: start.name.clone(), start: start.start, roles: Vec::new(), seed: start.seed };
     let node = driver::settings(&options.fleet, own)?;
@@ -101,7 +102,7 @@
         return Err("[fleet] name: missing".into());
     };
     let voter = options.fleet.voter(&start.name)?.map(|(_, path)| VoterFile::at(path));
-    let keeping = kept(&file).unwrap_or_else(|why| {
+    let keeping = kept(&start.file).unwrap_or_else(|why| {
         warn!(log, "rollout: what was kept cannot be used, the others have to give it"; "why" => why);
         Keeping::default()
     });
@@ -127,7 +128,7 @@
         .and_then(|()| poller.add_with_mode(&listener, Poll::readable(LISTENER), PollMode::Level))
         .and_then(|()| poller.add_with_mode(&start.end, Poll::readable(END), PollMode::Level));
     set.map_err(|e| failed("wait for events", e))?;
-    let desk = Desk { file, log: log.clone() };
+    let desk = Desk { file: start.file, log: log.clone() };
     let addresses = options.control.machines.iter().map(|(_, address)| *address).collect();
     let running = Running {
         carrier: Carrier::new(node, slot.zip(voter), log.clone()),
@@ -238,7 +239,12 @@
                 Event::Record(key, outcome) if key == REGISTER => {
                     self.control.told(now, told(outcome), &mut self.desk);
                 }
-                event => driver::log_event(&self.log, event),
+                event => {
+                    if matches!(event, Event::Member(_)) {
+                        self.control.members(members(&self.carrier.node));
+                    }
+                    driver::log_event(&self.log, event);
+                }
             }
         }
         done
--- a/src/main.rs
+++ b/src/main.rs
@@ -88,8 +88,10 @@
 fn control(name: String, settings: Option<&Path>, form: Form) -> Result<(), String> {
     use signal_hook::consts::{SIGINT, SIGTERM};
     let options = check::options(settings)?;
+    let file = check::kept(&options, settings)?.to_path_buf();
     let start = machine::Start {
         name: name.clone(),
+        file,
         start: start_number(),
         seed: RandomState::new().hash_one(std::process::id()),
         end: pipe_of(&[SIGTERM, SIGINT]).map_err(|e| format!("cannot watch for signals: {e}"))?,
