Tests with processes for a configuration's versions: nine, over control machines and gateways

Cause: the way of a version was not played yet. Change: tests/rollout.rs over tests/world: put to all, bad files, SIGKILL and SIGSTOP of a control machine, gateways that were away, no majority, two operators at once, twenty changes in a row, the kept file lost or spoilt.

--- a/src/fleet/rollout/handover.rs
+++ b/src/fleet/rollout/handover.rs
@@ -69,7 +69,7 @@
 
 impl Inbox {
     /// The next version that waits.
-    pub fn next(&mut self) -> Option<Offer> {
+    pub fn take(&mut self) -> Option<Offer> {
         let _ = self.pipe.read(&mut [0; 16]);
         self.offers.try_recv().ok()
     }
--- a/src/net/event_loop/watching.rs
+++ b/src/net/event_loop/watching.rs
@@ -14,6 +14,7 @@
 use super::Gateway;
 use crate::balance::chance::unit;
 use crate::fault::Fault;
+use crate::fleet::rollout::handover;
 use crate::net::dial;
 use crate::net::discovery::{BadAnswer, Failed, Listing, Watch};
 use crate::pg::codec::Outbox;
@@ -168,7 +169,7 @@
     /// on a discovery that stays where it is goes on: at each version of all gateways it would ask for the whole list.
     pub(super) fn on_version(&mut self) {
         let versions = self.signals.as_mut().and_then(|signals| signals.versions.as_mut());
-        let Some(offer) = versions.and_then(|versions| versions.next()) else { return };
+        let Some(offer) = versions.and_then(handover::Inbox::take) else { return };
         match self.take_configuration(Some(&offer.document)) {
             Ok(discovery) => {
                 if discovery != self.watching.address {
--- /dev/null
+++ b/tests/rollout.rs
@@ -0,0 +1,325 @@
+//! A configuration's versions from operators to gateways, through control machines that are killed, stopped and contradicted:
+//! each a process of its own.
+
+mod rig;
+mod world;
+
+use std::sync::mpsc::channel;
+use std::sync::{atomic::Ordering, Arc};
+
+use rustix::process::Signal;
+use serde_json::{json, Value};
+
+use rig::{figure, read, Mood, Talk};
+use world::{document, Discovery, World, MACHINES};
+
+/// Guards the way of a version: put once, it is in force at all gateways, the tool and the doors say so, clients and their
+/// requests stay, and so does the watch on discovery unless the version moves it; a SIGHUP does not drop it.
+#[test]
+fn a_version_put_once_is_in_force_everywhere() {
+    let (said, heard) = channel();
+    let mood = Arc::new(Mood::default());
+    let host = rig::toy_host(0, said, mood.clone());
+    let world = World::with_hosts("rollout-all", 3, rig::listing(&[host]));
+    world.until("a first watch of each gateway", |world| {
+        world.discoveries.iter().all(|own| own.watches() > 0)
+    });
+    let mut client = Talk::to(world.doors[0].clients);
+    client.ask(&read("held"));
+    heard.recv().expect("the attempt is out");
+
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force(0..3, 1);
+    world.until("the tool says so", |world| {
+        let status = world.status();
+        status["in_force"] == 3 && status["newest"]["version"] == 1
+    });
+    let status = world.status();
+    assert!(status["machines"]
+        .as_array()
+        .is_some_and(|all| all.iter().all(|machine| machine["fresh"] == true)));
+    assert_eq!(status["unheard"], json!([]));
+    let applied =
+        |world: &World| (0..3).map(|gateway| figure(world.doors[gateway].admin, "config_applied")).max();
+    assert_eq!(applied(&world), Some(1));
+    // What a gateway asks of discovery it asks one after the other: whoever watches on has not asked for the list before.
+    let watched: Vec<usize> = world.discoveries.iter().map(Discovery::watches).collect();
+    world.until("each watch goes on", |world| {
+        world.discoveries.iter().zip(&watched).all(|(own, before)| own.watches() > before + 2)
+    });
+    assert_eq!(
+        world.discoveries.iter().map(Discovery::whole).sum::<usize>(),
+        0,
+        "nobody asks for the whole list"
+    );
+
+    let moved = Discovery::start();
+    let mut elsewhere = document(2);
+    elsewhere["discovery"] = json!(moved.address.to_string());
+    assert_eq!(world.put(&elsewhere), Ok(2));
+    world.until_in_force(0..3, 2);
+    world.until("all have moved", |_| moved.whole() == 3 && moved.watches() >= 3);
+    elsewhere["settings"]["Permissions"]["MaxRetryAfterMs"] = json!(3.0);
+    assert_eq!(world.put(&elsewhere), Ok(3));
+    world.until_in_force(0..3, 3);
+    let watched = moved.watches();
+    world.until("the watches go on", |_| moved.watches() > watched + 9);
+    assert_eq!(moved.whole(), 3, "it has not moved again");
+
+    // The own file names another discovery: by it the gateway would go back.
+    world.signal(MACHINES, Signal::HUP);
+    world.until_logged(MACHINES, "configuration read anew");
+    world.until("a SIGHUP asks for the whole list, as ever", |_| moved.whole() == 4);
+    assert_eq!(world.standing(0)["version"], 3);
+    assert_eq!(applied(&world), Some(4));
+
+    mood.released.store(true, Ordering::SeqCst);
+    assert_eq!(client.answer().len(), 4, "the request has been answered, on the same connection");
+    client.ask(&read("after"));
+    assert_eq!(client.answer().len(), 4);
+    world.end();
+}
+
+/// Guards against a bad file: named at the tool with its line, at the control machine where only that can see the fault,
+/// and at a gateway where only its own file shows it; nothing changes anywhere else, and a good one still gets through.
+#[test]
+fn a_bad_file_is_refused_by_whoever_can_see_it() {
+    let mut world = World::of("rollout-bad", 2);
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force(0..2, 1);
+
+    for (pointer, value, place, what) in [
+        ("/settings/Safety/FallMs", json!("x"), "\"FallMs\"", "invalid type: string"),
+        ("/settings/Permissions/SendCap", json!(0), "\"SendCap\"", "SendCap: not positive"),
+    ] {
+        let mut bad = document(2);
+        *bad.pointer_mut(pointer).expect("there") = value;
+        let why = world.put(&bad).expect_err("it cannot be used");
+        let line = format!("{bad:#}").lines().position(|line| line.contains(place)).expect("there") + 1;
+        assert!(why.contains(&format!(".json:{line}: ")) && why.contains(what), "{line}: {why}");
+    }
+    let mut whole = document(2);
+    whole["listen"] = json!("nowhere");
+    assert!(world.put(&whole).is_err_and(|why| why.contains("listen: \"nowhere\" is no address")));
+    assert!(world.put(&json!([1])).is_err_and(|why| why.contains("JSON object")));
+
+    let mut shorter = document(2);
+    shorter["settings"]["Permissions"].as_object_mut().expect("an object").remove("RetryAfter");
+    let why = world.put(&shorter).expect_err("a key has vanished");
+    assert!(why.contains("settings.Permissions.RetryAfter: missing") && why.contains(".json:"), "{why}");
+    assert_eq!(world.status()["newest"]["version"], 1);
+    assert!((0..2).all(|gateway| world.standing(gateway)["version"] == 1));
+    assert!((0..2).all(|gateway| figure(world.doors[gateway].admin, "config_rejected") == 0));
+
+    // This gateway's own file has a key that no version has: a new one of that shape is in force there first.
+    world.kill(MACHINES + 1);
+    let path = world.folder.join(format!("{}.json", MACHINES + 1));
+    let mut own: Value = serde_json::from_str(&std::fs::read_to_string(&path).expect("there")).expect("JSON");
+    own["settings"]["Safety"]["OnlyHere"] = json!(1);
+    std::fs::write(&path, own.to_string()).expect("written");
+    std::fs::remove_file(world.folder.join(format!("kept-{}", MACHINES + 1))).expect("it was there");
+    world.start(MACHINES + 1);
+    world.until("it refuses the version", |world| world.standing(1)["refused"]["version"] == 1);
+    world.until("the tool names it", |world| {
+        let status = world.status();
+        let gateway = &status["gateways"][1];
+        gateway["stands"] == "refused" && gateway["why"].as_str().is_some_and(|why| why.contains("OnlyHere"))
+    });
+    world.until_logged(MACHINES + 1, "rollout: version refused");
+    assert_eq!(figure(world.doors[1].admin, "config_rejected"), 1);
+    assert_eq!(world.put(&document(3)), Ok(2));
+    world.until_in_force([0], 2);
+    let mut with = document(4);
+    with["settings"]["Safety"]["OnlyHere"] = json!(1);
+    assert_eq!(world.put(&with), Ok(3));
+    world.until_in_force(0..2, 3);
+    world.end();
+}
+
+/// Guards a zone against the loss of its control machine: its gateways go to another one and get the next version there, and
+/// the machine comes back with its disk, learns what it has missed and gives it out.
+#[test]
+fn a_zone_without_its_control_machine_gets_the_next_version() {
+    let mut world = World::of("rollout-killed", 3);
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force(0..3, 1);
+    world.until_heard(0, "c-0");
+    world.kill(0);
+    world.until_heard(0, "c-1");
+    // The tool passes over the one that is gone.
+    assert_eq!(world.put(&document(2)), Ok(2));
+    world.until_in_force(0..3, 2);
+    world.start(0);
+    world.until("it has the newest", |world| {
+        let status = world.status();
+        let own = &status["machines"][0];
+        own["fresh"] == true && own["newest"]["version"] == 2 && own["has_document"] == true
+    });
+    world.until_heard(0, "c-0");
+    assert_eq!(world.put(&document(3)), Ok(3));
+    world.until_in_force(0..3, 3);
+    world.end();
+}
+
+/// Guards against a control machine that wakes up late: it was stopped over two versions, and nobody hears an older one
+/// from it, neither those that were connected to it nor one that has nothing yet.
+#[test]
+fn a_control_machine_that_wakes_up_late_takes_nobody_back() {
+    let mut world = World::of("rollout-late", 4);
+    world.kill(MACHINES + 3);
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force(0..3, 1);
+    world.until_heard(0, "c-0");
+    world.signal(0, Signal::STOP);
+    world.until_heard(0, "c-1");
+    assert_eq!(world.put_by(&document(2), "back.ini"), Ok(2));
+    assert_eq!(world.put_by(&document(3), "back.ini"), Ok(3));
+    world.until_in_force(0..3, 3);
+    // The connection of one that has nothing waits at the stopped machine.
+    world.start(MACHINES + 3);
+    world.until_logged(MACHINES + 3, "ready");
+    world.signal(0, Signal::CONT);
+    world.until_in_force(0..4, 3);
+    world.until("it knows", |world| world.status()["machines"][0]["newest"]["version"] == 3);
+    world.until_heard(0, "c-0");
+    world.until_heard(3, "c-0");
+    for gateway in 0..4 {
+        let standing = world.standing(gateway);
+        assert_eq!((&standing["older"], &standing["version"]), (&json!(0), &json!(3)), "gateway {gateway}");
+    }
+    assert_eq!(world.in_force(3), [3], "nothing older in between");
+    world.end();
+}
+
+/// Guards the jump: a gateway that was stopped, or dead, over several versions takes the newest alone.
+#[test]
+fn a_gateway_that_was_away_takes_the_newest_alone() {
+    let mut world = World::of("rollout-away", 3);
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force(0..3, 1);
+    world.signal(MACHINES, Signal::STOP);
+    world.kill(MACHINES + 1);
+    for mark in 2..6 {
+        assert_eq!(world.put(&document(mark)), Ok(mark as u64));
+        world.until_in_force([2], mark as u64);
+    }
+    world.until("the tool says who lags", |world| {
+        let status = world.status();
+        let stands: Vec<_> = (0..3).map(|gateway| status["gateways"][gateway]["stands"].clone()).collect();
+        stands == ["silent", "silent", "in_force"]
+    });
+    world.signal(MACHINES, Signal::CONT);
+    world.start(MACHINES + 1);
+    world.until_in_force(0..2, 5);
+    assert_eq!((world.in_force(0), world.in_force(1)), (vec![1, 5], vec![1, 5]));
+    world.end();
+}
+
+/// Guards the majority: without it nothing is accepted and nothing comes into force, which the operator is told; with it
+/// again, a version is accepted without a hand.
+#[test]
+fn without_a_majority_nothing_is_accepted() {
+    let world = World::of("rollout-few", 3);
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force(0..3, 1);
+    world.signal(1, Signal::STOP);
+    world.signal(2, Signal::STOP);
+    world.until("it knows that it is alone", |world| world.status()["machines"][0]["fresh"] == false);
+    let why = world.put(&document(2)).expect_err("nobody to agree with");
+    assert!(why.contains("no majority"), "{why}");
+    assert_eq!(world.status()["newest"]["version"], 1);
+    assert!((0..3).all(|gateway| world.standing(gateway)["version"] == 1));
+    world.until("the gateways know that they are cut off", |world| {
+        (0..3).all(|gateway| world.standing(gateway)["cut_off_ms"].as_u64() > Some(0))
+    });
+    world.until_logged(MACHINES, "rollout: cut off from all control machines");
+    world.signal(1, Signal::CONT);
+    world.signal(2, Signal::CONT);
+    let number = world.put_at_last(&document(3));
+    world.until_in_force(0..3, number);
+    world.until("it says so", |world| world.status()["in_force"] == 3);
+    world.until_logged(MACHINES, "rollout: no longer cut off");
+    world.end();
+}
+
+/// Guards against two operators at once: each gets a number of its own, at different control machines, and all gateways end
+/// with the later one.
+#[test]
+fn two_operators_at_once_get_two_numbers() {
+    let world = World::of("rollout-two", 3);
+    assert_eq!(world.put_at_last(&document(0)), 1);
+    for turn in 0..5 {
+        let (mut numbers, bytes) = std::thread::scope(|scope| {
+            let world = &world;
+            let put = |mark: usize, by: &'static str| scope.spawn(move || world.put_by(&document(mark), by));
+            let both = [put(10 + turn, "0.ini"), put(20 + turn, "back.ini")];
+            let numbers = both.map(|put| put.join().expect("no panic").expect("accepted"));
+            (numbers, [10 + turn, 20 + turn])
+        });
+        let last = bytes[usize::from(numbers[1] > numbers[0])];
+        numbers.sort_unstable();
+        assert_eq!(numbers, [2 * turn as u64 + 2, 2 * turn as u64 + 3]);
+        world.until_in_force(0..3, numbers[1]);
+        let shown = world.config(&["show"], "0.ini");
+        let shown: Value = serde_json::from_slice(&shown.stdout).expect("a document");
+        assert_eq!(shown, document(last), "the number is the later operator's");
+    }
+    let digests: Vec<Value> = (0..3).map(|gateway| world.standing(gateway)["digest"].clone()).collect();
+    assert!(digests.iter().all(|digest| digest.is_string() && *digest == digests[0]), "{digests:?}");
+    world.end();
+}
+
+/// Guards order under a row of changes, each accepted after the one before: numbers rise by one and at each gateway, and the
+/// last is in force everywhere.
+#[test]
+fn the_last_of_many_changes_is_in_force_everywhere() {
+    let world = World::of("rollout-many", 4);
+    let first = world.put_at_last(&document(0));
+    for mark in 1..=20 {
+        assert_eq!(world.put(&document(mark)), Ok(first + mark as u64));
+    }
+    world.until_in_force(0..4, first + 20);
+    world.until("the tool says so", |world| world.status()["in_force"] == 4);
+    let shown = world.config(&["show", "--number", &(first + 19).to_string()], "0.ini");
+    assert_eq!(serde_json::from_slice::<Value>(&shown.stdout).expect("the one before"), document(19));
+    assert!(!world.config(&["show", "--number", "1"], "0.ini").status.success(), "long gone");
+    // Who has it in force says so after it has counted it; each had the one that the file before the first brought.
+    for gateway in 0..4 {
+        let versions = world.in_force(gateway);
+        assert!(versions.is_sorted_by(|a, b| a < b), "{versions:?}");
+        assert_eq!(figure(world.doors[gateway].admin, "config_applied"), versions.len() as u64);
+    }
+    world.end();
+}
+
+/// Guards the file that a gateway keeps: with it the gateway starts on its version while nobody can be asked; without it, or
+/// with one that is spoilt, it starts on its own file and gets the newest again.
+#[test]
+fn a_gateway_keeps_its_version_and_survives_without_the_file() {
+    let mut world = World::of("rollout-file", 1);
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force([0], 1);
+    let kept = world.folder.join(format!("kept-{MACHINES}"));
+    let whole = std::fs::read(&kept).expect("kept");
+    for spoilt in [None, Some(&whole[..whole.len() - 1]), Some(b"{}"), Some(b"")] {
+        world.kill(MACHINES);
+        match spoilt {
+            None => std::fs::remove_file(&kept).expect("it was there"),
+            Some(bytes) => std::fs::write(&kept, bytes).expect("written"),
+        }
+        world.start(MACHINES);
+        world.until("it is kept again", |_| std::fs::read(&kept).is_ok_and(|bytes| bytes == whole));
+        world.until_in_force([0], 1);
+    }
+    world.until_logged(MACHINES, "rollout: the version kept cannot be used, starting without");
+
+    // With its own file alone it would not say so.
+    (0..MACHINES).for_each(|machine| world.kill(machine));
+    world.kill(MACHINES);
+    world.start(MACHINES);
+    world.until_in_force([0], 1);
+    assert_eq!(world.standing(0)["machine"], Value::Null);
+    world.until_logged(MACHINES, "rollout: goes on with the version kept");
+    assert!(world.end_process(MACHINES), "it ends in good order");
+    world.end();
+}
