Versions: bounds of names and documents, an upgrade keeps its version, each part tested

Cause: a name that control machines would not hear, a document too long, and a descriptor refused to a control machine were not looked at; the upgrade and what a version is had no test. Change: the gateway's name and the document's length are judged where they are given; a control machine that is refused a descriptor accepts nobody for 0.1 s; tests of the connections' bounds, of what a version is, of [control]'s faults, of the upgrade and of a control machine with an old disk.

--- a/src/check.rs
+++ b/src/check.rs
@@ -36,15 +36,21 @@
     }
     let options = options(files.settings.as_deref())?;
     options.fleet.voter(&file.name)?;
-    gateway(&options, files.settings.as_deref())?;
+    follows(&options, files.settings.as_deref())?;
+    takes(&options, files.settings.as_deref(), &file.name)?;
     let (classes, hosts) = (site.classes.len(), file.known.len());
     Ok(format!("usable: {classes} classes, {hosts} hosts known, {} cores", options.cores))
 }
 
 /// A gateway's zone and file for the configuration's versions, by the settings that were read from this path; none if
 /// these name no control machines.
-pub fn gateway<'a>(options: &'a Options, path: Option<&Path>) -> Result<Option<(&'a str, &'a Path)>, String> {
-    options.control.gateway().map_err(|fault| of_settings(fault, path))
+pub fn follows<'a>(options: &'a Options, path: Option<&Path>) -> Result<Option<(&'a str, &'a Path)>, String> {
+    options.control.follows().map_err(|fault| of_settings(fault, path))
+}
+
+/// Whether the control machines, if the settings of this path name some, take a gateway of this name.
+pub fn takes(options: &Options, path: Option<&Path>, name: &str) -> Result<(), String> {
+    options.control.takes(name).map_err(|fault| of_settings(fault, path))
 }
 
 /// Where a control machine keeps versions, by the settings that were read from this path.
--- a/src/fleet/rollout/connections.rs
+++ b/src/fleet/rollout/connections.rs
@@ -250,3 +250,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/fleet/rollout/machine.rs
+++ b/src/fleet/rollout/machine.rs
@@ -34,6 +34,8 @@
 const MOST: usize = MOST_GATEWAYS + 4 * MOST_MACHINES;
 /// Most connections taken in one turn.
 const ACCEPTS: usize = 64;
+/// So long nobody is let in once the system has refused a descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Most times that what was said leads to more in one turn; the rest waits for the next.
 const STEPS: usize = 100;
 const SOCKET: usize = usize::MAX - 1;
@@ -138,6 +140,7 @@
         addresses,
         socket,
         listener,
+        deaf_until: None,
         end: start.end,
         poller,
         began: Instant::now(),
@@ -157,6 +160,8 @@
     addresses: Vec<std::net::SocketAddr>,
     socket: UdpSocket,
     listener: TcpListener,
+    /// Nobody is let in before: the system has refused a descriptor.
+    deaf_until: Option<Duration>,
     end: UnixStream,
     poller: Arc<Poller>,
     began: Instant,
@@ -170,6 +175,7 @@
         let mut more = true;
         while until.is_none_or(|until| self.now() < until && !self.carrier.node.has_left()) {
             let due = self.carrier.node.due().min(self.control.due());
+            let due = self.deaf_until.map_or(due, |until| due.min(until));
             let left = if more { Duration::ZERO } else { due.saturating_sub(self.now()) };
             ready.clear();
             // What comes of it is looked at whatever woke the thread.
@@ -201,14 +207,39 @@
             Heard::Opened => control.opened(now, link),
             Heard::Bytes(bytes) => control.received(now, link, bytes, desk),
         });
+        self.accept(now);
+    }
+
+    fn accept(&mut self, now: Duration) {
+        if let Some(until) = self.deaf_until {
+            if now < until || self.listen_for(Poll::readable(LISTENER)).is_err() {
+                return;
+            }
+            self.deaf_until = None;
+        }
         for _ in 0..ACCEPTS {
-            let Ok((socket, _)) = self.listener.accept() else { return };
-            if let Some(link) = self.control.accepted(now) {
-                self.connections.adopt(link, socket);
+            match self.listener.accept() {
+                Ok((socket, _)) => {
+                    if let Some(link) = self.control.accepted(now) {
+                        self.connections.adopt(link, socket);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    // Whoever waits to be let in would wake this thread without end.
+                    warn!(self.log, "rollout: cannot accept"; "error" => %e);
+                    let _ = self.listen_for(Poll::none(LISTENER));
+                    self.deaf_until = Some(now + ACCEPT_PAUSE);
+                    return;
+                }
             }
         }
     }
 
+    fn listen_for(&self, interest: Poll) -> io::Result<()> {
+        self.poller.modify_with_mode(&self.listener, interest, PollMode::Level)
+    }
+
     /// Carries out what the control machine's part and the node say; whether that was anything.
     fn carry_out(&mut self, now: Duration) -> bool {
         let mut done = false;
--- a/src/fleet/rollout/tool.rs
+++ b/src/fleet/rollout/tool.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use dunemount_rollout::follower::Machine;
-use dunemount_rollout::version::{Document, Version};
+use dunemount_rollout::version::{Document, Version, LONGEST_DOCUMENT};
 use dunemount_rollout::wire::{frame, Hello, Inbox, Message, Seen, Status, Who, FORM};
 use serde::Serialize;
 
@@ -117,6 +117,10 @@
         let text = check::read(path)?;
         let told = |fault: Fault| fault.of(&path.display().to_string());
         let document = version::of(&text).map_err(told)?;
+        if document.len() > LONGEST_DOCUMENT {
+            let what = format!("{} bytes as a version, {LONGEST_DOCUMENT} at most", document.len());
+            return Err(told(Fault::at(0, what)).into());
+        }
         // One that is known to be awake: a document that waits at one that is stopped could become a version long after
         // the operator has tried again elsewhere. And one that has a majority, if there is any.
         let mut chosen = None;
--- a/src/main.rs
+++ b/src/main.rs
@@ -108,7 +108,7 @@
 fn serve(how: Serve) -> Result<(), String> {
     let path = how.files.config.ok_or("GW_CONFIG does not name a configuration file, nor does --config")?;
     let options = check::options(how.files.settings.as_deref())?;
-    let follows = check::gateway(&options, how.files.settings.as_deref())?;
+    let follows = check::follows(&options, how.files.settings.as_deref())?;
     let named_path = path.display().to_string();
     let read = check::read(&path);
     let said = |name: &str| std::env::var(name).ok();
@@ -182,6 +182,7 @@
     // `GW_LOG=debug` adds a line for each attempt that broke.
     let level = if said("GW_LOG").as_deref() == Some("debug") { Level::Debug } else { Level::Info };
     let fleet_name = name.clone().unwrap_or_else(|| file.name.clone());
+    check::takes(&options, how.files.settings.as_deref(), &fleet_name)?;
     let (log, _flushed_at_end) = logging::open(name.unwrap_or(file.name), how.log, level);
     if let Some(e) = missed {
         warn!(log, "the process before did not hand over, starting alone"; "error" => %e);
--- a/src/options.rs
+++ b/src/options.rs
@@ -301,7 +301,7 @@
     ///
     /// # Errors
     /// A key that is missing.
-    pub fn gateway(&self) -> Result<Option<(&str, &Path)>, Fault> {
+    pub fn follows(&self) -> Result<Option<(&str, &Path)>, Fault> {
         if self.machines.is_empty() {
             return Ok(None);
         }
@@ -317,6 +317,18 @@
         self.file.as_deref().ok_or_else(|| self.missing("file"))
     }
 
+    /// Whether the control machines take a gateway of this name.
+    ///
+    /// # Errors
+    /// They do not.
+    pub fn takes(&self, name: &str) -> Result<(), Fault> {
+        let what = match self.machines.is_empty() {
+            true => return Ok(()),
+            false => word(name, "[control] machines: the gateway's name").map(|_| ()),
+        };
+        what.map_err(|what| Fault::at(self.line, what))
+    }
+
     fn missing(&self, key: &str) -> Fault {
         Fault::at(self.line, format!("[control] {key}: missing"))
     }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -18,6 +18,8 @@
 /// its line, and so is what is no INI at all.
 #[test]
 fn each_fault_of_the_settings_is_named_with_its_line() {
+    let many: Vec<String> = (0..17).map(|n| format!("z/c-{n}@127.0.0.1:{}", n + 1)).collect();
+    let many = format!("[control]\nmachines = {}", many.join(", "));
     for (text, line, word) in [
         ("[cores]\ncount = 0\n", 2, "out of range (1 to"),
         ("[cores]\ncount = 65000", 2, "out of range"),
@@ -42,6 +44,19 @@
         ("[fleet]\nsize = many", 2, "no whole number"),
         ("[fleet]\nname = shop\nlisten = 127.0.0.1:1\nvoters = a@127.0.0.1:1\nlease_ms = 400\nprobe_ms = 500", 1,
             "shorter than probe_ms"),
+        ("[control]\nmachines =", 2, "is not ZONE/NAME@ADDRESS:PORT"),
+        ("[control]\nmachines = a@127.0.0.1:1", 2, "is not ZONE/NAME@ADDRESS:PORT"),
+        ("[control]\nmachines = z/a", 2, "is not NAME@ADDRESS:PORT"),
+        ("[control]\nmachines = /a@127.0.0.1:1", 2, "a zone's name is empty"),
+        ("[control]\nmachines = z/@127.0.0.1:1", 2, "name is empty"),
+        ("[control]\nmachines = z/a@here:1", 2, "no address with a port"),
+        ("[control]\nmachines = z/a@127.0.0.1:1, y/a@127.0.0.1:2", 2, "stands there already"),
+        ("[control]\nmachines = z/a@127.0.0.1:1, y/b@127.0.0.1:1", 2, "stands there already"),
+        (&many, 2, "17 machines, 16 at most"),
+        ("[control]\n\nzone =", 3, "a zone's name is empty"),
+        ("[control]\nfile =", 2, "a path is empty"),
+        ("[control]\nmachine = z/a@127.0.0.1:1", 2, "no such key"),
+        ("[cores]\n[control]\nmachines = z/a@127.0.0.1:1", 2, "[fleet] name is missing"),
     ] {
         let fault = Options::read(text).expect_err(text);
         assert_eq!(fault.line, line, "{text:?}: {fault}");
@@ -56,12 +71,61 @@
     }
 }
 
+/// Guards `[control]`: a gateway that is to follow control machines and lacks its zone or its file does not start, nor does a
+/// control machine that is none of them or lacks its file, and `check` says the same; without machines nothing is asked for.
+#[test]
+fn what_control_machines_need_is_named_with_its_line() {
+    let folder = std::env::temp_dir().join(format!("dunemount-control-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (ini, long) = (folder.join("some.ini"), folder.join("long.json"));
+    let (ini_name, long_name) = (ini.to_str().expect("a path"), long.to_str().expect("a path"));
+    let example = example();
+    let good = example.to_str().expect("a path");
+    let fleet = "[fleet]\nname = shop\nlisten = 127.0.0.1:0\nvoters = c@127.0.0.1:1\n";
+    let control = format!("{fleet}[control]\nmachines = z/c@127.0.0.1:1\n");
+    let text = std::fs::read_to_string(&example).expect("the example");
+    std::fs::write(&long, text.replace("\"toy\"", &format!("\"{}\"", "t".repeat(65)))).expect("written");
+    for (rest, what) in
+        [("", "zone: missing"), ("zone = z\n", "file: missing"), ("file = f\n", "zone: missing")]
+    {
+        std::fs::write(&ini, format!("{control}{rest}")).expect("written");
+        for command in ["check", "serve"] {
+            let output = run(&[command, "--config", good, "--settings", ini_name]);
+            let said = String::from_utf8_lossy(&output.stderr).into_owned();
+            let wanted = format!("some.ini:5: [control] {what}");
+            assert!(!output.status.success() && said.contains(&wanted), "{command}: {said}");
+        }
+    }
+    std::fs::write(&ini, format!("{control}zone = z\nfile = f\n")).expect("written");
+    let output = run(&["check", "--config", long_name, "--settings", ini_name]);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        said.contains("some.ini:5: [control] machines: the gateway's name of 65 bytes, 64 at most"),
+        "{said}"
+    );
+    assert!(run(&["check", "--config", good, "--settings", ini_name]).status.success());
+    let output = run(&["fleet", "control", "--name", "d", "--settings", ini_name]);
+    assert!(String::from_utf8_lossy(&output.stderr).contains("d is none of [control] machines"));
+    std::fs::write(&ini, control).expect("written");
+    let output = run(&["fleet", "control", "--name", "c", "--settings", ini_name]);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(said.contains("some.ini:5: [control] file: missing"), "{said}");
+    std::fs::write(&ini, format!("{fleet}[control]\n")).expect("written");
+    assert!(run(&["check", "--config", good, "--settings", ini_name]).status.success());
+    for what in [&["show"][..], &["status"], &["put", good]] {
+        let output = run(&[&["fleet", "config"][..], what, &["--settings", ini_name]].concat());
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains("[control] machines: none"), "{what:?}: {said}");
+    }
+    std::fs::remove_dir_all(folder).expect("removed");
+}
+
 /// Guards the shipped settings file: it is what a start without one does.
 #[test]
 fn the_shipped_settings_are_the_defaults() {
     let shipped = include_str!("../deploy/dunemount.ini");
     assert_eq!(Options::read(shipped), Ok(Options::default()));
-    for key in ["[cores]", "count = "] {
+    for key in ["[cores]", "count = ", "[control]", "machines = ", "zone = "] {
         assert!(shipped.contains(key), "{key} is shown");
     }
 }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -161,32 +161,67 @@
     world.end();
 }
 
-/// Guards against a control machine that wakes up late: it was stopped over two versions, and nobody hears an older one
-/// from it, neither those that were connected to it nor one that has nothing yet.
+/// Guards against a control machine that wakes up late: it was stopped over two versions, and takes nobody back, neither its
+/// own gateways nor the others.
 #[test]
 fn a_control_machine_that_wakes_up_late_takes_nobody_back() {
-    let mut world = World::of("rollout-late", 4);
-    world.kill(MACHINES + 3);
+    let world = World::of("rollout-late", 4);
     assert_eq!(world.put_at_last(&document(1)), 1);
-    world.until_in_force(0..3, 1);
+    world.until_in_force(0..4, 1);
     world.until_heard(0, "c-0");
     world.signal(0, Signal::STOP);
     world.until_heard(0, "c-1");
     assert_eq!(world.put_by(&document(2), "back.ini"), Ok(2));
     assert_eq!(world.put_by(&document(3), "back.ini"), Ok(3));
-    world.until_in_force(0..3, 3);
-    // The connection of one that has nothing waits at the stopped machine.
-    world.start(MACHINES + 3);
-    world.until_logged(MACHINES + 3, "ready");
-    world.signal(0, Signal::CONT);
     world.until_in_force(0..4, 3);
-    world.until("it knows", |world| world.status()["machines"][0]["newest"]["version"] == 3);
+    world.signal(0, Signal::CONT);
+    world.until("it knows", |world| {
+        let status = world.status();
+        let late = &status["machines"][0];
+        late["fresh"] == true && late["newest"]["version"] == 3 && late["has_document"] == true
+    });
     world.until_heard(0, "c-0");
     world.until_heard(3, "c-0");
     for gateway in 0..4 {
         let standing = world.standing(gateway);
         assert_eq!((&standing["older"], &standing["version"]), (&json!(0), &json!(3)), "gateway {gateway}");
     }
+    world.end();
+}
+
+/// Guards against a control machine that comes back with an old disk and finds no majority: it gives its version to nobody,
+/// not even to a gateway that has none and finds nobody else.
+#[test]
+fn a_control_machine_with_an_old_disk_says_nothing_before_it_knows() {
+    let mut world = World::of("rollout-old", 4);
+    world.kill(MACHINES + 3);
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force(0..3, 1);
+    world.until("it is on all disks", |world| {
+        let status = world.status();
+        (0..MACHINES).all(|machine| status["machines"][machine]["has_document"] == true)
+    });
+    world.kill(0);
+    assert_eq!(world.put_at_last(&document(2)), 2);
+    assert_eq!(world.put_at_last(&document(3)), 3);
+    world.until_in_force(0..3, 3);
+    world.signal(1, Signal::STOP);
+    world.signal(2, Signal::STOP);
+    world.start(MACHINES + 3);
+    world.start(0);
+    world.until("it has heard the new gateway", |world| {
+        let status = world.status();
+        let gateways = status["gateways"].as_array();
+        gateways.is_some_and(|all| all.iter().any(|gateway| gateway["name"] == "gw-3"))
+    });
+    world.until("the new gateway has asked around", |world| {
+        world.standing(3)["cut_off_ms"].as_u64() > Some(5_000)
+    });
+    assert_eq!(world.status()["newest"]["version"], 1, "it knows no better");
+    assert_eq!(world.in_force(3), [0; 0], "and says nothing");
+    world.signal(1, Signal::CONT);
+    world.signal(2, Signal::CONT);
+    world.until_in_force(0..4, 3);
     assert_eq!(world.in_force(3), [3], "nothing older in between");
     world.end();
 }
@@ -323,3 +358,25 @@
     assert!(world.end_process(MACHINES), "it ends in good order");
     world.end();
 }
+
+/// Guards an upgrade: the process that follows starts on the version in force, and takes what the one before has taken since,
+/// also when no control machine is there to say it; the two do not write one file at once.
+#[test]
+fn an_upgrade_goes_on_with_the_version_in_force() {
+    let mut world = World::of("rollout-upgrade", 1);
+    assert_eq!(world.put_at_last(&document(1)), 1);
+    world.until_in_force([0], 1);
+    let next = world.start_successor(0);
+    world.until_logged(MACHINES + next, "ready");
+    world.until_logged(MACHINES + next, "rollout: the file is not to be had yet");
+    assert_eq!(world.put(&document(2)), Ok(2));
+    world.until_in_force([0], 2);
+    (0..MACHINES).for_each(|machine| world.kill(machine));
+    assert!(world.end_process(MACHINES), "it ends in good order");
+    world.until_in_force([next], 2);
+    assert_eq!(figure(world.doors[next].admin, "config_applied"), 1);
+    (0..MACHINES).for_each(|machine| world.start(machine));
+    assert_eq!(world.put_at_last(&document(3)), 3);
+    world.until_in_force([next], 3);
+    world.end();
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -174,12 +174,33 @@
     pub fn start(&mut self, index: usize) {
         let mut command = match index < MACHINES {
             true => self.dunemount(&["fleet", "control", "--name", &format!("c-{index}")], index),
-            false => {
-                let mut command = self.dunemount(&["serve"], index);
-                command.arg("--config").arg(self.folder.join(format!("{index}.json")));
-                command
-            }
+            false => self.serve(index),
         };
+        self.run(index, &mut command);
+    }
+
+    fn serve(&self, index: usize) -> Command {
+        let mut command = self.dunemount(&["serve"], index);
+        command.arg("--config").arg(self.folder.join(format!("{index}.json")));
+        // Where the process that follows finds the one before.
+        let shared = self.folder.join(format!("shared-{index}"));
+        std::fs::create_dir_all(&shared).expect("a folder");
+        command.env("TMPDIR", shared);
+        command
+    }
+
+    /// Starts the process that follows a gateway's: it counts as a gateway of its own, with a door of its own.
+    pub fn start_successor(&mut self, gateway: usize) -> usize {
+        let admin = rig::local().local_addr().expect("bound");
+        let mut command = self.serve(MACHINES + gateway);
+        command.env("GW_ADMIN_ADDR", admin.to_string());
+        self.doors.push(Doors { clients: self.doors[gateway].clients, admin });
+        self.processes.push(Process { child: None, log: Arc::default() });
+        self.run(self.processes.len() - 1, &mut command);
+        self.doors.len() - 1
+    }
+
+    fn run(&mut self, index: usize, command: &mut Command) {
         let mut child = command.spawn().expect("it starts");
         let log = self.processes[index].log.clone();
         let read = |output: Box<dyn Read + Send>| {
