--- a/src/fleet/rollout/gateway.rs
+++ b/src/fleet/rollout/gateway.rs
@@ -90,7 +90,7 @@
         let run =
             || Waiting { start, end: told, poller, outbox, began: Instant::now(), log: log.clone() }.run();
         if catch_unwind(AssertUnwindSafe(run)).is_err() {
-            error!(log, "rollout: its thread panicked, this gateway gets no versions any more");
+            error!(log, "config: its thread panicked, this gateway gets no versions any more");
         }
     })?;
     Ok((Running { end, thread }, inbox))
@@ -117,7 +117,7 @@
         let carrier = Carrier::new(follower, machines, poller.clone(), 0);
         let told = Told { standing: Standing { in_force, ..Standing::default() }, cut_off: false };
         if let Some(version) = in_force {
-            info!(log, "rollout: goes on with the version kept"; "digest" => %version.digest,
+            info!(log, "config: goes on with the version kept"; "digest" => %version.digest,
                 "version" => version.number);
         }
         Driver { carrier, end, poller, outbox, began, file, taking: None, told, board, log }.run();
@@ -137,7 +137,7 @@
             match locked {
                 Ok(file) => return Some(file),
                 Err(e) if !std::mem::replace(&mut told, true) => {
-                    warn!(self.log, "rollout: the file is not to be had yet"; "error" => %e,
+                    warn!(self.log, "config: the file is not to be had yet"; "error" => %e,
                         "file" => %self.start.file.display());
                 }
                 Err(_) => {}
@@ -159,7 +159,7 @@
             match self.outbox.answer() {
                 Some(Ok(())) => return Some(version),
                 Some(Err(why)) => {
-                    warn!(self.log, "rollout: the version kept cannot be taken"; "why" => why,
+                    warn!(self.log, "config: the version kept cannot be taken"; "why" => why,
                         "version" => version.number);
                     return in_force;
                 }
@@ -258,27 +258,27 @@
         let (before, settings) = (&self.told.standing, self.carrier.follower.settings());
         let machine = standing.machine.and_then(|place| settings.machines.get(place));
         if let Some(version) = standing.in_force.filter(|new| before.in_force != Some(*new)) {
-            info!(self.log, "rollout: version in force"; "digest" => %version.digest, "version" => version.number);
+            info!(self.log, "config: version in force"; "digest" => %version.digest, "version" => version.number);
         }
         if let Some(refused) = standing.refused.as_ref().filter(|new| before.refused.as_ref() != Some(*new)) {
-            warn!(self.log, "rollout: version refused"; "why" => &refused.why,
+            warn!(self.log, "config: version refused"; "why" => &refused.why,
                 "digest" => %refused.version.digest, "version" => refused.version.number);
         }
         if let Some(machine) = machine.filter(|_| before.machine != standing.machine) {
-            info!(self.log, "rollout: hears a control machine"; "zone" => &machine.zone, "machine" => &machine.name);
+            info!(self.log, "config: hears a control machine"; "zone" => &machine.zone, "machine" => &machine.name);
         }
         if standing.cut_off > CUT_OFF && !std::mem::replace(&mut self.told.cut_off, true) {
-            warn!(self.log, "rollout: cut off from all control machines, the version in force stays");
+            warn!(self.log, "config: cut off from all control machines, the version in force stays");
         }
         if standing.cut_off.is_zero() && std::mem::replace(&mut self.told.cut_off, false) {
-            info!(self.log, "rollout: no longer cut off");
+            info!(self.log, "config: no longer cut off");
         }
         if standing.conflicts > before.conflicts {
-            error!(self.log, "rollout: one number came with two digests, nothing is taken";
+            error!(self.log, "config: one number came with two digests, nothing is taken";
                 "so_far" => standing.conflicts);
         }
         if standing.older > before.older {
-            warn!(self.log, "rollout: an older version was offered and not taken"; "so_far" => standing.older);
+            warn!(self.log, "config: an older version was offered and not taken"; "so_far" => standing.older);
         }
         self.board.configure(Configuration::of(&standing, machine));
         self.told.standing = standing;
--- a/src/fleet/rollout/machine.rs
+++ b/src/fleet/rollout/machine.rs
@@ -70,7 +70,7 @@
     fn store(&mut self, kept: &Keeping) -> bool {
         let done = put(&self.file, &kept.file());
         if let Err(e) = &done {
-            warn!(self.log, "rollout: versions cannot be kept"; "error" => %e, "file" => %self.file.display());
+            warn!(self.log, "config: versions cannot be kept"; "error" => %e, "file" => %self.file.display());
         }
         done.is_ok()
     }
@@ -105,7 +105,7 @@
     };
     let voter = options.fleet.voter(&start.name)?.map(|(_, path)| VoterFile::at(path));
     let keeping = kept(&start.file).unwrap_or_else(|why| {
-        warn!(log, "rollout: what was kept cannot be used, the others have to give it"; "why" => why);
+        warn!(log, "config: what was kept cannot be used, the others have to give it"; "why" => why);
         Keeping::default()
     });
     let settings = Settings {
@@ -227,7 +227,7 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) => {
                     // Whoever waits to be let in would wake this thread without end.
-                    warn!(self.log, "rollout: cannot accept"; "error" => %e);
+                    warn!(self.log, "config: cannot accept"; "error" => %e);
                     let _ = self.listen_for(Poll::none(LISTENER));
                     self.deaf_until = Some(now + ACCEPT_PAUSE);
                     return;
@@ -257,7 +257,7 @@
                 Out::Change => node.change(now, REGISTER),
                 Out::Propose(value) => node.propose(now, REGISTER, Some(value)),
                 Out::Withdraw => node.propose(now, REGISTER, None),
-                Out::Note(text) => info!(self.log, "rollout: {}", text),
+                Out::Note(text) => info!(self.log, "{}", text),
             }
         }
         while let Some(link) = self.connections.lost() {
--- a/src/main.rs
+++ b/src/main.rs
@@ -188,7 +188,7 @@
         warn!(log, "the process before did not hand over, starting alone"; "error" => %e);
     }
     if let Some(why) = unusable {
-        warn!(log, "rollout: the version kept cannot be used, starting without"; "why" => why);
+        warn!(log, "config: the version kept cannot be used, starting without"; "why" => why);
     }
     let listen = config.listen;
     let mut groups: Vec<u32> = config.known.groups().collect();
