--- a/src/fleet/rollout/connections.rs
+++ b/src/fleet/rollout/connections.rs
@@ -6,15 +6,16 @@
 use std::sync::Arc;
 
 use dunemount_rollout::follower::Link;
+use dunemount_rollout::version::LONGEST_DOCUMENT;
 use dunemount_rollout::wire;
 use polling::{Event, PollMode, Poller};
 use slab::Slab;
 
 use crate::net::dial;
 
-/// Most bytes that wait to be sent on one connection: a few documents. Whoever reads no faster is let go, and comes back
-/// for the newest alone.
-const UNSENT: usize = 4 * wire::LONGEST;
+/// Most bytes that wait to be sent on one connection: a whole status, and two documents. Whoever reads no faster is let go,
+/// and comes back for the newest alone.
+const UNSENT: usize = wire::LONGEST + 2 * LONGEST_DOCUMENT;
 /// Bytes taken in one read, and most reads of a connection in one turn.
 const READ: usize = 64 * 1024;
 const READS: usize = 4;
--- a/src/fleet/rollout/machine.rs
+++ b/src/fleet/rollout/machine.rs
@@ -30,8 +30,8 @@
 const FRESH: Duration = Duration::from_secs(2);
 /// How long an operator waits for a version's acceptance at most.
 pub(super) const ACCEPT: Duration = Duration::from_secs(5);
-/// Most connections: gateways, the others' and those to them, operators and some to spare.
-const MOST: usize = MOST_GATEWAYS + 4 * MOST_MACHINES;
+/// Most connections: all that the control machine's part lets in, and its own to the others.
+const MOST: usize = MOST_GATEWAYS + 64 + MOST_MACHINES;
 /// Most connections taken in one turn.
 const ACCEPTS: usize = 64;
 /// So long nobody is let in once the system has refused a descriptor.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -303,6 +303,19 @@
         serde_json::from_slice(&output.stdout).unwrap_or_default()
     }
 
+    /// What `fleet status` prints of a gateway.
+    pub fn fleet_status(&self, gateway: usize) -> String {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dunemount"));
+        command.args(["fleet", "status", "--admin", &self.doors[gateway].admin.to_string()]);
+        String::from_utf8(command.output().expect("it runs").stdout).expect("text")
+    }
+
+    /// What `fleet config status` prints.
+    pub fn table(&self) -> String {
+        let output = self.config(&["status"], "0.ini");
+        String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned()
+    }
+
     /// How a gateway stands with the versions, by its door.
     pub fn standing(&self, gateway: usize) -> Value {
         let Ok(mut door) = TcpStream::connect(self.doors[gateway].admin) else { return Value::Null };
