A gateway logs the control machine that it hears only once that one is fresh

Cause: without a majority each gateway tries all control machines in turn and logged each of them, without end. Change: the line is logged when a fresh one is heard that was not the last.

--- a/src/fleet/rollout/gateway.rs
+++ b/src/fleet/rollout/gateway.rs
@@ -115,7 +115,8 @@
         let Start { settings, machines, file, board, .. } = start;
         let follower = Follower::new(settings, in_force, now);
         let carrier = Carrier::new(follower, machines, poller.clone(), 0);
-        let told = Told { standing: Standing { in_force, ..Standing::default() }, cut_off: false };
+        let told =
+            Told { standing: Standing { in_force, ..Standing::default() }, machine: None, cut_off: false };
         if let Some(version) = in_force {
             info!(log, "config: goes on with the version kept"; "digest" => %version.digest,
                 "version" => version.number);
@@ -184,6 +185,8 @@
 /// What operators have been told.
 struct Told {
     standing: Standing,
+    /// The control machine that was fresh.
+    machine: Option<usize>,
     cut_off: bool,
 }
 
@@ -264,7 +267,10 @@
             warn!(self.log, "config: version refused"; "why" => &refused.why,
                 "digest" => %refused.version.digest, "version" => refused.version.number);
         }
-        if let Some(machine) = machine.filter(|_| before.machine != standing.machine) {
+        // While none is fresh the machines are tried in turn, which is no news.
+        let fresh = machine.filter(|_| standing.cut_off.is_zero());
+        if let Some(machine) = fresh.filter(|_| self.told.machine != standing.machine) {
+            self.told.machine = standing.machine;
             info!(self.log, "config: hears a control machine"; "zone" => &machine.zone, "machine" => &machine.name);
         }
         if standing.cut_off > CUT_OFF && !std::mem::replace(&mut self.told.cut_off, true) {
