Tests of versions: each world has a loopback address of its own

Cause: three copies of the test at once failed in 5 and 6 of 36 tests: ports that were drawn and let go were taken by another copy before their process listened, and a gateway whose control machine was killed told its Hello to another copy's stand-in for discovery. Change: the ports of a world are drawn at an address of 127.0.0.0/8 of its own.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,7 +2,7 @@
 //! its own. What a test waits for is seen in logs, doors and the operators' tool.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -87,6 +87,20 @@
     ended: bool,
 }
 
+/// An address of this world alone: a port that was free when it was drawn, or is free while its process is down, is nobody
+/// else's, whoever draws ports at the same moment.
+fn own_address() -> IpAddr {
+    static WORLDS: AtomicUsize = AtomicUsize::new(0);
+    let world = WORLDS.fetch_add(1, Ordering::SeqCst) + 1;
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let second = 1 + (high ^ middle) % 254;
+    Ipv4Addr::new(127, second, low, u8::try_from(world).expect("a few worlds")).into()
+}
+
+fn listener(own: IpAddr) -> TcpListener {
+    TcpListener::bind((own, 0)).expect("a free port")
+}
+
 /// What a test's versions differ in.
 pub fn document(mark: usize) -> Value {
     let mut settings = rig::settings();
@@ -104,10 +118,11 @@
     pub fn with_hosts(test: &str, gateways: usize, known: Value) -> World {
         let folder = std::env::temp_dir().join(format!("dunemount-{test}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
+        let own = own_address();
         // All are held until each has its own.
         let datagrams: Vec<UdpSocket> =
-            (0..MACHINES + gateways).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a free port")).collect();
-        let streams: Vec<TcpListener> = (0..MACHINES + 2 * gateways).map(|_| rig::local()).collect();
+            (0..MACHINES + gateways).map(|_| UdpSocket::bind((own, 0)).expect("a free port")).collect();
+        let streams: Vec<TcpListener> = (0..MACHINES + 2 * gateways).map(|_| listener(own)).collect();
         let datagrams_at = |index: usize| datagrams[index].local_addr().expect("bound").to_string();
         let stream_at = |index: usize| streams[index].local_addr().expect("bound");
         let places = |form: &dyn Fn(usize) -> String| (0..MACHINES).map(form).collect::<Vec<_>>().join(", ");
@@ -127,7 +142,7 @@
         }
         let back: Vec<&str> = machines.rsplit(", ").collect();
         let ini = format!(
-            "[fleet]\nname = {test}\nlisten = 127.0.0.1:0\nvoters = {voters}\n[control]\nmachines = {}\n",
+            "[fleet]\nname = {test}\nlisten = {own}:0\nvoters = {voters}\n[control]\nmachines = {}\n",
             back.join(", ")
         );
         std::fs::write(folder.join("back.ini"), ini).expect("written");
@@ -191,7 +206,7 @@
 
     /// Starts the process that follows a gateway's: it counts as a gateway of its own, with a door of its own.
     pub fn start_successor(&mut self, gateway: usize) -> usize {
-        let admin = rig::local().local_addr().expect("bound");
+        let admin = listener(self.doors[gateway].admin.ip()).local_addr().expect("bound");
         let mut command = self.serve(MACHINES + gateway);
         command.env("GW_ADMIN_ADDR", admin.to_string());
         self.doors.push(Doors { clients: self.doors[gateway].clients, admin });
