--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -18,6 +18,7 @@
 use dunemount::pg::codec::{self, Frame, Inbox};
 use dunemount::settings::Zones;
 use dunemount::upgrade::line::Inheritance;
+use dunemount_rollout::version::Document;
 use serde_json::{json, Value};
 
 pub fn settings() -> Value {
@@ -87,7 +88,7 @@
 }
 
 /// A toy host that tells the test each statement it gets. What it does hangs on the quoted key.
-fn toy_host(index: u8, heard: Sender<String>, mood: Arc<Mood>) -> SocketAddr {
+pub fn toy_host(index: u8, heard: Sender<String>, mood: Arc<Mood>) -> SocketAddr {
     let listener = local();
     let address = listener.local_addr().expect("bound");
     std::thread::spawn(move || {
@@ -269,11 +270,11 @@
             inherited,
             fleet: None,
         };
-        let reread = Box::new(move |zones: &mut Zones| {
+        let reread = Box::new(move |_: Option<&Document>, zones: &mut Zones| {
             let text: String = read.recv().expect("a file");
             in_force.take(text.clone(), zones).map(|taken| (text, taken))
         });
-        let signals = Signals { end, reload: anew, reread };
+        let signals = Signals { end, reload: anew, versions: None, reread };
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let workers = Gateway::open_all(config, signals, log, cores).expect("it opens");
         let address = workers[0].address().expect("it listens");
@@ -283,13 +284,7 @@
     }
 
     pub fn client(&self) -> Talk {
-        let mut socket = TcpStream::connect(self.address).expect("accepted");
-        let mut hello = Vec::new();
-        codec::startup(&mut hello, "app", "shop");
-        socket.write_all(&hello).expect("written");
-        let mut talk = Talk { socket, inbox: Inbox::default() };
-        assert_eq!(talk.answer().pop().map(|frame| frame.tag), Some(b'Z'));
-        talk
+        Talk::to(self.address)
     }
 
     /// Replaces the configuration file and sends the signal, as operators do.
@@ -323,6 +318,17 @@
 }
 
 impl Talk {
+    /// A client that a gateway has let in.
+    pub fn to(address: SocketAddr) -> Talk {
+        let mut socket = TcpStream::connect(address).expect("accepted");
+        let mut hello = Vec::new();
+        codec::startup(&mut hello, "app", "shop");
+        socket.write_all(&hello).expect("written");
+        let mut talk = Talk { socket, inbox: Inbox::default() };
+        assert_eq!(talk.answer().pop().map(|frame| frame.tag), Some(b'Z'));
+        talk
+    }
+
     pub fn ask(&mut self, text: &str) {
         let mut bytes = Vec::new();
         codec::query(&mut bytes, text);
