--- a/crates/rig/src/scale/count.rs
+++ b/crates/rig/src/scale/count.rs
@@ -46,10 +46,16 @@
     pub lists: Flow,
     /// Other answers of discovery, and their bytes: of a wait that was over without news, and of calls that failed.
     pub idle: Flow,
+    /// Bytes sent to control machines.
+    pub control_sent: u64,
+    /// Bytes received from control machines.
+    pub control_received: u64,
     /// Processor time of the fleet's part.
     pub fleet_cpu: Duration,
     /// Processor time of the list's part: the watch, the directory, the balancer.
     pub list_cpu: Duration,
+    /// Processor time of the part that follows the control machines, versions taken in it.
+    pub control_cpu: Duration,
     /// Others taken for gone.
     pub losses: u64,
     /// Of these, the ones that nothing had ended.
@@ -74,17 +80,21 @@
             calls: self.calls.since(before.calls),
             lists: self.lists.since(before.lists),
             idle: self.idle.since(before.idle),
+            control_sent: self.control_sent.saturating_sub(before.control_sent),
+            control_received: self.control_received.saturating_sub(before.control_received),
             fleet_cpu: self.fleet_cpu.saturating_sub(before.fleet_cpu),
             list_cpu: self.list_cpu.saturating_sub(before.list_cpu),
+            control_cpu: self.control_cpu.saturating_sub(before.control_cpu),
             losses: self.losses.saturating_sub(before.losses),
             mistaken: self.mistaken.saturating_sub(before.mistaken),
         }
     }
 
-    /// Bytes sent and received, of datagrams and of discovery.
+    /// Bytes sent and received, of datagrams, of discovery and of control machines.
     pub fn bytes(&self) -> u64 {
         let datagrams = self.sent.iter().chain(&self.received).map(|flow| flow.bytes).sum::<u64>();
-        datagrams + self.calls.bytes + self.lists.bytes + self.idle.bytes
+        let control = self.control_sent + self.control_received;
+        datagrams + self.calls.bytes + self.lists.bytes + self.idle.bytes + control
     }
 
     /// Datagrams sent and received.
@@ -94,7 +104,7 @@
 
     /// Processor time.
     pub fn cpu(&self) -> Duration {
-        self.fleet_cpu + self.list_cpu
+        self.fleet_cpu + self.list_cpu + self.control_cpu
     }
 }
 
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -1,11 +1,11 @@
-//! Hollow gateways: the fleet's node, the watch on discovery, the directory and the balancer as the program has them,
-//! each with sockets of its own, many to a thread. There is nothing of clients and nothing of hosts.
+//! Hollow gateways: the fleet's node, the watch on discovery, the directory and the balancer, the connections to control
+//! machines and the versions taken from them as the program has them, each with sockets of its own, many to a thread. There is nothing of clients and nothing of hosts.
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
@@ -13,10 +13,12 @@
 use std::time::{Duration, Instant};
 
 use dunemount::balancer::Balancer;
-use dunemount::config::InForce;
+use dunemount::config::{version, InForce};
+use dunemount::fault::Fault;
 use dunemount::fleet::carrier::{Carrier, Wire};
 use dunemount::fleet::driver;
-use dunemount::fleet::file::VoterFile;
+use dunemount::fleet::file::{self, VoterFile};
+use dunemount::fleet::rollout::{self, links};
 use dunemount::net::clock::Clock;
 use dunemount::net::discovery::{BadAnswer, Directory, Failed, Watch};
 use dunemount::options::FleetOptions;
@@ -25,12 +27,15 @@
 use dunemount_fleet::frame;
 use dunemount_fleet::member::Change;
 use dunemount_fleet::node::Event as Told;
+use dunemount_rollout::follower::{self, Follower};
+use dunemount_rollout::version::Document;
 use polling::{Event, PollMode, Poller};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use slog::{o, Discard, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 
+use super::control::{Machines, Put};
 use super::count::{thread_cpu, Counts};
 use super::goal::{Goal, Progress};
 
@@ -56,6 +61,8 @@
     pub router: bool,
     /// The fleet's roles.
     pub roles: Vec<String>,
+    /// The control machines.
+    pub machines: Machines,
     /// The number in a name.
     pub number: fn(&str) -> Option<usize>,
 }
@@ -73,6 +80,10 @@
     pub fleet: FleetOptions,
     /// A voter's file.
     pub file: Option<PathBuf>,
+    /// Its zone.
+    pub zone: String,
+    /// Where it keeps the version in force.
+    pub kept: PathBuf,
     /// For random numbers.
     pub seed: u64,
 }
@@ -105,6 +116,26 @@
         /// When.
         at: Instant,
     },
+    /// A gateway has a version in force.
+    Took {
+        /// Which.
+        gateway: usize,
+        /// The version's number.
+        number: u64,
+        /// When.
+        at: Instant,
+    },
+    /// A gateway hears a fresh control machine, another one than before, or none any more.
+    Hears {
+        /// Which.
+        gateway: usize,
+        /// The control machine's place.
+        machine: Option<usize>,
+        /// When.
+        at: Instant,
+    },
+    /// A version that was put has been answered.
+    Put(Put),
     /// The run cannot go on.
     Failed(String),
 }
@@ -220,11 +251,22 @@
     balancer: Option<Balancer>,
 }
 
+/// The part of a gateway that follows the control machines.
+struct Following {
+    carrier: links::Carrier,
+    /// Where the version in force is kept.
+    kept: PathBuf,
+    in_force: Option<Document>,
+    /// The fresh control machine that was heard last.
+    heard: Option<usize>,
+}
+
 struct Gateway {
     region: usize,
     carrier: Carrier,
     socket: UdpSocket,
     listing: Listing,
+    following: Option<Following>,
     progress: Progress,
     counts: Counts,
     frozen: bool,
@@ -241,13 +283,23 @@
     began: Instant,
 }
 
-/// Keys of a gateway's sockets: one for datagrams, two for calls.
-const KEYS: usize = 3;
+/// Keys of a gateway's sockets: one for datagrams, two for calls, three for control machines.
+const KEYS: usize = 6;
+/// The first of those for control machines.
+const CONTROL: usize = 3;
 
 fn datagrams(index: usize) -> usize {
     KEYS * index
 }
 
+/// What the poller has told of a gateway's sockets.
+#[derive(Default)]
+struct Ready {
+    heard: bool,
+    answered: bool,
+    control: Vec<Event>,
+}
+
 impl Work {
     fn run(mut self, end: &AtomicBool) -> Result<(), String> {
         let mut events = Vec::new();
@@ -258,10 +310,14 @@
             while let Ok(order) = self.told.try_recv() {
                 self.follow(order)?;
             }
-            let mut ready: BTreeMap<usize, (bool, bool)> = BTreeMap::new();
+            let mut ready: BTreeMap<usize, Ready> = BTreeMap::new();
             for event in &events {
-                let (heard, answered) = ready.entry(event.key / KEYS).or_default();
-                *(if event.key % KEYS == 0 { heard } else { answered }) = true;
+                let ready = ready.entry(event.key / KEYS).or_default();
+                match event.key % KEYS {
+                    0 => ready.heard = true,
+                    key if key < CONTROL => ready.answered = true,
+                    _ => ready.control.push(*event),
+                }
             }
             let Work { gateways, common, words, poller, clock, began, .. } = &mut self;
             let mut lists = 0;
@@ -270,11 +326,18 @@
                 if gateway.frozen {
                     continue;
                 }
-                let (heard, answered) = ready.get(index).copied().unwrap_or_default();
+                let Ready { heard, answered, control } = ready.remove(index).unwrap_or_default();
                 let now = began.elapsed();
                 if heard || gateway.carrier.node.due() <= now {
                     gateway.turn(now, common);
                 }
+                if gateway
+                    .following
+                    .as_ref()
+                    .is_some_and(|following| !control.is_empty() || following.carrier.due() <= now)
+                {
+                    gateway.follow(*index, now, &control, common, words);
+                }
                 // Who is left out is found ready, or due, in the next pass.
                 if lists < LISTS && (answered || gateway.listing.due() <= clock.read()) {
                     lists += 1;
@@ -294,7 +357,8 @@
         let awake = self.gateways.values().flatten().filter(|gateway| !gateway.frozen);
         let due = awake.map(|gateway| {
             let list = here + Duration::from_micros((gateway.listing.due() - now).0);
-            gateway.carrier.node.due().min(list)
+            let control = gateway.following.as_ref().map_or(Duration::MAX, |it| it.carrier.due());
+            gateway.carrier.node.due().min(list).min(control)
         });
         due.min().unwrap_or(Duration::MAX)
     }
@@ -304,7 +368,7 @@
             Order::Start(identity, start) => {
                 let (index, name) = (identity.index, identity.name.clone());
                 let counts = match self.gateways.remove(&index) {
-                    Some(Ok(gateway)) => self.kill(&gateway),
+                    Some(Ok(mut gateway)) => self.kill(&mut gateway),
                     Some(Err(counts)) => counts,
                     None => Counts::default(),
                 };
@@ -312,8 +376,8 @@
                 self.gateways.insert(index, Ok(Box::new(gateway)));
             }
             Order::Kill(index) => {
-                if let Some(Ok(gateway)) = self.gateways.remove(&index) {
-                    let counts = self.kill(&gateway);
+                if let Some(Ok(mut gateway)) = self.gateways.remove(&index) {
+                    let counts = self.kill(&mut gateway);
                     self.gateways.insert(index, Err(counts));
                 }
             }
@@ -346,11 +410,11 @@
 
     fn open(&self, identity: Identity, start: u64, counts: Counts) -> Result<Gateway, String> {
         let said = |e: io::Error| e.to_string();
-        let Identity { index, name, region, fleet, file, seed } = identity;
+        let Identity { index, name, region, fleet, file, zone, kept, seed } = identity;
         let listen = fleet.listen.ok_or("no address")?;
         let socket = UdpSocket::bind(listen).map_err(said)?;
         socket.set_nonblocking(true).map_err(said)?;
-        let beginning = driver::Start { name, start, roles: self.common.roles.clone(), seed };
+        let beginning = driver::Start { name: name.clone(), start, roles: self.common.roles.clone(), seed };
         let (settings, slot) = driver::settings(&fleet, beginning)?.ok_or("no fleet")?;
         let voter = slot.zip(file.as_deref().map(VoterFile::at));
         let carrier = Carrier::new(settings, voter, Logger::root(Discard, o!()));
@@ -358,12 +422,34 @@
         added.map_err(said)?;
         let mut progress = Progress::new(index, region, self.common.gateways);
         (progress.losses, progress.mistaken) = (counts.losses, counts.mistaken);
-        let listing = Listing::new(&self.common, seed)?;
-        Ok(Gateway { region, carrier, socket, listing, progress, counts, frozen: false })
+        let mut listing = Listing::new(&self.common, seed)?;
+        let fleet = fleet.name.unwrap_or_default();
+        let settings = follower::Settings {
+            fleet,
+            name,
+            zone,
+            machines: self.common.machines.machines(),
+            pace: follower::Pace::default(),
+            seed,
+        };
+        let following = if settings.machines.is_empty() {
+            None
+        } else {
+            let before = listing.restore(&kept, &self.common)?;
+            let number = before.as_ref().map(Document::version);
+            let follower = Follower::new(settings, number, self.began.elapsed());
+            let (machines, key) = (self.common.machines.addresses(), datagrams(index) + CONTROL);
+            let carrier = links::Carrier::new(follower, machines, self.poller.clone(), key);
+            Some(Following { carrier, kept, in_force: before, heard: None })
+        };
+        Ok(Gateway { region, carrier, socket, listing, following, progress, counts, frozen: false })
     }
 
     /// Its sockets close with it.
-    fn kill(&self, gateway: &Gateway) -> Counts {
+    fn kill(&self, gateway: &mut Gateway) -> Counts {
+        if let Some(following) = &mut gateway.following {
+            following.carrier.close();
+        }
         let _ = self.poller.delete(&gateway.socket);
         for call in gateway.listing.calls() {
             let _ = self.poller.delete(&call.socket);
@@ -391,6 +477,42 @@
         })
     }
 
+    /// Takes the version that was kept before its start.
+    fn restore(&mut self, kept: &Path, common: &Common) -> Result<Option<Document>, String> {
+        let place = kept.display().to_string();
+        let document = rollout::gateway::kept(kept).map_err(|why| format!("{place}: {why}"))?;
+        if let Some(document) = &document {
+            let text = version::overlay(&common.configuration, document.bytes());
+            text.and_then(|text| self.take(text)).map_err(|fault| fault.of(&place))?;
+        }
+        Ok(document)
+    }
+
+    /// Takes a configuration, all of it or nothing.
+    fn take(&mut self, text: String) -> Result<(), Fault> {
+        let mut zones = self.directory.zones().clone();
+        let settings = self.in_force.take(text, &mut zones)?.site.settings;
+        self.directory.know_zones(zones);
+        if let Some(balancer) = &mut self.balancer {
+            balancer.retune(settings.clone());
+        }
+        self.settings = settings;
+        Ok(())
+    }
+
+    /// Takes a version and keeps it, as the program does.
+    fn take_version(&mut self, document: &Document, kept: &Path, common: &Common) -> Result<(), String> {
+        let text = version::overlay(&common.configuration, document.bytes()).map_err(|e| e.to_string())?;
+        let staged = file::stage(kept, &document.file()).map_err(|e| e.to_string())?;
+        match self.take(text) {
+            Ok(()) => staged.settle().map_err(|e| e.to_string()),
+            Err(fault) => {
+                staged.discard();
+                Err(fault.to_string())
+            }
+        }
+    }
+
     fn calls(&self) -> impl Iterator<Item = &Call> {
         self.call.iter().chain(&self.silent)
     }
@@ -460,7 +582,11 @@
 impl Gateway {
     fn counted(&self) -> Counts {
         let Progress { losses, mistaken, .. } = self.progress;
-        Counts { losses, mistaken, ..self.counts }
+        let Counts { control_sent, control_received, .. } = self.counts;
+        let (sent, received) =
+            self.following.as_ref().map_or((0, 0), |it| (it.carrier.sent(), it.carrier.received()));
+        let (control_sent, control_received) = (control_sent + sent, control_received + received);
+        Counts { losses, mistaken, control_sent, control_received, ..self.counts }
     }
 
     /// What comes meanwhile waits in the sockets, as it does before a process that is stopped.
@@ -501,6 +627,34 @@
         self.counts.fleet_cpu += thread_cpu() - before;
     }
 
+    /// Goes on with the control machines: takes what they have brought.
+    fn follow(
+        &mut self,
+        index: usize,
+        now: Duration,
+        ready: &[Event],
+        common: &Common,
+        words: &Sender<Word>,
+    ) {
+        let Some(Following { carrier, kept, in_force, heard }) = &mut self.following else { return };
+        let before = thread_cpu();
+        for document in carrier.turn(now, ready) {
+            let taken = self.listing.take_version(&document, kept, common);
+            let (gateway, number) = (index, document.version().number);
+            if taken.is_ok() {
+                *in_force = Some(document.clone());
+                let _ = words.send(Word::Took { gateway, number, at: Instant::now() });
+            }
+            carrier.taken(now, document.version(), taken);
+        }
+        let standing = carrier.follower.standing(now);
+        let hears = standing.machine.filter(|_| standing.cut_off.is_zero());
+        if std::mem::replace(heard, hears) != hears {
+            let _ = words.send(Word::Hears { gateway: index, machine: hears, at: Instant::now() });
+        }
+        self.counts.control_cpu += thread_cpu() - before;
+    }
+
     /// Goes on with the watch: writes the call, reads the answer, or calls again.
     fn watch(&mut self, index: usize, clock: &Clock, common: &Common, poller: &Poller) {
         let before = thread_cpu();
@@ -580,15 +734,12 @@
     /// Reads the configuration anew, as a signal makes the program do.
     fn configure(&mut self, text: &str) -> Result<(), String> {
         let before = thread_cpu();
-        let listing = &mut self.listing;
-        let mut zones = listing.directory.zones().clone();
-        let taken = listing.in_force.take(text.to_string(), &mut zones);
-        let settings = taken.map_err(|fault| fault.of("configuration"))?.site.settings;
-        listing.directory.know_zones(zones);
-        if let Some(balancer) = &mut listing.balancer {
-            balancer.retune(settings.clone());
-        }
-        listing.settings = settings;
+        let in_force = self.following.as_ref().and_then(|following| following.in_force.as_ref());
+        let text = match in_force {
+            Some(document) => version::overlay(text, document.bytes()),
+            None => Ok(text.to_string()),
+        };
+        text.and_then(|text| self.listing.take(text)).map_err(|fault| fault.of("configuration"))?;
         self.progress.configured();
         self.counts.list_cpu += thread_cpu() - before;
         Ok(())
--- a/crates/rig/src/scale/limits.rs
+++ b/crates/rig/src/scale/limits.rs
@@ -24,6 +24,8 @@
 /// A hollow gateway without them, and a process of the program, in bytes.
 const HOLLOW: u64 = 256 * 1024;
 const PROCESS: u64 = 32 * 1024 * 1024;
+/// A gateway's connections to control machines with what they read into.
+const FOLLOWER: u64 = 128 * 1024;
 /// The rest of the run.
 const REST: u64 = 64 * 1024 * 1024;
 /// Threads of a process of the program.
@@ -42,14 +44,16 @@
 
     /// What a run needs.
     pub fn needed(plan: &Plan) -> Means {
-        let (hollow, real) = (plan.hollow as u64, plan.real as u64);
+        let (hollow, real, control) = (plan.hollow as u64, plan.real as u64, plan.control as u64);
+        // The connection in use, the next one that is tried, and the own zone's.
+        let (connections, follower) = if control > 0 { (3, FOLLOWER) } else { (0, 0) };
         let host = HOST + if plan.router { BALANCED } else { 0 };
-        let each = HOLLOW + plan.gateways() as u64 * MEMBER + plan.hosts * host;
+        let each = HOLLOW + follower + plan.gateways() as u64 * MEMBER + plan.hosts * host;
         Means {
             // Datagrams, the call and its other end; while ports are chosen two a process.
-            descriptors: 3 * hollow + 3 * real + 64,
-            memory: (hollow * each + real * PROCESS + REST) / (1024 * 1024),
-            processes: plan.threads as u64 + plan.voters as u64 + 2 + THREADS * real,
+            descriptors: (3 + connections) * hollow + 3 * (real + control) + 64,
+            memory: (hollow * each + (real + control) * PROCESS + REST) / (1024 * 1024),
+            processes: plan.threads as u64 + plan.voters as u64 + 2 + THREADS * (real + control),
         }
     }
 }
@@ -60,8 +64,9 @@
 /// What would not do, with both figures.
 pub fn admit(plan: &Plan, have: Means) -> Result<(), String> {
     let need = Means::needed(plan);
-    if plan.real > MOST_PROCESSES {
-        return Err(format!("processes: {} asked for, {MOST_PROCESSES} at most", plan.real));
+    let processes = plan.real + plan.control;
+    if processes > MOST_PROCESSES {
+        return Err(format!("processes: {processes} asked for, {MOST_PROCESSES} at most"));
     }
     let most = plan.memory.min(MOST_MEMORY);
     let checks = [
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -1,6 +1,7 @@
 //! `rig scale`: hollow gateways and real ones around one stand-in for discovery, what happens to them, what it costs
 //! each and how long it takes until the last has acted, held against budgets. `docs/operators/scale-run.md` tells how.
 
+pub mod control;
 pub mod count;
 pub mod discovery;
 pub mod goal;
@@ -18,7 +19,8 @@
 
 use signal_hook::consts::{SIGINT, SIGTERM};
 
-/// Plays a file and writes what it gave into a folder: `gateways.csv`, `events.csv`, `budgets.csv` and `events.svg`.
+/// Plays a file and writes what it gave into a folder: `gateways.csv`, `control.csv`, `events.csv`, `versions.csv`, `budgets.csv`
+/// and `events.svg`.
 ///
 /// # Errors
 /// The file cannot be used, the machine would not do, or the run broke off: everything that it started has ended then.
--- a/crates/rig/src/scale/plan.rs
+++ b/crates/rig/src/scale/plan.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use dunemount_rollout::version::LONGEST_DOCUMENT;
 use ini::Ini;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -15,6 +16,8 @@
 pub const MOST_MEMORY: u64 = 12 * 1024;
 /// Most hosts in the list.
 const MOST_HOSTS: u64 = 10_000;
+/// Most versions that one event puts: each gateway's times of them are kept until it is over.
+const MOST_VERSIONS: f64 = 600.0;
 
 /// A run as its file has it.
 #[derive(Clone, Debug)]
@@ -25,6 +28,10 @@
     pub hollow: usize,
     /// Gateways as processes of the program.
     pub real: usize,
+    /// Control machines as processes of the program, one a zone from the first on; they vote in the gateways' place.
+    pub control: usize,
+    /// Length of a version's document, filled up with blanks.
+    pub document_bytes: usize,
     /// The program.
     pub program: PathBuf,
     /// Threads that the hollow gateways share; voters have one each beside them.
@@ -39,7 +46,7 @@
     pub settle: Duration,
     /// Most memory, in MiB, at most [`MOST_MEMORY`].
     pub memory: u64,
-    /// Voters, the first of the gateways.
+    /// Voters: the first of the control machines, or of the gateways where there are none.
     pub voters: usize,
     /// Length of a lease, in milliseconds.
     pub lease_ms: u64,
@@ -88,6 +95,12 @@
     Stopped(Duration),
     /// A gateway runs a tenth of the time, for so long.
     Slow(Duration),
+    /// So many versions of the configuration are put, each so long after the one before.
+    Version(usize, Duration),
+    /// The same with one version, while a gateway that is waited for does nothing for so long.
+    Behind(Duration),
+    /// A control machine is killed, and comes back after so long.
+    Control(Duration),
 }
 
 impl Event {
@@ -104,10 +117,13 @@
             Event::Restarts(..) => "restarts",
             Event::Stopped(_) => "stopped",
             Event::Slow(_) => "slow",
+            Event::Version(..) => "version",
+            Event::Behind(_) => "behind",
+            Event::Control(_) => "control",
         }
     }
 
-    /// Reads `WORD NUMBER...`; times are in seconds, but for the milliseconds between restarts.
+    /// Reads `WORD NUMBER...`; times are in seconds, but for the milliseconds between restarts and versions.
     fn read(text: &str) -> Result<Event, String> {
         let mut words = text.split_whitespace();
         let word = words.next().unwrap_or_default();
@@ -129,10 +145,20 @@
             }
             ("stopped", [time]) => Event::Stopped(seconds(*time)),
             ("slow", [time]) => Event::Slow(seconds(*time)),
+            ("version", []) => Event::Version(1, Duration::ZERO),
+            ("version", [count]) if (1.0..=MOST_VERSIONS).contains(count) => {
+                Event::Version(*count as usize, Duration::ZERO)
+            }
+            ("version", [count, pause]) if (1.0..=MOST_VERSIONS).contains(count) => {
+                Event::Version(*count as usize, seconds(*pause / 1000.0))
+            }
+            ("behind", [time]) => Event::Behind(seconds(*time)),
+            ("control", [time]) => Event::Control(seconds(*time)),
             _ => {
                 return Err(format!(
                     "{text:?} is none of: list N, primary, configuration, death, rack N, zone ZONE SECONDS, \
-                     apart SECONDS, restarts N MILLISECONDS, stopped SECONDS, slow SECONDS"
+                     apart SECONDS, restarts N MILLISECONDS, stopped SECONDS, slow SECONDS, \
+                     version [N] [MILLISECONDS], behind SECONDS, control SECONDS"
                 ))
             }
         })
@@ -163,7 +189,7 @@
 pub struct Budget {
     /// Its key in the file.
     pub key: String,
-    /// `gateway`, `voter`, or an event's word.
+    /// `gateway`, `voter`, `control` for a control machine, or an event's word.
     pub of: String,
     /// What is limited.
     pub measure: Measure,
@@ -176,14 +202,14 @@
         let most = text.trim().parse().map_err(|_| format!("{text:?} is no number"))?;
         let (of, what) = key.rsplit_once('.').ok_or("is not WHO.WHAT")?;
         let measure = match (of, what) {
-            ("gateway" | "voter", "core") => Measure::Core,
-            ("gateway", "mb") => Measure::Memory,
+            ("gateway" | "voter" | "control", "core") => Measure::Core,
+            ("gateway" | "control", "mb") => Measure::Memory,
             ("gateway" | "voter", "bytes_s") => Measure::Bytes,
             (_, "last_s") => Measure::Last,
             _ => {
                 return Err(
                     "is none of gateway.core, gateway.mb, gateway.bytes_s, voter.core, voter.bytes_s, \
-                            EVENT.last_s"
+                            control.core, control.mb, EVENT.last_s"
                         .into(),
                 )
             }
@@ -230,6 +256,8 @@
             seed: 1,
             hollow: 30,
             real: 0,
+            control: 0,
+            document_bytes: 4_096,
             program: "target/release/dunemount".into(),
             threads: 4,
             longest: Duration::from_secs(170),
@@ -271,6 +299,10 @@
             ("run", "seed") => self.seed = number(value, 0, u64::MAX)?,
             ("run", "hollow") => self.hollow = number(value, 0, most)? as usize,
             ("run", "real") => self.real = number(value, 0, most)? as usize,
+            ("run", "control") => self.control = number(value, 0, 64)? as usize,
+            ("run", "document_bytes") => {
+                self.document_bytes = number(value, 0, LONGEST_DOCUMENT as u64)? as usize;
+            }
             ("run", "program") => self.program = value.into(),
             ("run", "threads") => self.threads = number(value, 1, 64)? as usize,
             ("run", "longest_s") => self.longest = seconds(3_600)?,
@@ -302,7 +334,13 @@
         if !matches!(self.voters, 1 | 3 | 5 | 7) {
             return Err(format!("[fleet] voters: {}: 1, 3, 5 or 7 keep a majority", self.voters));
         }
-        if self.voters > self.gateways() {
+        if self.control > self.zones {
+            return Err(format!("[run] control: {}: one a zone, of {}", self.control, self.zones));
+        }
+        if self.control > 0 && self.voters > self.control {
+            return Err(format!("[fleet] voters: {}: more than there are control machines", self.voters));
+        }
+        if self.control == 0 && self.voters > self.gateways() {
             return Err(format!("[fleet] voters: {}: more than there are gateways", self.voters));
         }
         if self.gateways() > MOST_GATEWAYS {
@@ -316,9 +354,12 @@
                 Event::Zone(zone, _) if *zone >= self.zones => {
                     return Err(format!("[events] zone {zone}: zones are 0 to {}", self.zones - 1))
                 }
-                Event::Apart(_) if self.real > 0 => {
+                Event::Apart(_) if self.real + self.control > 0 => {
                     return Err("[events] apart: datagrams of real processes cannot be held back here".into())
                 }
+                Event::Version(..) | Event::Behind(_) | Event::Control(_) if self.control == 0 => {
+                    return Err(format!("[events] {}: needs a [run] control of 1", event.word()))
+                }
                 Event::Primary if self.group_size < 2 => {
                     return Err("[events] primary: needs a list.group_size of 2".into())
                 }
@@ -333,6 +374,15 @@
         self.hollow + self.real
     }
 
+    /// Voters among the gateways, the first of them.
+    pub fn voting_gateways(&self) -> usize {
+        if self.control > 0 {
+            0
+        } else {
+            self.voters
+        }
+    }
+
     /// A gateway's zone.
     pub fn zone(&self, gateway: usize) -> usize {
         gateway % self.zones
--- a/crates/rig/src/scale/real.rs
+++ b/crates/rig/src/scale/real.rs
@@ -1,4 +1,5 @@
-//! Gateways as processes of the program, each with its own settings and `TMPDIR`, watched by their logs and doors.
+//! Gateways and control machines as processes of the program, each with its own settings and `TMPDIR`, watched by their
+//! logs and, the gateways, at their doors.
 
 use std::fs;
 use std::io::{self, BufRead, BufReader};
@@ -22,21 +23,52 @@
 pub struct Spec {
     /// Its number.
     pub index: usize,
+    /// What it is called where something is wrong: `gateway 3`.
+    pub who: String,
     /// The program.
     pub program: PathBuf,
-    /// Its own folder, with `config.json` and `settings.ini`.
+    /// What the program is to do, without the settings.
+    pub arguments: Vec<String>,
+    /// Its own folder, with `settings.ini` and, for a gateway, `config.json`.
     pub folder: PathBuf,
     /// Its door.
     pub door: SocketAddr,
-    /// The number in a name.
-    pub number: fn(&str) -> Option<usize>,
+    /// The number in a gateway's name, and in a control machine's.
+    pub numbers: [fn(&str) -> Option<usize>; 2],
+}
+
+/// What is known of a process.
+struct Watched {
+    progress: Progress,
+    /// The newest version that it has had in force, by its log and by its door.
+    version: u64,
+    /// The last one by its log alone, whose lines come in order.
+    logged: u64,
+    /// The control machine that it hears.
+    heard: Option<usize>,
+}
+
+impl Watched {
+    /// It has this version in force. The door's word may be older than what the log has told; the log's may not.
+    fn took(&mut self, number: u64, by_log: bool) -> bool {
+        let fallen = by_log && number < std::mem::replace(&mut self.logged, number);
+        let newer = number > self.version;
+        self.version = self.version.max(number);
+        newer || fallen
+    }
+
+    fn hears(&mut self, gateway: usize, machine: Option<usize>, at: Instant, words: &Sender<Word>) {
+        if std::mem::replace(&mut self.heard, machine) != machine {
+            let _ = words.send(Word::Hears { gateway, machine, at });
+        }
+    }
 }
 
 /// A process that ends with this value.
 pub struct Process {
     child: Child,
     spec: Spec,
-    progress: Arc<Mutex<Progress>>,
+    watched: Arc<Mutex<Watched>>,
     words: Sender<Word>,
     /// Its end is wanted.
     to_end: Arc<AtomicBool>,
@@ -48,9 +80,9 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
-fn locked(progress: &Mutex<Progress>) -> std::sync::MutexGuard<'_, Progress> {
+fn locked(watched: &Mutex<Watched>) -> std::sync::MutexGuard<'_, Watched> {
     // Whoever panicked with it has at worst left a line out.
-    progress.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    watched.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 impl Process {
@@ -60,8 +92,7 @@
     /// The program cannot be started.
     pub fn start(spec: Spec, progress: Progress, words: Sender<Word>) -> io::Result<Process> {
         let mut command = Command::new(&spec.program);
-        command.arg("serve").arg("--config").arg(spec.folder.join("config.json"));
-        command.arg("--settings").arg(spec.folder.join("settings.ini"));
+        command.args(&spec.arguments).arg("--settings").arg(spec.folder.join("settings.ini"));
         for variable in
             ["GW_CONFIG", "GW_SETTINGS", "GW_NAME", "GW_LISTEN", "GW_ADMIN_ADDR", "GW_DISCOVERY", "GW_LOG"]
         {
@@ -73,7 +104,7 @@
         let output = child.stdout.take();
         let process = Process {
             child,
-            progress: Arc::new(Mutex::new(progress)),
+            watched: Arc::new(Mutex::new(Watched { progress, version: 0, logged: 0, heard: None })),
             words,
             to_end: Arc::default(),
             is_up: Arc::default(),
@@ -82,8 +113,9 @@
         let Some(output) = output else { return Err(io::Error::other("no output")) };
         let log = Log {
             gateway: process.spec.index,
-            number: process.spec.number,
-            progress: process.progress.clone(),
+            who: process.spec.who.clone(),
+            numbers: process.spec.numbers,
+            watched: process.watched.clone(),
             words: process.words.clone(),
             is_up: process.is_up.clone(),
             to_end: process.to_end.clone(),
@@ -98,6 +130,11 @@
         self.child.id()
     }
 
+    /// What it is called.
+    pub fn who(&self) -> &str {
+        &self.spec.who
+    }
+
     /// Whether it listens.
     pub fn is_up(&self) -> bool {
         self.is_up.load(Ordering::Relaxed)
@@ -109,34 +146,45 @@
     /// The system's; one that has ended by itself is among them.
     pub fn signal(&self, signal: Signal) -> Result<(), String> {
         let sent = kill_process(Pid::from_child(&self.child), signal);
-        sent.map_err(|e| format!("gateway {}: cannot be signalled: {e}", self.spec.index))
+        sent.map_err(|e| format!("{}: cannot be signalled: {e}", self.spec.who))
     }
 
     /// It goes after this from now on.
     pub fn pursue(&self, goal: Arc<Goal>) {
-        locked(&self.progress).pursue(goal);
+        locked(&self.watched).progress.pursue(goal);
     }
 
     /// Others that it has taken for gone, by its log.
     pub fn losses(&self) -> (u64, u64) {
-        let progress = locked(&self.progress);
+        let progress = &locked(&self.watched).progress;
         (progress.losses, progress.mistaken)
     }
 
-    /// Asks at its door whom it knows: its log leaves out lines where many come in a second.
+    /// Asks at its door whom it knows, and how it stands with versions: its log leaves out lines where many come in a second.
     pub fn ask(&self, gateways: usize) {
         let Ok(status) = Status::ask(self.spec.door) else { return };
         let at = Instant::now();
         let mut starts = vec![0; gateways];
         for member in &status.members {
-            if let Some(start) = (self.spec.number)(&member.name).and_then(|other| starts.get_mut(other)) {
+            if let Some(start) = (self.spec.numbers[0])(&member.name).and_then(|other| starts.get_mut(other))
+            {
                 *start = member.start;
             }
         }
-        let mut progress = locked(&self.progress);
+        let gateway = self.spec.index;
+        let mut watched = locked(&self.watched);
+        if let Some(configuration) = &status.configuration {
+            let number = configuration.version.filter(|number| watched.took(*number, false));
+            if let Some(number) = number {
+                let _ = self.words.send(Word::Took { gateway, number, at });
+            }
+            let machine = configuration.machine.as_deref().filter(|_| configuration.cut_off_ms == 0);
+            watched.hears(gateway, machine.and_then(self.spec.numbers[1]), at, &self.words);
+        }
+        let progress = &mut watched.progress;
         progress.adopt(starts);
         if let Some(goal) = progress.reached() {
-            let _ = self.words.send(Word::Acted { gateway: self.spec.index, goal, at });
+            let _ = self.words.send(Word::Acted { gateway, goal, at });
         }
     }
 
@@ -163,8 +211,9 @@
 /// Reads a process's log.
 struct Log {
     gateway: usize,
-    number: fn(&str) -> Option<usize>,
-    progress: Arc<Mutex<Progress>>,
+    who: String,
+    numbers: [fn(&str) -> Option<usize>; 2],
+    watched: Arc<Mutex<Watched>>,
     words: Sender<Word>,
     is_up: Arc<AtomicBool>,
     to_end: Arc<AtomicBool>,
@@ -182,14 +231,24 @@
             self.read(&line);
         }
         if !self.to_end.load(Ordering::Relaxed) {
-            let _ = self.words.send(Word::Failed(format!("gateway {} has ended by itself", self.gateway)));
+            let _ = self.words.send(Word::Failed(format!("{} has ended by itself", self.who)));
         }
     }
 
     fn read(&self, line: &str) {
         let at = Instant::now();
-        let mut progress = locked(&self.progress);
-        let other = || value(line, "member").and_then(self.number);
+        let mut watched = locked(&self.watched);
+        if line.contains("rollout: version in force") {
+            let number = value(line, "version").and_then(|text| text.parse().ok());
+            if let Some(number) = number.filter(|number| watched.took(*number, true)) {
+                let _ = self.words.send(Word::Took { gateway: self.gateway, number, at });
+            }
+        } else if line.contains("rollout: hears a control machine") {
+            let machine = value(line, "machine").and_then(self.numbers[1]);
+            watched.hears(self.gateway, machine, at, &self.words);
+        }
+        let progress = &mut watched.progress;
+        let other = || value(line, "member").and_then(self.numbers[0]);
         if line.contains("fleet: member came") {
             other().into_iter().for_each(|other| progress.came(other, unix_ms()));
         } else if line.contains("fleet: member went") {
@@ -212,8 +271,10 @@
 ///
 /// # Errors
 /// The system's.
-pub fn lay_out(folder: &Path, configuration: &str, settings: &str) -> io::Result<()> {
+pub fn lay_out(folder: &Path, configuration: Option<&str>, settings: &str) -> io::Result<()> {
     fs::create_dir_all(folder)?;
-    fs::write(folder.join("config.json"), configuration)?;
+    if let Some(configuration) = configuration {
+        fs::write(folder.join("config.json"), configuration)?;
+    }
     fs::write(folder.join("settings.ini"), settings)
 }
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -8,9 +8,10 @@
 use plotters::prelude::*;
 use serde::Serialize;
 
+use super::control::InForce;
 use super::count::Counts;
 use super::plan::{Budget, Measure, Plan};
-use super::run::{Outcome, Phase, Row};
+use super::run::{MachineRow, Outcome, Phase, Row};
 
 /// Above this part of the machine's cores at work its times are the machine's.
 pub const BUSY: f64 = 2.0 / 3.0;
@@ -58,12 +59,24 @@
         let Some(row) = phase.rows.iter().find(|row| row.gateway == gateway.gateway) else { continue };
         sum.fleet_cpu += row.counts.fleet_cpu;
         sum.list_cpu += row.counts.list_cpu;
+        sum.control_cpu += row.counts.control_cpu;
         sum.sent[0].bytes += row.counts.bytes();
         length += phase.length.as_secs_f64();
     }
     (sum, length)
 }
 
+/// Part of a core that a control machine's process took over the phases that it was there in.
+fn core_of(phases: &[&Phase], machine: usize) -> f64 {
+    let (mut cpu, mut length) = (Duration::ZERO, Duration::ZERO);
+    for phase in phases {
+        let Some(row) = phase.machines.iter().find(|row| row.machine == machine) else { continue };
+        cpu += row.cpu.1;
+        length += phase.length;
+    }
+    cpu.as_secs_f64() / length.as_secs_f64().max(1e-9)
+}
+
 /// Holds the figures against the budgets.
 pub fn verdicts(plan: &Plan, outcome: &Outcome) -> Vec<Verdict> {
     plan.budgets.iter().flat_map(|budget| judge(budget, outcome)).collect()
@@ -97,6 +110,18 @@
         judged.push(("all", measured));
     }
     let judged = judged.into_iter().map(|(name, phases)| {
+        let length: f64 = phases.iter().map(|phase| phase.length.as_secs_f64()).sum();
+        let busy: f64 = phases.iter().map(|phase| phase.busy * phase.length.as_secs_f64()).sum::<f64>()
+            / length.max(1e-9);
+        if budget.of == "control" {
+            let figure = |row: &MachineRow| match budget.measure {
+                Measure::Memory => row.memory as f64 * 1024.0 / 1e6,
+                _ => core_of(&phases, row.machine),
+            };
+            let rows = phases.iter().flat_map(|phase| &phase.machines);
+            let found = spread(rows.map(figure).collect()).map(|(_, _, most)| most);
+            return verdict(budget, name, found, true, String::new(), busy);
+        }
         // Bytes of a process are not counted, and memory is one figure for all hollow ones.
         let gateways = phases.iter().flat_map(|phase| &phase.rows);
         let counted = |row: &&Row| {
@@ -111,9 +136,6 @@
             }
         };
         let found = spread(gateways.filter(counted).map(figure).collect()).map(|(_, _, most)| most);
-        let length: f64 = phases.iter().map(|phase| phase.length.as_secs_f64()).sum();
-        let busy: f64 = phases.iter().map(|phase| phase.busy * phase.length.as_secs_f64()).sum::<f64>()
-            / length.max(1e-9);
         verdict(budget, name, found, true, String::new(), busy)
     });
     judged.collect()
@@ -146,11 +168,18 @@
 /// What is printed at the end.
 pub fn text(plan: &Plan, outcome: &Outcome) -> String {
     let mut text = format!(
-        "{} hollow and {} real gateways, {} voters, {} hosts, {} roles, seed {}; most memory {} MiB\n",
-        plan.hollow, plan.real, plan.voters, plan.hosts, plan.roles, plan.seed, outcome.most_memory
+        "{} hollow and {} real gateways, {} control machines, {} voters, {} hosts, {} roles, seed {}; most memory {} MiB\n",
+        plan.hollow,
+        plan.real,
+        plan.control,
+        plan.voters,
+        plan.hosts,
+        plan.roles,
+        plan.seed,
+        outcome.most_memory
     );
     text += "\nA gateway, least / median / most. Bytes are payload, sent and received.\n";
-    text += "phase          s    busy  kind    fleet % core             rest % core              messages/s            bytes/s                 MB                 most bytes in all\n";
+    text += "phase          s    busy  kind    fleet % core             control % core           rest % core              messages/s            bytes/s                 MB                 most bytes in all\n";
     for phase in &outcome.phases {
         let length = phase.length.as_secs_f64();
         for (real, voter) in [(false, false), (false, true), (true, false), (true, true)] {
@@ -172,12 +201,13 @@
             let counted = |text: String| if real { "not counted".to_string() } else { text };
             let _ = writeln!(
                 text,
-                "{:12} {:5.1}  {:4.0}%  {:10} {:22}  {:22}  {:21}  {:22}  {:17}  {}",
+                "{:12} {:5.1}  {:4.0}%  {:10} {:22}  {:22}  {:22}  {:21}  {:22}  {:17}  {}",
                 phase.name,
                 length,
                 phase.busy * 100.0,
                 kind,
                 column(&|row| row.counts.fleet_cpu.as_secs_f64() / length * 100.0, 2),
+                column(&|row| row.counts.control_cpu.as_secs_f64() / length * 100.0, 2),
                 column(&|row| row.counts.list_cpu.as_secs_f64() / length * 100.0, 2),
                 counted(column(&|row| row.counts.messages() as f64 / length, 1)),
                 counted(column(&|row| row.counts.bytes() as f64 / length, 0)),
@@ -186,6 +216,7 @@
             );
         }
     }
+    text += &control_text(outcome);
     text += "\nThe machine, in each phase. Datagrams and loopback are of all that runs on it.\n";
     text += "phase          datagrams/s  loopback bytes/s  calls  lists  bytes told  taken for gone\n";
     for phase in &outcome.phases {
@@ -212,6 +243,7 @@
             if acted.len() < *wanted { "  partial: the others have not acted in their time" } else { "" };
         let _ = writeln!(text, "{:12}  {:4} of {:4}  {times}{partial}", phase.name, acted.len(), wanted);
     }
+    text += &versions_text(outcome);
     for phase in outcome.phases.iter().filter(|phase| phase.busy > BUSY) {
         let _ = writeln!(
             text,
@@ -239,6 +271,104 @@
     text
 }
 
+/// The control machines' table, and what the gateways said to them; nothing without control machines.
+fn control_text(outcome: &Outcome) -> String {
+    let mut text = String::new();
+    for phase in outcome.phases.iter().filter(|phase| !phase.machines.is_empty()) {
+        let length = phase.length.as_secs_f64();
+        let machines = |figure: &dyn Fn(&MachineRow) -> f64, decimals: usize| {
+            let found = spread(phase.machines.iter().map(figure).collect()).unwrap_or_default();
+            format!("{:.decimals$} / {:.decimals$} / {:.decimals$}", found.0, found.1, found.2)
+        };
+        let hollow = |figure: &dyn Fn(&Row) -> u64| {
+            let rows = phase.rows.iter().filter(|row| !row.real);
+            let found = spread(rows.map(|row| figure(row) as f64 / length).collect()).unwrap_or_default();
+            format!("{:.0} / {:.0} / {:.0}", found.0, found.1, found.2)
+        };
+        let _ = writeln!(
+            text,
+            "{:12} {:2}  {:22}  {:22}  {:20}  {:15}  {:22}  {:22}  {}",
+            phase.name,
+            phase.machines.len(),
+            machines(&|row| row.cpu.0.as_secs_f64() / length * 100.0, 2),
+            machines(&|row| row.cpu.1.as_secs_f64() / length * 100.0, 2),
+            machines(&|row| row.memory as f64 * 1024.0 / 1e6, 1),
+            machines(&|row| row.gateways as f64, 0),
+            hollow(&|row| row.counts.control_sent),
+            hollow(&|row| row.counts.control_received),
+            phase.arrivals.map_or("-".to_string(), |most| most.to_string()),
+        );
+    }
+    if text.is_empty() {
+        return text;
+    }
+    format!(
+        "\nA control machine's process, and what a hollow gateway says to its own and hears, least / median / most.\n\
+         phase      machines  fleet % core        all % core              MB                    gateways         sent bytes/s            received bytes/s        most that came in a second\n{text}"
+    )
+}
+
+/// Versions in force; nothing if none was put.
+fn versions_text(outcome: &Outcome) -> String {
+    let mut text = String::new();
+    for phase in outcome.phases.iter().filter(|phase| !phase.versions.is_empty()) {
+        let accepted: Vec<&InForce> = phase.versions.iter().filter(|it| it.number.is_some()).collect();
+        let column = |figure: &dyn Fn(&InForce) -> Option<f64>| {
+            let found = spread(accepted.iter().filter_map(|it| figure(it)).collect());
+            found.map_or("-".to_string(), |it| format!("{:.3} / {:.3} / {:.3}", it.0, it.1, it.2))
+        };
+        let _ = writeln!(
+            text,
+            "{:12}  {:4} of {:4}  {:22}  {:22}  {:22}  {}",
+            phase.name,
+            accepted.len(),
+            phase.versions.len(),
+            column(&|it| Some(it.put.as_secs_f64())),
+            column(&|it| Some(quantiles(&it.acted)?.1)),
+            column(&|it| Some(quantiles(&it.acted)?.2)),
+            column(&|it| Some((quantiles(&it.acted)?.2 - it.put.as_secs_f64()).max(0.0))),
+        );
+    }
+    if text.is_empty() {
+        return text;
+    }
+    let mut told = format!(
+        "\nVersions, least / median / most, in seconds: until the answer, and until the last gateway has it or a newer one.\n\
+         event         accepted      put                     99 in 100 have it       last, from the put      last, from the answer\n{text}\
+         gateways that went back to an older version: {}\n",
+        outcome.fallen
+    );
+    if let Some(why) = outcome.refusals.first() {
+        let _ = writeln!(told, "not accepted: {}, the first: {why}", outcome.refusals.len());
+    }
+    told
+}
+
+#[derive(Serialize)]
+struct ControlLine<'a> {
+    phase: &'a str,
+    seconds: f64,
+    machine_busy: f64,
+    control_machine: usize,
+    fleet_cpu_us: u128,
+    all_cpu_us: u128,
+    memory_kib: u64,
+    gateways: usize,
+}
+
+#[derive(Serialize)]
+struct VersionLine<'a> {
+    event: &'a str,
+    machine_busy: f64,
+    number: Option<u64>,
+    put_s: f64,
+    in_force: usize,
+    p50_s: Option<f64>,
+    p99_s: Option<f64>,
+    last_s: Option<f64>,
+    last_after_answer_s: Option<f64>,
+}
+
 #[derive(Serialize)]
 struct GatewayLine<'a> {
     phase: &'a str,
@@ -248,6 +378,7 @@
     kind: &'a str,
     voter: bool,
     fleet_cpu_us: u128,
+    control_cpu_us: u128,
     rest_cpu_us: u128,
     memory_kib: u64,
     member_sent: u64,
@@ -273,6 +404,8 @@
     idle_answers: u64,
     idle_bytes: u64,
     list_bytes: u64,
+    control_sent_bytes: u64,
+    control_received_bytes: u64,
     taken_for_gone: u64,
     mistaken: u64,
 }
@@ -288,7 +421,7 @@
     last_s: Option<f64>,
 }
 
-/// Writes `gateways.csv`, `events.csv`, `budgets.csv` and `events.svg` into a folder.
+/// Writes `gateways.csv`, `control.csv`, `events.csv`, `versions.csv`, `budgets.csv` and `events.svg` into a folder.
 ///
 /// # Errors
 /// The system's, with the folder.
@@ -311,6 +444,36 @@
         })
     });
     table(&out.join("events.csv"), events).map_err(|e| place(&e))?;
+    let machines = outcome.phases.iter().flat_map(|phase| {
+        phase.machines.iter().map(|row| ControlLine {
+            phase: &phase.name,
+            seconds: phase.length.as_secs_f64(),
+            machine_busy: phase.busy,
+            control_machine: row.machine,
+            fleet_cpu_us: row.cpu.0.as_micros(),
+            all_cpu_us: row.cpu.1.as_micros(),
+            memory_kib: row.memory,
+            gateways: row.gateways,
+        })
+    });
+    table(&out.join("control.csv"), machines).map_err(|e| place(&e))?;
+    let versions = outcome.phases.iter().flat_map(|phase| {
+        phase.versions.iter().map(|version| {
+            let times = quantiles(&version.acted);
+            VersionLine {
+                event: &phase.name,
+                machine_busy: phase.busy,
+                number: version.number,
+                put_s: version.put.as_secs_f64(),
+                in_force: version.acted.len(),
+                p50_s: times.map(|times| times.0),
+                p99_s: times.map(|times| times.1),
+                last_s: times.map(|times| times.2),
+                last_after_answer_s: times.map(|times| (times.2 - version.put.as_secs_f64()).max(0.0)),
+            }
+        })
+    });
+    table(&out.join("versions.csv"), versions).map_err(|e| place(&e))?;
     table(&out.join("budgets.csv"), verdicts(plan, outcome)).map_err(|e| place(&e))?;
     draw(plan, outcome, &out.join("events.svg")).map_err(|e| place(&e))
 }
@@ -324,8 +487,21 @@
 }
 
 fn line<'a>(phase: &'a Phase, row: &Row) -> GatewayLine<'a> {
-    let Counts { sent, received, held, calls, lists, idle, fleet_cpu, list_cpu, losses, mistaken } =
-        row.counts;
+    let Counts {
+        sent,
+        received,
+        held,
+        calls,
+        lists,
+        idle,
+        control_sent,
+        control_received,
+        fleet_cpu,
+        list_cpu,
+        control_cpu,
+        losses,
+        mistaken,
+    } = row.counts;
     GatewayLine {
         phase: &phase.name,
         seconds: phase.length.as_secs_f64(),
@@ -334,6 +510,7 @@
         kind: if row.real { "real" } else { "hollow" },
         voter: row.voter,
         fleet_cpu_us: fleet_cpu.as_micros(),
+        control_cpu_us: control_cpu.as_micros(),
         rest_cpu_us: list_cpu.as_micros(),
         memory_kib: row.memory,
         member_sent: sent[0].messages,
@@ -359,6 +536,8 @@
         idle_answers: idle.messages,
         idle_bytes: idle.bytes,
         list_bytes: lists.bytes,
+        control_sent_bytes: control_sent,
+        control_received_bytes: control_received,
         taken_for_gone: losses,
         mistaken,
     }
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -13,11 +13,13 @@
 use dunemount::fleet::file::VoterFile;
 use dunemount::options::{FleetOptions, Place};
 use dunemount_fleet::register::Slot;
+use dunemount_rollout::follower;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 use serde_json::{json, Value};
 
+use super::control::{self, Heard, InForce, Machines, Puts};
 use super::count::{self, Counts, Machine};
 use super::discovery::Discovery;
 use super::goal::{Goal, Progress, Want};
@@ -46,8 +48,21 @@
     pub memory: u64,
 }
 
-/// A part of the run: finding each other, the quiet time, and each event.
+/// What a control machine's process came to in one phase.
 #[derive(Clone, Debug)]
+pub struct MachineRow {
+    /// Which, by its place.
+    pub machine: usize,
+    /// Processor time: the fleet's thread, and all.
+    pub cpu: (Duration, Duration),
+    /// Memory in KiB at the end.
+    pub memory: u64,
+    /// Gateways that heard it at the end.
+    pub gateways: usize,
+}
+
+/// A part of the run: finding each other, the quiet time, and each event.
+#[derive(Clone, Debug, Default)]
 pub struct Phase {
     /// Its name.
     pub name: String,
@@ -63,6 +78,12 @@
     pub rows: Vec<Row>,
     /// For an event: how many were to act, and after how long each did that has, in order.
     pub acted: Option<(usize, Vec<(usize, Duration)>)>,
+    /// The control machines that are there.
+    pub machines: Vec<MachineRow>,
+    /// The versions that were put.
+    pub versions: Vec<InForce>,
+    /// For a control machine that came back: most gateways that came to it within one second.
+    pub arrivals: Option<usize>,
 }
 
 /// What a run gave.
@@ -74,6 +95,20 @@
     pub most_memory: u64,
     /// Ids of the processes that were started; all have ended.
     pub started: Vec<u32>,
+    /// The newest version that each gateway has had in force.
+    pub in_force: BTreeMap<usize, u64>,
+    /// How often a gateway went back to an older version.
+    pub fallen: u64,
+    /// Why versions were not accepted.
+    pub refusals: Vec<String>,
+}
+
+/// What came of something that happened.
+#[derive(Default)]
+struct Found {
+    acted: Option<(usize, Vec<(usize, Duration)>)>,
+    versions: Vec<InForce>,
+    arrivals: Option<usize>,
 }
 
 /// A folder that goes with its run.
@@ -99,6 +134,19 @@
     format!("gw-{gateway:04}")
 }
 
+/// A control machine's name, by its place, which is its zone too.
+fn control_name(place: usize) -> String {
+    format!("control-{place}")
+}
+
+fn control_number(name: &str) -> Option<usize> {
+    name.strip_prefix("control-")?.parse().ok()
+}
+
+fn zone_name(zone: usize) -> String {
+    format!("zone-{zone}")
+}
+
 fn number(name: &str) -> Option<usize> {
     name.strip_prefix("gw-")?.parse().ok()
 }
@@ -121,7 +169,7 @@
     config["limits"] = json!({"cores": 1.0, "memory_mb": 256, "sockets": 256});
     config["known"] = known;
     config["settings"]["Balancers"] = plan.gateways().into();
-    config["settings"]["Zone"] = format!("zone-{}", plan.zone(gateway)).into();
+    config["settings"]["Zone"] = zone_name(plan.zone(gateway)).into();
     Ok(config.to_string())
 }
 
@@ -145,6 +193,12 @@
     // Ended in this order: gateways, then what they call, then their files.
     shards: Vec<Shard>,
     processes: BTreeMap<usize, Process>,
+    control: BTreeMap<usize, Process>,
+    control_specs: Vec<Spec>,
+    versions: control::Progress,
+    hears: Heard,
+    /// Versions put so far.
+    put: u64,
     common: Arc<Common>,
     discovery: Discovery,
     _folder: Folder,
@@ -173,11 +227,11 @@
         let discovery =
             Discovery::start(plan.hosts, plan.group_size, plan.zones, plan.whole).map_err(said)?;
         // All ports are held until each gateway has its own.
-        let sockets: Vec<UdpSocket> = (0..plan.gateways())
+        let sockets: Vec<UdpSocket> = (0..plan.gateways() + plan.control)
             .map(|_| UdpSocket::bind("127.0.0.1:0"))
             .collect::<io::Result<_>>()
             .map_err(said)?;
-        let doors: Vec<TcpListener> = (0..plan.real)
+        let doors: Vec<TcpListener> = (0..plan.real + plan.control)
             .map(|_| TcpListener::bind("127.0.0.1:0"))
             .collect::<io::Result<_>>()
             .map_err(said)?;
@@ -188,45 +242,84 @@
             found.map_err(said)?
         };
         drop(sockets);
+        // Control machines come behind the gateways.
+        let (doors, control_doors) = doors.split_at(plan.real);
+        let machines = control_doors.iter().enumerate().map(|(place, address)| control::Place {
+            machine: follower::Machine { name: control_name(place), zone: zone_name(place) },
+            address: *address,
+        });
+        let machines = Machines(Arc::new(machines.collect()));
         let voters: Vec<Place> = (0..plan.voters)
-            .map(|gateway| Place { name: name(gateway), address: addresses[gateway] })
+            .map(|place| match plan.control {
+                0 => Place { name: name(place), address: addresses[place] },
+                _ => Place { name: control_name(place), address: addresses[plan.gateways() + place] },
+            })
             .collect();
+        let file_of = |place: usize| -> Result<Option<PathBuf>, String> {
+            if place >= plan.voters {
+                return Ok(None);
+            }
+            let file = folder.0.join(format!("voter-{place}"));
+            VoterFile::at(&file).found(Slot(place as u8)).map_err(said)?;
+            Ok(Some(file))
+        };
+        let fleet_of = |listen: SocketAddr, file: Option<PathBuf>| FleetOptions {
+            name: Some(FLEET.into()),
+            listen: Some(listen),
+            voters: voters.clone(),
+            seeds: Vec::new(),
+            size: (plan.gateways() + plan.control) as u32,
+            lease_ms: plan.lease_ms,
+            probe_ms: plan.probe_ms,
+            file,
+        };
+        let (addresses, control_addresses) = addresses.split_at(plan.gateways());
         let mut dice = Pcg64Mcg::seed_from_u64(plan.seed);
         let mut identities = Vec::new();
         for (index, address) in addresses.iter().enumerate() {
-            let file = (index < plan.voters).then(|| folder.0.join(format!("voter-{index}")));
-            if let Some(file) = &file {
-                VoterFile::at(file).found(Slot(index as u8)).map_err(said)?;
-            }
-            let fleet = FleetOptions {
-                name: Some(FLEET.into()),
-                listen: Some(*address),
-                voters: voters.clone(),
-                seeds: Vec::new(),
-                size: plan.gateways() as u32,
-                lease_ms: plan.lease_ms,
-                probe_ms: plan.probe_ms,
-                file: file.clone(),
-            };
-            let region = plan.region(index);
+            let file = if index < plan.voting_gateways() { file_of(index)? } else { None };
             identities.push(Identity {
                 index,
                 name: name(index),
-                region,
-                fleet,
+                region: plan.region(index),
+                fleet: fleet_of(*address, file.clone()),
                 file,
+                zone: zone_name(plan.zone(index)),
+                kept: folder.0.join(format!("kept-{index}")),
                 seed: dice.next_u64(),
             });
         }
+        let numbers = [number as fn(&str) -> Option<usize>, control_number];
+        let mut control_specs = Vec::new();
+        for (place, (address, listen)) in control_addresses.iter().zip(control_doors).enumerate() {
+            let own = folder.0.join(control_name(place));
+            let text = settings(&fleet_of(*address, file_of(place)?))
+                + &machines.settings(&zone_name(place), &own.join("kept"));
+            real::lay_out(&own, None, &text).map_err(said)?;
+            control_specs.push(Spec {
+                index: place,
+                who: format!("control machine {place}"),
+                program: program(&plan.program)?,
+                arguments: ["fleet", "control", "--name", &control_name(place)].map(str::to_string).to_vec(),
+                folder: own,
+                door: *listen,
+                numbers,
+            });
+        }
         let groups = plan.hosts.div_ceil(plan.group_size).min(plan.roles);
         let mut specs = BTreeMap::new();
         for (index, door) in (plan.hollow..plan.gateways()).zip(doors) {
             let folder = folder.0.join(name(index));
             let known = discovery.known(plan.roles);
             let config = configuration(index, plan, &door.to_string(), discovery.address, known)?;
-            real::lay_out(&folder, &config, &settings(&identities[index].fleet)).map_err(said)?;
+            let text = settings(&identities[index].fleet)
+                + &machines.settings(&zone_name(plan.zone(index)), &folder.join("kept"));
+            real::lay_out(&folder, Some(&config), &text).map_err(said)?;
             let program = program(&plan.program)?;
-            specs.insert(index, Spec { index, program, folder, door, number });
+            let config = folder.join("config.json").display().to_string();
+            let arguments = vec!["serve".to_string(), "--config".to_string(), config];
+            let who = format!("gateway {index}");
+            specs.insert(index, Spec { index, who, program, arguments, folder, door: *door, numbers });
         }
         let regions = addresses.iter().enumerate().map(|(index, address)| (*address, plan.region(index)));
         let common = Common {
@@ -237,13 +330,14 @@
             configuration: configuration(0, plan, "127.0.0.1:0", discovery.address, discovery.known(0))?,
             router: plan.router,
             roles: (0..groups).map(|group| format!("survey/{group}")).collect(),
+            machines,
             number,
         };
         let common = Arc::new(common);
         let (words, heard) = channel();
         let mut shards = Vec::new();
         // A voter waits for its disk: each has a thread of its own, as in the program.
-        for _ in 0..plan.voters.min(plan.hollow) + plan.threads.min(plan.hollow) {
+        for _ in 0..plan.voting_gateways().min(plan.hollow) + plan.threads.min(plan.hollow) {
             shards.push(Shard::start(common.clone(), words.clone()).map_err(said)?);
         }
         Ok(Run {
@@ -263,6 +357,11 @@
             before: count::resident("self").unwrap_or(0),
             shards,
             processes: BTreeMap::new(),
+            control: BTreeMap::new(),
+            control_specs,
+            versions: control::Progress::default(),
+            hears: Heard::default(),
+            put: 0,
             common,
             discovery,
             _folder: folder,
@@ -274,12 +373,14 @@
         let goal = self.goal(|_, _| Want::From(1));
         let settle = self.plan.join;
         self.step("join", goal, &BTreeSet::new(), settle, |run| {
+            (0..run.plan.control).try_for_each(|place| run.start_control(place))?;
+            run.wait_for_control()?;
             all.iter().try_for_each(|gateway| run.start(*gateway))?;
             run.wait_for_processes()?;
             Ok(Instant::now())
         })?;
         let quiet = self.plan.quiet;
-        self.phase("quiet", |run| run.pause(quiet).map(|()| None))?;
+        self.phase("quiet", |run| run.pause(quiet).map(|()| Found::default()))?;
         for event in &self.plan.events {
             self.event(*event)?;
         }
@@ -317,21 +418,22 @@
             }
             Event::Death => {
                 let victims = self.draw(1, |_| true);
-                self.die(word, &victims)
+                self.die(word, &victims, None)
             }
             Event::Rack(size) => {
                 let zone = self.dice.next_u32() as usize % self.plan.zones;
                 let plan = self.plan;
                 let victims = self.draw(size, |gateway| plan.zone(gateway) == zone);
-                self.die(word, &victims)
+                self.die(word, &victims, None)
             }
             Event::Zone(zone, time) => {
                 let plan = self.plan;
                 let gone: Vec<usize> =
                     self.live.iter().copied().filter(|gateway| plan.zone(*gateway) == zone).collect();
                 let lost = Instant::now();
-                self.die(word, &gone)?;
+                self.die(word, &gone, Some(zone))?;
                 self.pause(time.saturating_sub(lost.elapsed()))?;
+                self.start_control(zone)?;
                 self.come_back("zone back", &gone, Duration::ZERO)
             }
             Event::Restarts(count, pause) => {
@@ -379,21 +481,153 @@
                         run.freeze(&slow, false)?;
                         run.pause(SLOW.0)?;
                     }
-                    Ok(None)
+                    Ok(Found::default())
                 })?;
                 let goal = self.goal_of_live(1);
                 self.step("slow no more", goal, &none, settle, |_| Ok(Instant::now()))
             }
+            Event::Version(count, pause) => self.put_versions(word, count, pause, None),
+            Event::Behind(time) => {
+                let behind = self.draw(1, |_| true).first().map(|gateway| (*gateway, time));
+                self.put_versions(word, 1, Duration::ZERO, behind)
+            }
+            Event::Control(time) => self.lose_control(word, time),
+        }
+    }
+
+    /// Versions are put, and in force at all that live; one of these may do nothing at first.
+    fn put_versions(
+        &mut self,
+        word: &str,
+        count: usize,
+        pause: Duration,
+        behind: Option<(usize, Duration)>,
+    ) -> Result<(), String> {
+        let waited = self.awake();
+        let first = self.put + 1;
+        self.put += count as u64;
+        self.phase(word, |run| {
+            run.drain()?;
+            run.versions.begin(first);
+            if let Some((gateway, _)) = behind {
+                run.freeze(&BTreeSet::from([gateway]), true)?;
+            }
+            let over = Arc::new(AtomicBool::new(false));
+            let puts = Puts {
+                fleet: FLEET,
+                machines: run.common.machines.addresses(),
+                configuration: run.common.configuration.clone(),
+                length: run.plan.document_bytes,
+                first,
+                count,
+                pause,
+                over: over.clone(),
+            };
+            puts.begin(run.words.clone()).map_err(|e| e.to_string())?;
+            let began = Instant::now();
+            let mut asleep = behind;
+            let lasts = behind.map_or(Duration::ZERO, |(_, time)| time) + pause * count as u32;
+            run.hear_until(began + lasts + run.plan.settle, &waited, |run| {
+                if let Some((gateway, _)) = asleep.filter(|(_, time)| began.elapsed() >= *time) {
+                    run.freeze(&BTreeSet::from([gateway]), false)?;
+                    asleep = None;
+                }
+                Ok(asleep.is_none() && run.versions.is_done(count, &waited))
+            })?;
+            over.store(true, Ordering::Relaxed);
+            run.outcome.refusals.extend(run.versions.refusals().map(str::to_string));
+            let versions = run.versions.versions(&waited);
+            let mut acted: Vec<(usize, Duration)> =
+                versions.iter().flat_map(|version| version.acted.iter().copied()).collect();
+            acted.sort_by_key(|(_, time)| *time);
+            Ok(Found { acted: Some((count * waited.len(), acted)), versions, arrivals: None })
+        })
+    }
+
+    /// A control machine is killed; who heard it, and all of its zone, hear another, and its zone comes back to it once
+    /// it is there again.
+    fn lose_control(&mut self, word: &str, time: Duration) -> Result<(), String> {
+        self.drain()?;
+        let place = self.dice.next_u32() as usize % self.plan.control.max(1);
+        let zone: BTreeSet<usize> =
+            self.awake().into_iter().filter(|gateway| self.plan.zone(*gateway) == place).collect();
+        let heard = |gateway: &usize| self.hears.since(*gateway, |machine| machine == place).is_some();
+        let mut waited: BTreeSet<usize> = self.awake().into_iter().filter(heard).collect();
+        waited.extend(&zone);
+        let lost = Instant::now();
+        self.phase(word, |run| {
+            let began = Instant::now();
+            run.control.remove(&place);
+            let found = run.hear_others(began, &waited, run.plan.settle, |machine| machine != place)?;
+            Ok(Found { acted: Some(found), ..Found::default() })
+        })?;
+        self.pause(time.saturating_sub(lost.elapsed()))?;
+        self.phase("control back", |run| {
+            run.drain()?;
+            run.hears.begin();
+            let began = Instant::now();
+            run.start_control(place)?;
+            // They come back within a draw over this time.
+            let settle = run.plan.settle + follower::Pace::default().home;
+            let found = run.hear_others(began, &zone, settle, |machine| machine == place)?;
+            let arrivals = Some(run.hears.most_in_a_second(place));
+            Ok(Found { acted: Some(found), arrivals, ..Found::default() })
+        })
+    }
+
+    /// Waits until gateways hear one of these control machines.
+    fn hear_others(
+        &mut self,
+        began: Instant,
+        waited: &BTreeSet<usize>,
+        settle: Duration,
+        wanted: impl Fn(usize) -> bool,
+    ) -> Result<(usize, Vec<(usize, Duration)>), String> {
+        self.hear_until(began + settle, waited, |run| {
+            Ok(waited.iter().all(|gateway| run.hears.since(*gateway, &wanted).is_some()))
+        })?;
+        let time = |gateway: &usize| {
+            let at = self.hears.since(*gateway, &wanted)?;
+            Some((*gateway, at.saturating_duration_since(began)))
+        };
+        let mut acted: Vec<(usize, Duration)> = waited.iter().filter_map(time).collect();
+        acted.sort_by_key(|(_, time)| *time);
+        Ok((waited.len(), acted))
+    }
+
+    /// Hears what gateways say until something holds, or its time is over.
+    fn hear_until(
+        &mut self,
+        until: Instant,
+        waited: &BTreeSet<usize>,
+        mut holds: impl FnMut(&mut Self) -> Result<bool, String>,
+    ) -> Result<(), String> {
+        let mut next_look = Instant::now();
+        while !holds(self)? && Instant::now() < until {
+            self.hear()?;
+            if Instant::now() >= next_look {
+                self.look()?;
+                let asked = self.processes.iter().filter(|(gateway, _)| waited.contains(gateway));
+                asked.for_each(|(_, process)| process.ask(self.plan.gateways()));
+                next_look = Instant::now() + LOOK;
+            }
         }
+        Ok(())
+    }
+
+    /// Those that live and are not stopped.
+    fn awake(&self) -> BTreeSet<usize> {
+        self.live.difference(&self.stopped).copied().collect()
     }
 
-    /// Gateways end without a word; those that are left see them gone.
-    fn die(&mut self, word: &str, victims: &[usize]) -> Result<(), String> {
+    /// Gateways end without a word, and a control machine with them; those that are left see them gone.
+    fn die(&mut self, word: &str, victims: &[usize], machine: Option<usize>) -> Result<(), String> {
         let dead: BTreeSet<usize> = victims.iter().copied().collect();
         let goal = self.goal(|_, other| if dead.contains(&other) { Want::Gone } else { Want::Any });
         self.step(word, goal, &dead, self.plan.settle, |run| {
             let began = Instant::now();
             victims.iter().for_each(|gateway| run.kill(*gateway));
+            machine.map(|place| run.control.remove(&place));
             Ok(began)
         })
     }
@@ -424,7 +658,7 @@
 
     /// So many of the live ones that do not vote, drawn evenly.
     fn draw(&mut self, count: usize, fit: impl Fn(usize) -> bool) -> Vec<usize> {
-        let voters = self.plan.voters;
+        let voters = self.plan.voting_gateways();
         let mut fit: Vec<usize> =
             self.live.iter().copied().filter(|gateway| *gateway >= voters && fit(*gateway)).collect();
         let count = count.min(fit.len());
@@ -467,7 +701,7 @@
         if gateway >= self.plan.hollow {
             return None;
         }
-        let voters = self.plan.voters.min(self.plan.hollow);
+        let voters = self.plan.voting_gateways().min(self.plan.hollow);
         let shared = self.shards.len().saturating_sub(voters).max(1);
         self.shards.get(if gateway < voters { gateway } else { voters + gateway % shared })
     }
@@ -498,6 +732,7 @@
             Some(shard) => shard.tell(Order::Kill(gateway)),
             None => drop(self.processes.remove(&gateway)),
         }
+        self.hears.note(gateway, None, Instant::now());
         self.live.remove(&gateway);
     }
 
@@ -517,18 +752,41 @@
         Ok(())
     }
 
+    fn start_control(&mut self, place: usize) -> Result<(), String> {
+        let Some(spec) = self.control_specs.get(place).cloned() else { return Ok(()) };
+        let program = spec.program.display().to_string();
+        let progress = Progress::new(place, 0, 0);
+        let started = Process::start(spec, progress, self.words.clone());
+        let process = started.map_err(|e| format!("{program} cannot be started: {e}"))?;
+        self.outcome.started.push(process.id());
+        self.control.insert(place, process);
+        Ok(())
+    }
+
+    /// Waits until each control machine knows what the newest version is.
+    fn wait_for_control(&mut self) -> Result<(), String> {
+        let until = Instant::now() + self.plan.join;
+        for place in 0..self.plan.control {
+            let at = self.control_specs[place].door;
+            while !control::status(FLEET, at).is_ok_and(|status| status.fresh) {
+                if Instant::now() >= until {
+                    return Err(format!("{} is not fresh", self.control_specs[place].who));
+                }
+                self.hear()?;
+                self.look()?;
+            }
+        }
+        Ok(())
+    }
+
     fn wait_for_processes(&mut self) -> Result<(), String> {
         let until = Instant::now() + self.plan.join;
-        while let Some(gateway) =
-            self.processes.iter().find(|(_, process)| !process.is_up()).map(|(at, _)| *at)
-        {
+        while let Some(process) = self.processes.values().find(|process| !process.is_up()) {
             if Instant::now() >= until {
-                return Err(format!("gateway {gateway} does not listen"));
-            }
-            match self.heard.recv_timeout(Duration::from_millis(20)) {
-                Ok(Word::Failed(what)) => return Err(what),
-                _ => self.look()?,
+                return Err(format!("{} does not listen", process.who()));
             }
+            self.hear()?;
+            self.look()?;
         }
         Ok(())
     }
@@ -543,7 +801,7 @@
         if Instant::now() >= self.until {
             return Err(format!("not over after {} s ([run] longest_s)", self.plan.longest.as_secs()));
         }
-        let others: u64 = self.processes.values().map(Process::resident).sum();
+        let others: u64 = self.processes.values().chain(self.control.values()).map(Process::resident).sum();
         let memory = (count::resident("self").unwrap_or(0) + others) / 1024;
         self.outcome.most_memory = memory.max(self.outcome.most_memory);
         if memory > self.plan.memory {
@@ -552,6 +810,34 @@
         Ok(())
     }
 
+    /// Hears one word, if one comes soon: a gateway that has reached a goal is handed out, the rest is noted.
+    fn hear(&mut self) -> Result<Option<(usize, usize, Instant)>, String> {
+        match self.heard.recv_timeout(Duration::from_millis(20)) {
+            Ok(word) => self.note(word),
+            Err(RecvTimeoutError::Timeout) => Ok(None),
+            Err(RecvTimeoutError::Disconnected) => Err("all gateways have ended".into()),
+        }
+    }
+
+    /// Notes what has been said before something begins.
+    fn drain(&mut self) -> Result<(), String> {
+        while let Ok(word) = self.heard.try_recv() {
+            self.note(word)?;
+        }
+        Ok(())
+    }
+
+    fn note(&mut self, word: Word) -> Result<Option<(usize, usize, Instant)>, String> {
+        match word {
+            Word::Acted { gateway, goal, at } => return Ok(Some((gateway, goal, at))),
+            Word::Took { gateway, number, at } => self.versions.took(gateway, number, at),
+            Word::Hears { gateway, machine, at } => self.hears.note(gateway, machine, at),
+            Word::Put(put) => self.versions.put(put),
+            Word::Failed(what) => return Err(what),
+        }
+        Ok(None)
+    }
+
     fn pause(&mut self, time: Duration) -> Result<(), String> {
         let until = Instant::now() + time;
         loop {
@@ -585,7 +871,8 @@
                 .copied()
                 .filter(|gateway| !run.stopped.contains(gateway))
                 .collect();
-            run.await_all(id, began, &waited, settle).map(Some)
+            let acted = run.await_all(id, began, &waited, settle)?;
+            Ok(Found { acted: Some(acted), ..Found::default() })
         })
     }
 
@@ -605,14 +892,11 @@
         let until = Instant::now() + settle;
         let mut next_look = Instant::now();
         while acted.len() < waited.len() && Instant::now() < until {
-            match self.heard.recv_timeout(Duration::from_millis(20)) {
-                Ok(Word::Acted { gateway, goal, at }) if goal == id && waited.contains(&gateway) => {
-                    let time: &mut Duration = acted.entry(gateway).or_default();
-                    *time = at.saturating_duration_since(began);
-                }
-                Ok(Word::Acted { .. }) | Err(RecvTimeoutError::Timeout) => {}
-                Ok(Word::Failed(what)) => return Err(what),
-                Err(RecvTimeoutError::Disconnected) => return Err("all gateways have ended".into()),
+            if let Some((gateway, _, at)) =
+                self.hear()?.filter(|(gateway, goal, _)| *goal == id && waited.contains(gateway))
+            {
+                let time: &mut Duration = acted.entry(gateway).or_default();
+                *time = at.saturating_duration_since(began);
             }
             if Instant::now() >= next_look {
                 self.look()?;
@@ -647,11 +931,20 @@
         Ok(counts)
     }
 
+    /// Each control machine's process, its processor time (the fleet's thread, all) and its memory.
+    fn sample_control(&self) -> BTreeMap<usize, (u32, Duration, Duration, u64)> {
+        let sample = |(place, process): (&usize, &Process)| {
+            let (fleet, all, memory) = process.sample();
+            (*place, (process.id(), fleet, all, memory))
+        };
+        self.control.iter().map(sample).collect()
+    }
+
     /// Does something and books what it took.
     fn phase(
         &mut self,
         name: &str,
-        act: impl FnOnce(&mut Self) -> Result<Option<(usize, Vec<(usize, Duration)>)>, String>,
+        act: impl FnOnce(&mut Self) -> Result<Found, String>,
     ) -> Result<(), String> {
         (self.progress)(name);
         let told = |run: &Self| {
@@ -660,8 +953,9 @@
             (read(&told.calls), read(&told.lists), read(&told.bytes))
         };
         let (told_before, before, machine) = (told(self), self.counts()?, Machine::look());
+        let control = self.sample_control();
         let began = Instant::now();
-        let acted = act(self)?;
+        let Found { acted, versions, arrivals } = act(self)?;
         let length = began.elapsed();
         let (after, now, told_after) = (self.counts()?, Machine::look(), told(self));
         let hollow = self.live.range(..self.plan.hollow).count().max(1) as u64;
@@ -670,9 +964,20 @@
             let before = before.get(gateway).copied().unwrap_or_default();
             let real = *gateway >= self.plan.hollow;
             let memory = self.processes.get(gateway).map_or(own, Process::resident);
-            let voter = *gateway < self.plan.voters;
+            let voter = *gateway < self.plan.voting_gateways();
             Row { gateway: *gateway, real, voter, counts: counts.since(&before), memory }
         });
+        let machines = self.sample_control().into_iter().map(|(place, (id, fleet, all, memory))| {
+            // One that was started since has a count of its own.
+            let before = control.get(&place).filter(|before| before.0 == id);
+            let (fleet_before, all_before) = before.map_or_else(Default::default, |it| (it.1, it.2));
+            let cpu = (fleet.saturating_sub(fleet_before), all.saturating_sub(all_before));
+            let gateways = self.hears.hearing(place);
+            MachineRow { machine: place, cpu, memory, gateways }
+        });
+        let machines = machines.collect();
+        self.outcome.fallen = self.versions.fallen;
+        self.outcome.in_force = self.versions.newest.clone();
         self.outcome.phases.push(Phase {
             name: name.to_string(),
             length,
@@ -681,6 +986,9 @@
             told: (told_after.0 - told_before.0, told_after.1 - told_before.1, told_after.2 - told_before.2),
             rows: rows.collect(),
             acted,
+            machines,
+            versions,
+            arrivals,
         });
         Ok(())
     }
