--- a/src/fleet/rollout/connections.rs
+++ b/src/fleet/rollout/connections.rs
@@ -142,6 +142,21 @@
         self.write(place);
     }
 
+    /// Hears nothing of all that are open, so that what comes waits in the sockets, or hears them again.
+    pub(super) fn hold(&mut self, held: bool) -> io::Result<()> {
+        for (place, connection) in &self.open {
+            let key = self.first_key + place;
+            let interest = match held {
+                true => Event::none(key),
+                false => {
+                    Event { key, readable: true, writable: connection.connecting || connection.writable }
+                }
+            };
+            self.poller.modify_with_mode(&connection.socket, interest, PollMode::Level)?;
+        }
+        Ok(())
+    }
+
     /// Closes all.
     pub(super) fn close_all(&mut self) {
         for place in std::mem::take(&mut self.places).into_values() {
--- a/src/fleet/rollout/links.rs
+++ b/src/fleet/rollout/links.rs
@@ -1,6 +1,7 @@
 //! A gateway's connections to its control machines, and one turn of their loop. It waits for nothing: the gateway's
 //! thread, and whoever drives many from one poller, decide when a turn is due.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,6 +75,15 @@
         self.connections.received
     }
 
+    /// Stands still, as a process that is stopped does, or goes on. Whoever drives many from one poller would be woken
+    /// again and again by what waits for one that takes no turn.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn hold(&mut self, held: bool) -> io::Result<()> {
+        self.connections.hold(held)
+    }
+
     /// Closes all connections.
     pub fn close(&mut self) {
         self.connections.close_all();
