Scale runs: silent control machines, tests of versions, and a lagging gateway

Cause: a run that plays versions needs tests that count, and a control machine that is stopped is another fault than one that is killed.

Change: event silent; home_s for hollow gateways; the rollout thread's processor time of processes; three tests: versions to 10 hollow and 2 real gateways over 3 control machines with one killed and back, a lagging gateway that breaks the budget, a silent control machine.

--- a/crates/rig/src/scale/count.rs
+++ b/crates/rig/src/scale/count.rs
@@ -130,16 +130,19 @@
     field("/proc/meminfo", "MemAvailable:").map(|kib| kib / 1024)
 }
 
-/// Processor time of a process's threads with this name, and of all of them.
-pub fn process_cpu(process: u32, name: &str) -> (Duration, Duration) {
-    let (mut named, mut all) = (Duration::ZERO, Duration::ZERO);
+/// Processor time of a process's threads with each of these names, and of all of them.
+pub fn process_cpu<const N: usize>(process: u32, names: [&str; N]) -> ([Duration; N], Duration) {
+    let (mut named, mut all) = ([Duration::ZERO; N], Duration::ZERO);
     for thread in fs::read_dir(format!("/proc/{process}/task")).into_iter().flatten().flatten() {
         let read = |file: &str| fs::read_to_string(thread.path().join(file)).unwrap_or_default();
         let spent = read("schedstat").split_whitespace().next().and_then(|text| text.parse().ok());
         let spent = Duration::from_nanos(spent.unwrap_or(0));
         all += spent;
-        if read("comm").trim() == name {
-            named += spent;
+        let comm = read("comm");
+        if let Some(named) =
+            names.iter().position(|name| *name == comm.trim()).and_then(|at| named.get_mut(at))
+        {
+            *named += spent;
         }
     }
     (named, all)
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -63,6 +63,8 @@
     pub roles: Vec<String>,
     /// The control machines.
     pub machines: Machines,
+    /// Within this, drawn, a hollow gateway tries its own zone's control machine again.
+    pub home: Duration,
     /// The number in a name.
     pub number: fn(&str) -> Option<usize>,
 }
@@ -429,7 +431,7 @@
             name,
             zone,
             machines: self.common.machines.machines(),
-            pace: follower::Pace::default(),
+            pace: follower::Pace { home: self.common.home, ..follower::Pace::default() },
             seed,
         };
         let following = if settings.machines.is_empty() {
@@ -602,7 +604,10 @@
             };
             poller.modify_with_mode(&out.socket, answered(out.key), PollMode::Level)?;
         }
-        Ok(())
+        match &mut self.following {
+            Some(following) => following.carrier.hold(frozen),
+            None => Ok(()),
+        }
     }
 
     fn turn(&mut self, now: Duration, common: &Common) {
--- a/crates/rig/src/scale/plan.rs
+++ b/crates/rig/src/scale/plan.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use dunemount_rollout::follower::Pace;
 use dunemount_rollout::version::LONGEST_DOCUMENT;
 use ini::Ini;
 use rand_core::{RngCore, SeedableRng};
@@ -32,6 +33,8 @@
     pub control: usize,
     /// Length of a version's document, filled up with blanks.
     pub document_bytes: usize,
+    /// Within this, drawn, a hollow gateway tries its own zone's control machine again.
+    pub home: Duration,
     /// The program.
     pub program: PathBuf,
     /// Threads that the hollow gateways share; voters have one each beside them.
@@ -101,6 +104,8 @@
     Behind(Duration),
     /// A control machine is killed, and comes back after so long.
     Control(Duration),
+    /// A control machine does nothing for so long and then goes on.
+    Silent(Duration),
 }
 
 impl Event {
@@ -120,6 +125,7 @@
             Event::Version(..) => "version",
             Event::Behind(_) => "behind",
             Event::Control(_) => "control",
+            Event::Silent(_) => "silent",
         }
     }
 
@@ -154,11 +160,12 @@
             }
             ("behind", [time]) => Event::Behind(seconds(*time)),
             ("control", [time]) => Event::Control(seconds(*time)),
+            ("silent", [time]) => Event::Silent(seconds(*time)),
             _ => {
                 return Err(format!(
                     "{text:?} is none of: list N, primary, configuration, death, rack N, zone ZONE SECONDS, \
                      apart SECONDS, restarts N MILLISECONDS, stopped SECONDS, slow SECONDS, \
-                     version [N] [MILLISECONDS], behind SECONDS, control SECONDS"
+                     version [N] [MILLISECONDS], behind SECONDS, control SECONDS, silent SECONDS"
                 ))
             }
         })
@@ -258,6 +265,7 @@
             real: 0,
             control: 0,
             document_bytes: 4_096,
+            home: Pace::default().home,
             program: "target/release/dunemount".into(),
             threads: 4,
             longest: Duration::from_secs(170),
@@ -303,6 +311,7 @@
             ("run", "document_bytes") => {
                 self.document_bytes = number(value, 0, LONGEST_DOCUMENT as u64)? as usize;
             }
+            ("run", "home_s") => self.home = seconds(600)?,
             ("run", "program") => self.program = value.into(),
             ("run", "threads") => self.threads = number(value, 1, 64)? as usize,
             ("run", "longest_s") => self.longest = seconds(3_600)?,
@@ -357,7 +366,9 @@
                 Event::Apart(_) if self.real + self.control > 0 => {
                     return Err("[events] apart: datagrams of real processes cannot be held back here".into())
                 }
-                Event::Version(..) | Event::Behind(_) | Event::Control(_) if self.control == 0 => {
+                Event::Version(..) | Event::Behind(_) | Event::Control(_) | Event::Silent(_)
+                    if self.control == 0 =>
+                {
                     return Err(format!("[events] {}: needs a [run] control of 1", event.word()))
                 }
                 Event::Primary if self.group_size < 2 => {
--- a/crates/rig/src/scale/real.rs
+++ b/crates/rig/src/scale/real.rs
@@ -188,10 +188,9 @@
         }
     }
 
-    /// Processor time of the fleet's thread and of all threads, and memory in KiB.
-    pub fn sample(&self) -> (Duration, Duration, u64) {
-        let (fleet, all) = count::process_cpu(self.child.id(), "fleet");
-        (fleet, all, self.resident())
+    /// Processor time of the fleet's thread, of the one that follows the control machines, and of all threads.
+    pub fn sample(&self) -> ([Duration; 2], Duration) {
+        count::process_cpu(self.child.id(), ["fleet", "rollout"])
     }
 
     /// Memory in KiB; zero once it is gone.
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -71,7 +71,7 @@
     let (mut cpu, mut length) = (Duration::ZERO, Duration::ZERO);
     for phase in phases {
         let Some(row) = phase.machines.iter().find(|row| row.machine == machine) else { continue };
-        cpu += row.cpu.1;
+        cpu += row.cpu;
         length += phase.length;
     }
     cpu.as_secs_f64() / length.as_secs_f64().max(1e-9)
@@ -287,11 +287,10 @@
         };
         let _ = writeln!(
             text,
-            "{:12} {:2}  {:22}  {:22}  {:20}  {:15}  {:22}  {:22}  {}",
+            "{:12} {:2}  {:22}  {:20}  {:15}  {:22}  {:22}  {}",
             phase.name,
             phase.machines.len(),
-            machines(&|row| row.cpu.0.as_secs_f64() / length * 100.0, 2),
-            machines(&|row| row.cpu.1.as_secs_f64() / length * 100.0, 2),
+            machines(&|row| row.cpu.as_secs_f64() / length * 100.0, 2),
             machines(&|row| row.memory as f64 * 1024.0 / 1e6, 1),
             machines(&|row| row.gateways as f64, 0),
             hollow(&|row| row.counts.control_sent),
@@ -304,7 +303,7 @@
     }
     format!(
         "\nA control machine's process, and what a hollow gateway says to its own and hears, least / median / most.\n\
-         phase      machines  fleet % core        all % core              MB                    gateways         sent bytes/s            received bytes/s        most that came in a second\n{text}"
+         phase      machines  % core              MB                    gateways         sent bytes/s            received bytes/s        most that came in a second\n{text}"
     )
 }
 
@@ -350,8 +349,7 @@
     seconds: f64,
     machine_busy: f64,
     control_machine: usize,
-    fleet_cpu_us: u128,
-    all_cpu_us: u128,
+    cpu_us: u128,
     memory_kib: u64,
     gateways: usize,
 }
@@ -450,8 +448,7 @@
             seconds: phase.length.as_secs_f64(),
             machine_busy: phase.busy,
             control_machine: row.machine,
-            fleet_cpu_us: row.cpu.0.as_micros(),
-            all_cpu_us: row.cpu.1.as_micros(),
+            cpu_us: row.cpu.as_micros(),
             memory_kib: row.memory,
             gateways: row.gateways,
         })
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -53,8 +53,8 @@
 pub struct MachineRow {
     /// Which, by its place.
     pub machine: usize,
-    /// Processor time: the fleet's thread, and all.
-    pub cpu: (Duration, Duration),
+    /// Processor time.
+    pub cpu: Duration,
     /// Memory in KiB at the end.
     pub memory: u64,
     /// Gateways that heard it at the end.
@@ -103,6 +103,15 @@
     pub refusals: Vec<String>,
 }
 
+/// How a control machine is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// Its connections end with it.
+    Killed,
+    /// It says nothing more.
+    Stopped,
+}
+
 /// What came of something that happened.
 #[derive(Default)]
 struct Found {
@@ -331,6 +340,7 @@
             router: plan.router,
             roles: (0..groups).map(|group| format!("survey/{group}")).collect(),
             machines,
+            home: plan.home,
             number,
         };
         let common = Arc::new(common);
@@ -491,7 +501,8 @@
                 let behind = self.draw(1, |_| true).first().map(|gateway| (*gateway, time));
                 self.put_versions(word, 1, Duration::ZERO, behind)
             }
-            Event::Control(time) => self.lose_control(word, time),
+            Event::Control(time) => self.lose_control(word, time, Loss::Killed),
+            Event::Silent(time) => self.lose_control(word, time, Loss::Stopped),
         }
     }
 
@@ -544,9 +555,9 @@
         })
     }
 
-    /// A control machine is killed; who heard it, and all of its zone, hear another, and its zone comes back to it once
+    /// A control machine is lost; who heard it, and all of its zone, hear another, and its zone comes back to it once
     /// it is there again.
-    fn lose_control(&mut self, word: &str, time: Duration) -> Result<(), String> {
+    fn lose_control(&mut self, word: &str, time: Duration, loss: Loss) -> Result<(), String> {
         self.drain()?;
         let place = self.dice.next_u32() as usize % self.plan.control.max(1);
         let zone: BTreeSet<usize> =
@@ -557,18 +568,24 @@
         let lost = Instant::now();
         self.phase(word, |run| {
             let began = Instant::now();
-            run.control.remove(&place);
+            match (loss, run.control.get(&place)) {
+                (Loss::Stopped, Some(process)) => process.signal(Signal::STOP)?,
+                _ => drop(run.control.remove(&place)),
+            }
             let found = run.hear_others(began, &waited, run.plan.settle, |machine| machine != place)?;
             Ok(Found { acted: Some(found), ..Found::default() })
         })?;
         self.pause(time.saturating_sub(lost.elapsed()))?;
-        self.phase("control back", |run| {
+        self.phase(&format!("{word} back"), |run| {
             run.drain()?;
             run.hears.begin();
             let began = Instant::now();
-            run.start_control(place)?;
+            match run.control.get(&place) {
+                Some(process) => process.signal(Signal::CONT)?,
+                None => run.start_control(place)?,
+            }
             // They come back within a draw over this time.
-            let settle = run.plan.settle + follower::Pace::default().home;
+            let settle = run.plan.settle + run.plan.home;
             let found = run.hear_others(began, &zone, settle, |machine| machine == place)?;
             let arrivals = Some(run.hears.most_in_a_second(place));
             Ok(Found { acted: Some(found), arrivals, ..Found::default() })
@@ -922,20 +939,19 @@
             counts.extend(some.map_err(|_| "a thread of hollow gateways does not hand in its counts")?);
         }
         for (gateway, process) in &self.processes {
-            let (fleet, all, _) = process.sample();
-            let list_cpu = all.saturating_sub(fleet);
+            let ([fleet_cpu, control_cpu], all) = process.sample();
+            let list_cpu = all.saturating_sub(fleet_cpu + control_cpu);
             let (losses, mistaken) = process.losses();
-            let counted = Counts { fleet_cpu: fleet, list_cpu, losses, mistaken, ..Counts::default() };
+            let counted = Counts { fleet_cpu, list_cpu, control_cpu, losses, mistaken, ..Counts::default() };
             counts.insert(*gateway, counted);
         }
         Ok(counts)
     }
 
-    /// Each control machine's process, its processor time (the fleet's thread, all) and its memory.
-    fn sample_control(&self) -> BTreeMap<usize, (u32, Duration, Duration, u64)> {
+    /// Each control machine's process, its processor time and its memory.
+    fn sample_control(&self) -> BTreeMap<usize, (u32, Duration, u64)> {
         let sample = |(place, process): (&usize, &Process)| {
-            let (fleet, all, memory) = process.sample();
-            (*place, (process.id(), fleet, all, memory))
+            (*place, (process.id(), process.sample().1, process.resident()))
         };
         self.control.iter().map(sample).collect()
     }
@@ -967,11 +983,10 @@
             let voter = *gateway < self.plan.voting_gateways();
             Row { gateway: *gateway, real, voter, counts: counts.since(&before), memory }
         });
-        let machines = self.sample_control().into_iter().map(|(place, (id, fleet, all, memory))| {
+        let machines = self.sample_control().into_iter().map(|(place, (id, cpu, memory))| {
             // One that was started since has a count of its own.
             let before = control.get(&place).filter(|before| before.0 == id);
-            let (fleet_before, all_before) = before.map_or_else(Default::default, |it| (it.1, it.2));
-            let cpu = (fleet.saturating_sub(fleet_before), all.saturating_sub(all_before));
+            let cpu = cpu.saturating_sub(before.map_or(Duration::ZERO, |before| before.1));
             let gateways = self.hears.hearing(place);
             MachineRow { machine: place, cpu, memory, gateways }
         });
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -9,8 +9,8 @@
 
 use dunemount_rig::scale::limits::{admit, Means};
 use dunemount_rig::scale::plan::{Event, Plan};
-use dunemount_rig::scale::report::{quantiles, verdicts};
-use dunemount_rig::scale::run::{play, Outcome, Phase};
+use dunemount_rig::scale::report::{self, quantiles, verdicts};
+use dunemount_rig::scale::run::{play, MachineRow, Outcome, Phase};
 use rustix::process::{kill_process, Pid, Signal};
 
 /// However busy the machine, what is waited for comes within this.
@@ -76,6 +76,14 @@
         ("[events]\na = list -1", "[events] a: \"list -1\": behind the word stand numbers"),
         ("[events]\na = zone 6 1", "[events] zone 6: zones are 0 to 5"),
         ("[run]\nreal = 1\n[events]\na = apart 1", "[events] apart: datagrams of real processes"),
+        ("[run]\ncontrol = 3\n[events]\na = apart 1", "[events] apart: datagrams of real processes"),
+        ("[events]\na = version 2 100", "[events] version: needs a [run] control of 1"),
+        ("[events]\na = silent 2", "[events] silent: needs a [run] control of 1"),
+        ("[events]\na = version 601", "[events] a: \"version 601\" is none of: list N"),
+        ("[run]\ncontrol = 7", "[run] control: 7: one a zone, of 6"),
+        ("[run]\ncontrol = 2", "[fleet] voters: 3: more than there are control machines"),
+        ("[run]\ndocument_bytes = 262145", "[run] document_bytes: 262145 is out of range (0 to 262144)"),
+        ("[budgets]\ncontrol.bytes_s = 1", "[budgets] control.bytes_s: is none of"),
         ("[budgets]\ngateway.cores = 1", "[budgets] gateway.cores: is none of"),
         ("[budgets]\ngateway.core = little", "[budgets] gateway.core: \"little\" is no number"),
     ];
@@ -92,6 +100,16 @@
     let events = read("[events]\nb = death\na = rack 4\nc = restarts 3 250");
     let wanted = [Event::Death, Event::Rack(4), Event::Restarts(3, Duration::from_millis(250))];
     assert_eq!(events, wanted);
+    let events =
+        read("[run]\ncontrol = 3\n[events]\na = version\nb = version 5 250\nc = control 2\nd = behind 1.5");
+    let ms = Duration::from_millis;
+    let wanted = [
+        Event::Version(1, ms(0)),
+        Event::Version(5, ms(250)),
+        Event::Control(ms(2_000)),
+        Event::Behind(ms(1_500)),
+    ];
+    assert_eq!(events, wanted);
     let drawn = |seed: u64| read(&format!("[run]\nseed = {seed}\n[events]\ndrawn = 12"));
     assert_eq!(drawn(5), drawn(5));
     assert_eq!(drawn(5).len(), 12);
@@ -116,6 +134,13 @@
     assert!(admit(&allowed, plenty).expect_err("more than allowed").contains("[run] memory_mb"));
     let processes = Plan { hollow: 0, real: 201, ..plan };
     assert_eq!(admit(&processes, plenty), Err("processes: 201 asked for, 200 at most".to_string()));
+    // Control machines are processes like others, and each gateway has connections to them.
+    let control = Plan { real: 195, control: 6, ..processes };
+    assert_eq!(admit(&control, plenty), Err("processes: 201 asked for, 200 at most".to_string()));
+    let (with, without) = (Plan { control: 6, ..allowed.clone() }, Plan { control: 0, ..allowed });
+    let (with, without) = (Means::needed(&with), Means::needed(&without));
+    assert!(with.descriptors >= without.descriptors + 710 * 3, "{with:?}, {without:?}");
+    assert!(with.memory > without.memory && with.processes > without.processes, "{with:?}, {without:?}");
 
     let folder = Folder::new("refused");
     let file = folder.file("run.ini", "[run]\nhollow = 100\nmemory_mb = 1\n");
@@ -198,6 +223,7 @@
         told: (0, 0, 0),
         rows: vec![],
         acted: Some((wanted, acted)),
+        ..Phase::default()
     };
     let second = Duration::from_secs(1);
     let judged = |acted: Vec<(usize, Duration)>| {
@@ -352,10 +378,8 @@
 /// Guards the likeness: hollow gateways and processes of the program are one fleet, and each acts on the same events.
 #[test]
 fn hollow_gateways_and_processes_of_the_program_are_one_fleet() {
-    let program = Path::new(env!("CARGO_BIN_EXE_rig")).with_file_name("dunemount");
-    assert!(program.exists(), "{}: build the workspace first", program.display());
     let plan = Plan {
-        program,
+        program: built(),
         ..plan(
             "[run]\nhollow = 3\nreal = 3\n[events]\na = list 2\nb = primary\nc = configuration\nd = death\n",
         )
@@ -376,10 +400,139 @@
 /// Guards runs without hollow gateways: processes alone are played, and their processor time is told.
 #[test]
 fn processes_alone_are_played() {
-    let program = Path::new(env!("CARGO_BIN_EXE_rig")).with_file_name("dunemount");
-    let outcome = played(&Plan { program, ..plan("[run]\nhollow = 0\nreal = 3\n[events]\na = list 1\n") });
+    let outcome =
+        played(&Plan { program: built(), ..plan("[run]\nhollow = 0\nreal = 3\n[events]\na = list 1\n") });
     assert_eq!(acted(phase(&outcome, "join")), (3, 3));
     assert_eq!(acted(phase(&outcome, "list")), (3, 3));
     let quiet = phase(&outcome, "quiet");
     assert!(quiet.rows.iter().all(|row| row.real && row.counts.fleet_cpu > Duration::ZERO && row.memory > 0));
 }
+
+/// The program, as it is built with the workspace.
+fn built() -> PathBuf {
+    let program = Path::new(env!("CARGO_BIN_EXE_rig")).with_file_name("dunemount");
+    assert!(program.exists(), "{}: build the workspace first", program.display());
+    program
+}
+
+/// Guards the way of a version: each gateway, hollow or a process, gets the newest, never an older one behind it, for the
+/// bytes of one document; a control machine that is killed costs nobody a version, and its zone comes back to it.
+#[test]
+fn versions_reach_all_gateways_and_a_lost_control_machine_is_passed_over() {
+    let text =
+        "[run]\nhollow = 10\nreal = 2\ncontrol = 3\nhome_s = 1\nseed = 1\n[places]\nzones = 3\nregions = 1\n\
+        [events]\na = version\nb = version 4 100\nc = control 1\nd = version\n\
+        [budgets]\nversion.last_s = 60\ncontrol.mb = 1\ncontrol.core = 1\n";
+    let plan = Plan { program: built(), ..plan(text) };
+    let outcome = played(&plan);
+    let told: Vec<(&str, (usize, usize))> = outcome
+        .phases
+        .iter()
+        .filter(|phase| phase.acted.is_some())
+        .map(|phase| (&*phase.name, acted(phase)))
+        .collect();
+    let killed = phase(&outcome, "control");
+    assert!(
+        killed.machines.iter().all(|row| row.machine > 0),
+        "the one without processes: {:?}",
+        killed.machines
+    );
+    let wanted = [
+        ("join", (12, 12)),
+        ("version", (12, 12)),
+        ("version", (48, 48)),
+        // A zone's gateways, all of them hollow: processes take 30 s to come back.
+        ("control", (4, 4)),
+        ("control back", (4, 4)),
+        ("version", (12, 12)),
+    ];
+    assert_eq!(told, wanted);
+    assert_eq!(outcome.refusals, Vec::<String>::new());
+    assert_eq!(outcome.fallen, 0, "nobody went back");
+    assert_eq!(outcome.in_force, (0..12).map(|gateway| (gateway, 6)).collect());
+    let versions = outcome.phases.iter().flat_map(|phase| &phase.versions);
+    let numbers: Vec<Option<u64>> = versions.map(|version| version.number).collect();
+    assert_eq!(numbers, (1..=6).map(Some).collect::<Vec<_>>());
+
+    // A document each, with what stands beside it and the signs of life, which are 40 bytes each 150 ms.
+    let first = phase(&outcome, "version");
+    let spare = 400 + (first.length.as_secs_f64() / 0.15 * 60.0) as u64;
+    for row in first.rows.iter().filter(|row| !row.real) {
+        let bytes = row.counts.control_received;
+        assert!((4_096..4_096 + spare).contains(&bytes), "gateway {}: {bytes} bytes", row.gateway);
+        assert!(row.counts.bytes() >= bytes + row.counts.control_sent);
+    }
+    // What is in force is told at once, a digest and little more, and again each second.
+    for gateway in 0..plan.hollow {
+        let rows = outcome.phases.iter().flat_map(|phase| &phase.rows).filter(|row| row.gateway == gateway);
+        let sent: u64 = rows.map(|row| row.counts.control_sent).sum();
+        let length: f64 = outcome.phases.iter().map(|phase| phase.length.as_secs_f64()).sum();
+        assert!((100..2_000 + (length * 60.0) as u64).contains(&sent), "gateway {gateway}: {sent} bytes");
+    }
+    let quiet = phase(&outcome, "quiet");
+    let heard: Vec<usize> = quiet.machines.iter().map(|row| row.gateways).collect();
+    assert_eq!(heard, [4, 4, 4], "each zone hears its own");
+    let spent = |row: &MachineRow| row.cpu > Duration::ZERO && row.memory > 0;
+    assert!(quiet.machines.iter().all(spent), "{:?}", quiet.machines);
+    assert_eq!(killed.machines.len(), 2);
+    assert_eq!(killed.machines.iter().map(|row| row.gateways).sum::<usize>(), 12);
+    let back = phase(&outcome, "control back");
+    let heard: Vec<usize> = back.machines.iter().map(|row| row.gateways).collect();
+    assert_eq!(heard, [4, 4, 4]);
+    assert!((1..=4).contains(&back.arrivals.expect("counted")), "{:?}", back.arrivals);
+
+    let verdicts = verdicts(&plan, &outcome);
+    let of = |budget: &str| -> Vec<&str> {
+        verdicts.iter().filter(|verdict| verdict.budget == budget).map(|verdict| verdict.verdict).collect()
+    };
+    assert_eq!(of("version.last_s"), ["kept", "kept", "kept"]);
+    assert_eq!(of("control.mb"), ["broken", "broken"]);
+    assert_eq!(of("control.core"), ["kept", "kept"]);
+
+    assert_eq!(outcome.started.len(), 6, "two gateways, three control machines, one of them twice");
+    let ids: Vec<i32> = outcome.started.iter().map(|id| *id as i32).collect();
+    assert_all_ended(&ids);
+}
+
+/// Guards the budget of a version: one gateway that stands still breaks it and gets the newest later; a control machine
+/// that falls silent without a word is left like one that is gone. And what is written of it.
+#[test]
+fn a_gateway_that_lags_breaks_the_budget_of_a_version() {
+    let text = "[run]\nhollow = 4\ncontrol = 1\ndocument_bytes = 0\n[fleet]\nvoters = 1\n\
+        [events]\na = version\nb = behind 1.5\n[budgets]\nversion.last_s = 60\nbehind.last_s = 1\nsilent.last_s = 1\n";
+    let plan = Plan { program: built(), ..plan(text) };
+    let outcome = played(&plan);
+    assert_eq!(acted(phase(&outcome, "version")), (4, 4));
+    assert_eq!(acted(phase(&outcome, "behind")), (4, 4));
+    assert_eq!(outcome.in_force, (0..4).map(|gateway| (gateway, 2)).collect());
+    let verdicts = verdicts(&plan, &outcome);
+    let judged: Vec<(&str, &str)> =
+        verdicts.iter().map(|verdict| (&*verdict.budget, verdict.verdict)).collect();
+    let wanted = [("version.last_s", "kept"), ("behind.last_s", "broken"), ("silent.last_s", "not measured")];
+    assert_eq!(judged, wanted);
+
+    let folder = Folder::new("versions");
+    report::write(&plan, &outcome, &folder.0).expect("written");
+    let lines = |name: &str| -> Vec<String> {
+        fs::read_to_string(folder.0.join(name)).expect(name).lines().map(str::to_string).collect()
+    };
+    let versions = lines("versions.csv");
+    assert_eq!(versions.len(), 3);
+    assert!(versions[1].starts_with("version,") && versions[2].starts_with("behind,"), "{versions:?}");
+    assert_eq!(lines("control.csv").len(), 1 + 4, "one machine in four phases");
+    let said = report::text(&plan, &outcome);
+    assert!(said.contains("gateways that went back to an older version: 0"), "{said}");
+}
+
+/// Guards the likeness of a stopped control machine and a killed one: its gateways hear another, and come back.
+#[test]
+fn a_control_machine_that_falls_silent_is_left_for_the_next() {
+    let text = "[run]\nhollow = 6\ncontrol = 2\nhome_s = 1\n[fleet]\nvoters = 1\n[places]\nzones = 2\n\
+        [events]\na = silent 2\n";
+    let outcome = played(&Plan { program: built(), ..plan(text) });
+    assert_eq!(acted(phase(&outcome, "silent")), (3, 3));
+    let silent = phase(&outcome, "silent");
+    let heard: Vec<usize> = silent.machines.iter().map(|row| row.gateways).collect();
+    assert!(heard == [0, 6] || heard == [6, 0], "{heard:?}");
+    assert_eq!(acted(phase(&outcome, "silent back")), (3, 3));
+}
