--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -624,8 +624,9 @@
             self.hear()?;
             if Instant::now() >= next_look {
                 self.look()?;
-                let asked = self.processes.iter().filter(|(gateway, _)| waited.contains(gateway));
-                asked.for_each(|(_, process)| process.ask(self.plan.gateways()));
+                // One that is stopped would keep the run waiting for its answer.
+                let asked = waited.difference(&self.stopped).filter_map(|at| self.processes.get(at));
+                asked.for_each(|process| process.ask(self.plan.gateways()));
                 next_look = Instant::now() + LOOK;
             }
         }
