--- a/src/fleet/rollout/connections.rs
+++ b/src/fleet/rollout/connections.rs
@@ -265,3 +265,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
