Hollow gateways take two versions a pass, so that no node waits behind hundreds of stores

Cause: a version is two syncs of a disk; a thread that takes 118 in one pass keeps its nodes from their probes.

Change: what is offered is taken in later passes, like lists.

--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -39,8 +39,8 @@
 use super::count::{thread_cpu, Counts};
 use super::goal::{Goal, Progress};
 
-/// Most gateways of a thread that go on with their list before all nodes are looked at again: a list takes milliseconds,
-/// and a node that waits behind hundreds of them would be taken for gone by the others.
+/// Most gateways of a thread that go on with their list, or take a version, before all nodes are looked at again: either
+/// takes milliseconds, and a node that waits behind hundreds of them would be taken for gone by the others.
 const LISTS: usize = 2;
 /// Longest sleep of a thread.
 const LOOK: Duration = Duration::from_millis(200);
@@ -259,6 +259,8 @@
     /// Where the version in force is kept.
     kept: PathBuf,
     in_force: Option<Document>,
+    /// To be taken; the follower hands out one at a time.
+    offered: Option<Document>,
     /// The fresh control machine that was heard last.
     heard: Option<usize>,
 }
@@ -333,14 +335,15 @@
                 if heard || gateway.carrier.node.due() <= now {
                     gateway.turn(now, common);
                 }
-                if gateway
-                    .following
-                    .as_ref()
-                    .is_some_and(|following| !control.is_empty() || following.carrier.due() <= now)
-                {
-                    gateway.follow(*index, now, &control, common, words);
+                let following = gateway.following.as_ref();
+                if following.is_some_and(|it| !control.is_empty() || it.carrier.due() <= now) {
+                    gateway.follow(*index, now, &control, words);
                 }
                 // Who is left out is found ready, or due, in the next pass.
+                if lists < LISTS && gateway.is_offered() {
+                    lists += 1;
+                    gateway.take_offered(*index, began, common, words);
+                }
                 if lists < LISTS && (answered || gateway.listing.due() <= clock.read()) {
                     lists += 1;
                     gateway.watch(*index, clock, common, poller);
@@ -359,7 +362,11 @@
         let awake = self.gateways.values().flatten().filter(|gateway| !gateway.frozen);
         let due = awake.map(|gateway| {
             let list = here + Duration::from_micros((gateway.listing.due() - now).0);
-            let control = gateway.following.as_ref().map_or(Duration::MAX, |it| it.carrier.due());
+            let control = match &gateway.following {
+                Some(_) if gateway.is_offered() => Duration::ZERO,
+                Some(following) => following.carrier.due(),
+                None => Duration::MAX,
+            };
             gateway.carrier.node.due().min(list).min(control)
         });
         due.min().unwrap_or(Duration::MAX)
@@ -442,7 +449,7 @@
             let follower = Follower::new(settings, number, self.began.elapsed());
             let (machines, key) = (self.common.machines.addresses(), datagrams(index) + CONTROL);
             let carrier = links::Carrier::new(follower, machines, self.poller.clone(), key);
-            Some(Following { carrier, kept, in_force: before, heard: None })
+            Some(Following { carrier, kept, in_force: before, offered: None, heard: None })
         };
         Ok(Gateway { region, carrier, socket, listing, following, progress, counts, frozen: false })
     }
@@ -632,26 +639,11 @@
         self.counts.fleet_cpu += thread_cpu() - before;
     }
 
-    /// Goes on with the control machines: takes what they have brought.
-    fn follow(
-        &mut self,
-        index: usize,
-        now: Duration,
-        ready: &[Event],
-        common: &Common,
-        words: &Sender<Word>,
-    ) {
-        let Some(Following { carrier, kept, in_force, heard }) = &mut self.following else { return };
+    /// Goes on with the control machines.
+    fn follow(&mut self, index: usize, now: Duration, ready: &[Event], words: &Sender<Word>) {
+        let Some(Following { carrier, offered, heard, .. }) = &mut self.following else { return };
         let before = thread_cpu();
-        for document in carrier.turn(now, ready) {
-            let taken = self.listing.take_version(&document, kept, common);
-            let (gateway, number) = (index, document.version().number);
-            if taken.is_ok() {
-                *in_force = Some(document.clone());
-                let _ = words.send(Word::Took { gateway, number, at: Instant::now() });
-            }
-            carrier.taken(now, document.version(), taken);
-        }
+        *offered = carrier.turn(now, ready).pop().or(offered.take());
         let standing = carrier.follower.standing(now);
         let hears = standing.machine.filter(|_| standing.cut_off.is_zero());
         if std::mem::replace(heard, hears) != hears {
@@ -660,6 +652,26 @@
         self.counts.control_cpu += thread_cpu() - before;
     }
 
+    /// Whether a version is to be taken.
+    fn is_offered(&self) -> bool {
+        self.following.as_ref().is_some_and(|following| following.offered.is_some())
+    }
+
+    /// Takes the version that the control machine has brought.
+    fn take_offered(&mut self, index: usize, began: &Instant, common: &Common, words: &Sender<Word>) {
+        let Some(Following { carrier, kept, in_force, offered, .. }) = &mut self.following else { return };
+        let Some(document) = offered.take() else { return };
+        let before = thread_cpu();
+        let taken = self.listing.take_version(&document, kept, common);
+        let version = document.version();
+        if taken.is_ok() {
+            *in_force = Some(document);
+            let _ = words.send(Word::Took { gateway: index, number: version.number, at: Instant::now() });
+        }
+        carrier.taken(began.elapsed(), version, taken);
+        self.counts.control_cpu += thread_cpu() - before;
+    }
+
     /// Goes on with the watch: writes the call, reads the answer, or calls again.
     fn watch(&mut self, index: usize, clock: &Clock, common: &Common, poller: &Poller) {
         let before = thread_cpu();
