--- a/crates/rollout/tests/world/mod.rs
+++ b/crates/rollout/tests/world/mod.rs
@@ -14,12 +14,13 @@
 use rand_pcg::Pcg64Mcg;
 
 pub const STEP: Duration = Duration::from_millis(10);
-pub const LOOK: Duration = Duration::from_secs(1);
-pub const FRESH: Duration = Duration::from_secs(3);
+/// As the control machine's process has them.
+pub const LOOK: Duration = Duration::from_millis(500);
+pub const FRESH: Duration = Duration::from_secs(2);
 pub const ACCEPT: Duration = Duration::from_secs(5);
 /// A version that was the newest for so long is the only one that is still taken: as long as a machine counts as fresh, and
 /// what a message and a take last.
-const SETTLED: Duration = Duration::from_millis(4_500);
+const SETTLED: Duration = Duration::from_millis(3_000);
 /// When a register's calls that nobody answers are given up.
 const GIVEN_UP: Duration = Duration::from_millis(600);
 pub const MACHINES: usize = 6;
@@ -42,6 +43,12 @@
     OwnRegister,
     /// Gateways come home at once.
     AllAtOnce,
+    /// A disk says that it has stored, and has not.
+    DiskLies,
+    /// An operator is told that a document is none, whatever may become of it.
+    Certain,
+    /// What a promise tells counts as chosen.
+    TrustsPromise,
 }
 
 /// What may go wrong by itself, as parts of one.
@@ -80,6 +87,7 @@
     file: Vec<u8>,
     broken: bool,
     checks: bool,
+    lies: bool,
 }
 
 impl Desk for Shelf {
@@ -91,7 +99,7 @@
     }
 
     fn store(&mut self, kept: &Keeping) -> bool {
-        if !self.broken {
+        if !self.broken && !self.lies {
             self.file = kept.file();
         }
         !self.broken
@@ -105,8 +113,9 @@
     start: u64,
     /// The register's promise that it has.
     ticket: u64,
-    /// The register's value that it saw last.
+    /// The register's value that it saw last, and the one that was told with the last promise.
     saw: Option<Vec<u8>>,
+    promised: Option<Vec<u8>>,
 }
 
 pub struct GatewayRun {
@@ -217,11 +226,17 @@
         }
         let machine = || MachineRun {
             control: None,
-            shelf: Shelf { file: Vec::new(), broken: false, checks: variant != Variant::ToolAlone },
+            shelf: Shelf {
+                file: Vec::new(),
+                broken: false,
+                checks: variant != Variant::ToolAlone,
+                lies: variant == Variant::DiskLies,
+            },
             state: State::Down,
             start: 0,
             ticket: 0,
             saw: None,
+            promised: None,
         };
         let gateway = |zone: &usize| GatewayRun {
             follower: None,
@@ -418,14 +433,6 @@
         self.start(M(index));
     }
 
-    fn state(&self, who: Process) -> State {
-        match who {
-            M(index) => self.machines[index].state,
-            G(index) => self.gateways[index].state,
-            T(_) => State::Up,
-        }
-    }
-
     fn start_of(&self, who: Process) -> u64 {
         match who {
             M(index) => self.machines[index].start,
@@ -708,6 +715,14 @@
                 return;
             }
         }
+        if self.variant == Variant::Certain {
+            let mut inbox = Inbox::default();
+            inbox.push(&bytes);
+            if let Ok(Some(Message::NotAccepted { why, uncertain: true })) = inbox.next() {
+                let certain = frame(&Message::NotAccepted { why, uncertain: false });
+                return self.put(id, 1 - side, Item::Bytes(certain));
+            }
+        }
         self.put(id, 1 - side, Item::Bytes(bytes));
     }
 
@@ -735,7 +750,12 @@
 
     /// A register's value that numbers one more by itself, for the variants.
     fn by_itself(&mut self, machine: usize, ask: Ask) -> Option<Told> {
+        let as_it_is = match &ask {
+            Ask::Propose(value) => self.machines[machine].promised.as_ref() == Some(value),
+            _ => false,
+        };
         let alone = match self.variant {
+            Variant::TrustsPromise => as_it_is,
             Variant::OwnRegister => true,
             Variant::ByItself => self.cut_off.contains(&machine),
             Variant::LateSpeaker => matches!(ask, Ask::Look(_)) && self.machines[machine].saw.is_some(),
@@ -845,6 +865,7 @@
                 register.ticket += 1;
                 self.machines[machine].ticket = register.ticket;
                 let latest = register.pending.clone().filter(|_| meets).or(register.value.clone());
+                self.machines[machine].promised = latest.clone();
                 match lost {
                     true => (failed(true), true),
                     false => (Told::Promised(latest), false),
