--- a/crates/rig/src/scale/real.rs
+++ b/crates/rig/src/scale/real.rs
@@ -237,12 +237,12 @@
     fn read(&self, line: &str) {
         let at = Instant::now();
         let mut watched = locked(&self.watched);
-        if line.contains("rollout: version in force") {
+        if line.contains("config: version in force") {
             let number = value(line, "version").and_then(|text| text.parse().ok());
             if let Some(number) = number.filter(|number| watched.took(*number, true)) {
                 let _ = self.words.send(Word::Took { gateway: self.gateway, number, at });
             }
-        } else if line.contains("rollout: hears a control machine") {
+        } else if line.contains("config: hears a control machine") {
             let machine = value(line, "machine").and_then(self.numbers[1]);
             watched.hears(self.gateway, machine, at, &self.words);
         }
