--- a/crates/rig/src/scale/real.rs
+++ b/crates/rig/src/scale/real.rs
@@ -164,6 +164,7 @@
     pub fn ask(&self, gateways: usize) {
         let Ok(status) = Status::ask(self.spec.door) else { return };
         let at = Instant::now();
+        self.is_up.store(true, Ordering::Relaxed);
         let mut starts = vec![0; gateways];
         for member in &status.members {
             if let Some(start) = (self.spec.numbers[0])(&member.name).and_then(|other| starts.get_mut(other))
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -670,6 +670,8 @@
             if Instant::now() >= until {
                 return Err(format!("{} does not listen", process.who()));
             }
+            // Its log leaves out lines where many others come, and the one that it listens may be among them.
+            process.ask(self.plan.gateways());
             self.hear()?;
             self.look()?;
         }
