--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -2,8 +2,10 @@
 
 mod versions;
 
+use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
+use std::hash::{BuildHasher, Hasher};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -35,6 +37,10 @@
 /// A gateway that runs slowly runs for the first, then stands for the second.
 const SLOW: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(450));
 const FLEET: &str = "scale";
+/// Ports are drawn from here on, up to the first that the system gives by itself, at least over this range.
+const PORTS: std::ops::Range<u16> = 10_000..20_000;
+/// Draws until a port is free.
+const TRIES: usize = 1_000;
 
 /// What a gateway came to in one phase.
 #[derive(Clone, Debug)]
@@ -231,11 +237,11 @@
             Discovery::start(plan.hosts, plan.group_size, plan.zones, plan.whole).map_err(said)?;
         // All ports are held until each gateway has its own.
         let sockets: Vec<UdpSocket> = (0..plan.gateways() + plan.control)
-            .map(|_| UdpSocket::bind("127.0.0.1:0"))
+            .map(|_| bind(UdpSocket::bind::<SocketAddr>))
             .collect::<io::Result<_>>()
             .map_err(said)?;
         let doors: Vec<TcpListener> = (0..plan.real + plan.control)
-            .map(|_| TcpListener::bind("127.0.0.1:0"))
+            .map(|_| bind(TcpListener::bind::<SocketAddr>))
             .collect::<io::Result<_>>()
             .map_err(said)?;
         let addresses: Vec<SocketAddr> =
@@ -879,6 +885,24 @@
     }
 }
 
+/// Has a port of loopback that the system gives to nobody by itself: what it gives to connections could be taken between
+/// the choice and the start of the process that is told the port, or while a control machine is away.
+fn bind<T>(to: impl Fn(SocketAddr) -> io::Result<T>) -> io::Result<T> {
+    let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
+    let least = range.split_whitespace().next().and_then(|text| text.parse().ok()).unwrap_or(32_768u16);
+    let ports = PORTS.start..least.max(PORTS.end);
+    let mut last = io::ErrorKind::AddrNotAvailable.into();
+    for _ in 0..TRIES {
+        // Another run on the machine draws others, whatever its seed.
+        let drawn = RandomState::new().build_hasher().finish() % u64::from(ports.end - ports.start);
+        match to(SocketAddr::from(([127, 0, 0, 1], ports.start + drawn as u16))) {
+            Ok(bound) => return Ok(bound),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
+
 /// The program, so that it is found from any folder.
 fn program(path: &Path) -> Result<PathBuf, String> {
     fs::canonicalize(path).map_err(|e| format!("[run] program: {}: {e}", path.display()))
