--- a/src/config/version.rs
+++ b/src/config/version.rs
@@ -1,5 +1,6 @@
 //! What a version is: the part of a configuration that all gateways share, as a JSON object. The other keys are each
-//! gateway's own and come from its own file, and so does `discovery` where a version has none.
+//! gateway's own and come from its own file, and so do the zone among the settings and, where a version has none,
+//! `discovery`.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -24,6 +25,10 @@
     (DISCOVERY, r#""127.0.0.1:1""#),
 ];
 const DISCOVERY: &str = "discovery";
+const SETTINGS: &str = "settings";
+/// The one setting that is each gateway's own: of all gateways in one zone, requests across zones would be priced as if there
+/// were none.
+const OWN_SETTING: &str = "Zone";
 
 /// The shared part of an operator's file, which is a whole configuration or that part alone: checked as
 /// `dunemount check` does.
@@ -38,6 +43,7 @@
         given.map_err(|what| Fault::at(line_of(text, name), what))?;
     }
     file.retain(|key, _| !OWN.contains(&key.as_str()));
+    settings_of(&mut file).map(|settings| settings.remove(OWN_SETTING));
     Ok(serde_json::to_vec_pretty(&file)?)
 }
 
@@ -54,10 +60,14 @@
         // One that this program cannot use any more stands in nobody's way.
         let _ = in_force.take(stand_in(text, &file), &mut Zones::default());
     }
-    let (text, file) = (utf8(document)?, object(utf8(document)?)?);
+    let (text, mut file) = (utf8(document)?, object(utf8(document)?)?);
     if let Some(own) = OWN.iter().find(|own| file.contains_key(**own)) {
         return Err(Fault::at(line_of(text, own), format!("{own}: is each gateway's own")));
     }
+    if settings_of(&mut file).is_some_and(|settings| settings.contains_key(OWN_SETTING)) {
+        let what = format!("{SETTINGS}.{OWN_SETTING}: is each gateway's own");
+        return Err(Fault::at(line_of(text, &what), what));
+    }
     if had_discovery && !file.contains_key(DISCOVERY) {
         return Err(Fault::at(0, format!("{DISCOVERY}: missing")));
     }
@@ -69,9 +79,14 @@
 /// # Errors
 /// Either is no JSON object.
 pub fn overlay(own: &str, document: &[u8]) -> Result<String, Fault> {
-    let document = object(utf8(document)?)?;
+    let mut document = object(utf8(document)?)?;
     let keeps_discovery = !document.contains_key(DISCOVERY);
     let mut whole = object(own)?;
+    if let Some(settings) = settings_of(&mut document) {
+        settings.remove(OWN_SETTING);
+        let own = settings_of(&mut whole).and_then(|own| own.remove(OWN_SETTING));
+        settings.extend(own.map(|zone| (OWN_SETTING.to_string(), zone)));
+    }
     whole.retain(|key, _| OWN.contains(&key.as_str()) || (keeps_discovery && key == DISCOVERY));
     whole.extend(document.into_iter().filter(|(key, _)| !OWN.contains(&key.as_str())));
     Ok(serde_json::to_string_pretty(&whole)?)
@@ -131,11 +146,34 @@
     }
 }
 
-/// The text with what it lacks of a gateway's own keys, behind all that it has: its lines stay what they are.
+fn settings_of(file: &mut Map<String, Value>) -> Option<&mut Map<String, Value>> {
+    file.get_mut(SETTINGS)?.as_object_mut()
+}
+
+/// The text with what it lacks of a gateway's own keys, behind all that it has, and of its own setting, on the line on which
+/// the settings begin: its lines stay what they are.
 fn stand_in(text: &str, file: &Map<String, Value>) -> String {
-    let head = text.trim_end().strip_suffix('}').unwrap_or(text);
     let missing = ANYBODY.iter().filter(|(key, _)| !file.contains_key(*key));
     let added: Vec<String> = missing.map(|(key, value)| format!("\"{key}\": {value}")).collect();
     let comma = if file.is_empty() || added.is_empty() { "" } else { "," };
+    let text = with_own_setting(text, file);
+    let head = text.trim_end().strip_suffix('}').unwrap_or(&text);
     format!("{head}{comma}{}}}", added.join(","))
 }
+
+fn with_own_setting(text: &str, file: &Map<String, Value>) -> String {
+    let settings = file.get(SETTINGS).and_then(Value::as_object);
+    let Some(settings) = settings.filter(|settings| !settings.contains_key(OWN_SETTING)) else {
+        return text.to_string();
+    };
+    let key = format!("\"{SETTINGS}\"");
+    // The key itself is followed by a colon and the object; the same word as a value of another key is not.
+    let place = text.match_indices(&key).find_map(|(at, _)| {
+        let behind = at + key.len();
+        let rest = text[behind..].trim_start().strip_prefix(':')?.trim_start().strip_prefix('{')?;
+        Some(text.len() - rest.len())
+    });
+    let Some(place) = place else { return text.to_string() };
+    let comma = if settings.is_empty() { "" } else { "," };
+    format!("{}\"{OWN_SETTING}\": \"anywhere\"{comma}{}", &text[..place], &text[place..])
+}
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -16,6 +16,13 @@
         "settings": rig::settings()})
 }
 
+/// The settings that all gateways share.
+fn shared_settings() -> Value {
+    let mut settings = rig::settings();
+    settings.as_object_mut().expect("an object").remove("Zone").expect("its own");
+    settings
+}
+
 fn read(bytes: &[u8]) -> Value {
     serde_json::from_slice(bytes).expect("JSON")
 }
@@ -24,10 +31,10 @@
 #[test]
 fn a_version_is_what_all_gateways_share() {
     let whole = own("gw").to_string();
-    let shared = json!({"discovery": "127.0.0.1:3", "settings": rig::settings()});
+    let shared = json!({"discovery": "127.0.0.1:3", "settings": shared_settings()});
     assert_eq!(read(&of(&whole).expect("usable")), shared);
     assert_eq!(read(&of(&shared.to_string()).expect("usable")), shared);
-    let settings = json!({"settings": rig::settings()});
+    let settings = json!({"settings": shared_settings()});
     assert_eq!(read(&of(&settings.to_string()).expect("usable")), settings, "discovery need not be in it");
     assert_eq!(of("{").expect_err("cut off").line, 1);
     for bad in ["{}", "[]", "1", "", "{\"settings\": {}}", "{\"name\": \"gw\"}"] {
@@ -38,7 +45,7 @@
 /// Guards the place of a fault: the line is that of the operator's text, with or without a gateway's own keys in it.
 #[test]
 fn a_fault_is_named_by_the_line_of_the_text() {
-    let shared = json!({"settings": rig::settings()});
+    let shared = json!({"kind": "settings", "settings": shared_settings()});
     for file in [own("gw"), shared] {
         for (pointer, value) in [
             ("/settings/Safety/FallMs", json!("x")),
@@ -46,7 +53,9 @@
             ("/settings/Permissions/SendCap", json!(0)),
         ] {
             let mut bad = file.clone();
-            *bad.pointer_mut(pointer).expect("there") = value;
+            // The shared part alone has no zone.
+            let Some(place) = bad.pointer_mut(pointer) else { continue };
+            *place = value;
             let text = format!("\n{bad:#}\n\n");
             let key = format!("\"{}\":", pointer.rsplit('/').next().expect("a key"));
             let line = text.lines().position(|line| line.contains(&key)).expect("there") + 1;
@@ -63,8 +72,8 @@
 /// was accepted by other rules stands in nobody's way.
 #[test]
 fn a_document_is_checked_against_the_one_before() {
-    let settings = json!({"settings": rig::settings()});
-    let with = json!({"discovery": "127.0.0.1:3", "settings": rig::settings()});
+    let settings = json!({"settings": shared_settings()});
+    let with = json!({"discovery": "127.0.0.1:3", "settings": shared_settings()});
     let (settings, with) = (settings.to_string(), with.to_string());
     let judge = |document: &str, before: Option<&str>| {
         check(document.as_bytes(), before.map(str::as_bytes)).map_err(|fault| fault.what)
@@ -73,6 +82,8 @@
     assert_eq!(judge(&with, Some(&settings)), Ok(()));
     assert_eq!(judge(&settings, Some(&with)), Err("discovery: missing".to_string()));
     assert_eq!(judge(&own("gw").to_string(), None), Err("name: is each gateway's own".to_string()));
+    let zoned = json!({"settings": rig::settings()}).to_string();
+    assert_eq!(judge(&zoned, None), Err("settings.Zone: is each gateway's own".to_string()));
     let mut shorter = read(settings.as_bytes());
     shorter["settings"]["Safety"].as_object_mut().expect("an object").remove("ColdMs");
     let why = judge(&shorter.to_string(), Some(&settings)).expect_err("a key has vanished");
@@ -82,18 +93,18 @@
     assert_eq!(judge(&settings, Some("{}")), Ok(()));
 }
 
-/// Guards the own file: its own keys stay whatever a version says, discovery as long as the version has none, and nothing
-/// else of it does.
+/// Guards the own file: its own keys and its zone stay whatever a version says, discovery as long as the version has none, and
+/// nothing else of it does.
 #[test]
 fn a_version_lies_over_the_own_file() {
     let mut mine = own("gw");
     mine["extra"] = json!(1);
     let mut settings = rig::settings();
-    settings["Zone"] = json!("b");
+    (settings["Zone"], settings["TickMs"]) = (json!("b"), json!(6.0));
     let document = json!({"settings": settings, "name": "other", "more": 2}).to_string();
     let whole = read(overlay(&mine.to_string(), document.as_bytes()).expect("both are objects").as_bytes());
     let mut wanted = own("gw");
-    (wanted["settings"], wanted["more"]) = (settings.clone(), json!(2));
+    (wanted["settings"]["TickMs"], wanted["more"]) = (json!(6.0), json!(2));
     assert_eq!(whole, wanted);
     let document = json!({"settings": settings, "discovery": "127.0.0.1:9"}).to_string();
     let whole = read(overlay(&mine.to_string(), document.as_bytes()).expect("both are objects").as_bytes());
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -105,6 +105,7 @@
 pub fn document(mark: usize) -> Value {
     let mut settings = rig::settings();
     settings["Permissions"]["MaxRetryAfterMs"] = json!(1000 + mark);
+    settings.as_object_mut().expect("an object").remove("Zone").expect("each gateway's own");
     json!({ "settings": settings })
 }
 
