Membership: news is passed on often enough that nobody is left to its own probe

Cause, measured: each member passes a piece of news on max_transmissions times to members drawn at random, and about one in exp(k) never hears it; the library's rule is four times the decimal logarithm of the size, cut down: 7 at 90, one in 1,100, so that some 8% of deaths have a member that misses them. It is then left to its own probe, whose turn comes once in as many probes as there are members: up to 45 s at 90.

Change: three times the natural logarithm, 14 at 90 and 20 at 710, as SWIM's analysis puts it.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -119,6 +119,15 @@
     }
 }
 
+/// How often each member passes a piece of news on, in a fleet of this size. Where each passes it on `k` times to members
+/// drawn at random, about one in `exp(k)` never hears it and is left to its own probe, whose turn comes once in as many
+/// probes as there are members. The library's own rule, four times the decimal logarithm, lets one in 1,100 miss it at 90
+/// members; three times the natural one lets one in the cube of their number.
+fn transmissions(size: NonZeroU32) -> NonZeroU8 {
+    let times = 3.0 * f64::from(size.get().saturating_add(1)).ln();
+    NonZeroU8::new(times.ceil().clamp(6.0, 255.0) as u8).unwrap_or(NonZeroU8::MAX)
+}
+
 /// The members of a fleet as one of them sees them.
 pub struct Membership {
     foca: Foca<Peer, PostcardCodec, Pcg64Mcg, foca::NoCustomBroadcast>,
@@ -154,7 +163,7 @@
             suspect_to_down_after: pace.suspicion,
             remove_down_after: pace.remembered,
             max_packet_size: NonZeroUsize::new(frame::ROOM - 1).unwrap_or(NonZeroUsize::MIN),
-            max_transmissions: usual.max_transmissions.max(NonZeroU8::MIN.saturating_add(5)),
+            max_transmissions: transmissions(size),
             notify_down_members: true,
             // Halves that have given each other up find each other again through these.
             periodic_announce_to_down_members: times(1, pace.probe * 5),
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -225,3 +225,23 @@
     // A datagram that tells of members is full at some fifty of them, and grows no more.
     assert!(rates[1].0 < rates[0].0 * 1.2 && rates[1].1 < rates[0].1 * 2.5, "{rates:?}");
 }
+
+/// Guards the last one to hear: news of a death reaches each member by itself, and nobody is left to find out by its own
+/// probe, whose turn comes once in as many probes as there are members.
+#[test]
+fn the_last_member_hears_of_a_death_as_the_others_do() {
+    let (count, deaths) = (90, 24);
+    for seed in 100..102 {
+        let mut net = Net::of(count, seed);
+        net.run(Duration::from_secs(30));
+        assert!(net.seen().iter().all(|seen| *seen == count - 1), "{:?}", net.seen());
+        for dead in 1..=deaths {
+            let until = net.now + Duration::from_secs(12);
+            net.members[count - dead] = None;
+            while net.seen().iter().any(|seen| *seen != count - 1 - dead) {
+                assert!(net.now < until, "seed {seed}: death {dead} is not known to all by {:?}", net.now);
+                net.run(Duration::from_millis(100));
+            }
+        }
+    }
+}
