Membership: names are compared in place, not by a copy of each on the heap

Cause, measured: the protocol looks a member up by comparing the names of all members with each piece of news (foca's Members::apply), and Identity::addr gave a String for each comparison: allocation, copy, comparison and release were 75% of the samples of 90 members in virtual time, and the time grew with the cube of their number.

Change: the protocol holds a Peer together with its name as words in place and compares these; on the wire nothing changes. A hash of the name would be shorter, but two names of one hash would be one member.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -44,20 +44,72 @@
     }
 }
 
-impl Identity for Peer {
-    type Addr = String;
+/// A name in place, to be compared without a look at the heap. Of a name that is too long the start is kept, and its length
+/// tells it from all that are not.
+#[derive(Clone, Copy, Debug)]
+struct NameKey {
+    length: usize,
+    words: [u64; LONGEST_NAME / 8],
+}
+
+impl NameKey {
+    fn of(name: &str) -> NameKey {
+        let mut words = [0; LONGEST_NAME / 8];
+        for (word, bytes) in words.iter_mut().zip(name.as_bytes().chunks(8)) {
+            *word = bytes.iter().fold(0, |word, byte| word << 8 | u64::from(*byte));
+        }
+        NameKey { length: name.len(), words }
+    }
+}
+
+impl Eq for NameKey {}
+
+impl PartialEq for NameKey {
+    // Word by word: most names differ in the first two, and a call that compares all would cost more than they do.
+    #[inline]
+    fn eq(&self, other: &NameKey) -> bool {
+        self.length == other.length && self.words.iter().zip(&other.words).all(|(own, theirs)| own == theirs)
+    }
+}
+
+/// A process as the protocol holds it; on the wire it is a [`Peer`]. The protocol looks a member up by comparing the names
+/// of all, for each piece of news: with names on the heap that was three quarters of a member's processor time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Peer", into = "Peer")]
+struct Known {
+    key: NameKey,
+    peer: Peer,
+}
+
+impl From<Peer> for Known {
+    fn from(peer: Peer) -> Known {
+        Known { key: NameKey::of(&peer.name), peer }
+    }
+}
+
+impl From<Known> for Peer {
+    fn from(known: Known) -> Peer {
+        known.peer
+    }
+}
+
+impl Identity for Known {
+    type Addr = NameKey;
 
     fn renew(&self) -> Option<Self> {
-        Some(Peer { life: self.life.checked_add(1)?, ..self.clone() })
+        let life = self.peer.life.checked_add(1)?;
+        Some(Known { key: self.key, peer: Peer { life, ..self.peer.clone() } })
     }
 
-    fn addr(&self) -> String {
-        self.name.clone()
+    #[inline]
+    fn addr(&self) -> NameKey {
+        self.key
     }
 
     /// Of two that bear one name the later start counts.
     fn win_addr_conflict(&self, other: &Self) -> bool {
-        (self.start, self.life, self.address) > (other.start, other.life, other.address)
+        let (own, other) = (&self.peer, &other.peer);
+        (own.start, own.life, own.address) > (other.start, other.life, other.address)
     }
 }
 
@@ -93,28 +145,28 @@
 #[derive(Default)]
 struct Effects {
     out: VecDeque<(SocketAddr, Vec<u8>)>,
-    timers: Vec<(Timer<Peer>, Duration)>,
+    timers: Vec<(Timer<Known>, Duration)>,
     changes: Vec<Change>,
 }
 
-impl Runtime<Peer> for &mut Effects {
-    fn notify(&mut self, notification: Notification<'_, Peer>) {
+impl Runtime<Known> for &mut Effects {
+    fn notify(&mut self, notification: Notification<'_, Known>) {
         match notification {
-            Notification::MemberUp(peer) => self.changes.push(Change::Came(peer.clone())),
-            Notification::MemberDown(peer) => self.changes.push(Change::Went(peer.clone())),
+            Notification::MemberUp(known) => self.changes.push(Change::Came(known.peer.clone())),
+            Notification::MemberDown(known) => self.changes.push(Change::Went(known.peer.clone())),
             Notification::Rename(before, after) => {
-                self.changes.push(Change::Went(before.clone()));
-                self.changes.push(Change::Came(after.clone()));
+                self.changes.push(Change::Went(before.peer.clone()));
+                self.changes.push(Change::Came(after.peer.clone()));
             }
             Notification::Active | Notification::Idle | Notification::Rejoin(_) | Notification::Defunct => {}
         }
     }
 
-    fn send_to(&mut self, to: Peer, data: &[u8]) {
-        self.out.push_back((to.address, [&[PROTOCOL], data].concat()));
+    fn send_to(&mut self, to: Known, data: &[u8]) {
+        self.out.push_back((to.peer.address, [&[PROTOCOL], data].concat()));
     }
 
-    fn submit_after(&mut self, event: Timer<Peer>, after: Duration) {
+    fn submit_after(&mut self, event: Timer<Known>, after: Duration) {
         self.timers.push((event, after));
     }
 }
@@ -130,12 +182,12 @@
 
 /// The members of a fleet as one of them sees them.
 pub struct Membership {
-    foca: Foca<Peer, PostcardCodec, Pcg64Mcg, foca::NoCustomBroadcast>,
+    foca: Foca<Known, PostcardCodec, Pcg64Mcg, foca::NoCustomBroadcast>,
     me: Peer,
     seeds: Vec<Peer>,
     effects: Effects,
     changes: VecDeque<Change>,
-    timers: BTreeMap<(Duration, u64), Timer<Peer>>,
+    timers: BTreeMap<(Duration, u64), Timer<Known>>,
     serial: u64,
     next_call: Duration,
     call: Duration,
@@ -173,7 +225,7 @@
             ..usual
         };
         Membership {
-            foca: Foca::new(me.clone(), config, Pcg64Mcg::seed_from_u64(seed), PostcardCodec),
+            foca: Foca::new(me.clone().into(), config, Pcg64Mcg::seed_from_u64(seed), PostcardCodec),
             seeds: seeds.into_iter().filter(|seed| seed.name != me.name).collect(),
             me,
             effects: Effects::default(),
@@ -220,7 +272,7 @@
             self.next_call = now + self.call;
             if self.present.is_empty() && !self.superseded {
                 for seed in self.seeds.clone() {
-                    let done = self.foca.announce(seed, &mut self.effects);
+                    let done = self.foca.announce(seed.into(), &mut self.effects);
                     self.settle(now, done.is_ok());
                 }
             }
@@ -256,8 +308,8 @@
 
     /// What to tell the sender of a message if a process with its name has started later: it is heard no more.
     fn outdated(&mut self, mut data: &[u8]) -> Option<(SocketAddr, Vec<u8>)> {
-        let header: foca::Header<Peer> = PostcardCodec.decode_header(&mut data).ok()?;
-        let sender = header.src;
+        let header: foca::Header<Known> = PostcardCodec.decode_header(&mut data).ok()?;
+        let sender = header.src.peer;
         let known = if sender.name == self.me.name { &self.me } else { self.present.get(&sender.name)? };
         let later = (known.start > sender.start).then(|| postcard::to_stdvec(known).unwrap_or_default())?;
         Some((sender.address, [&[LATER], &later[..]].concat()))
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dunemount_fleet::member::{Change, Membership, Pace, Peer};
+use dunemount_fleet::member::{Change, Membership, Pace, Peer, LONGEST_NAME};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -245,3 +245,32 @@
         }
     }
 }
+
+/// Guards names against being taken for each other: such that differ in one place only, at either end of the longest, are
+/// members each, and one that is too long is none and hides none.
+#[test]
+fn names_that_differ_in_one_place_are_members_each() {
+    let longest = "n".repeat(LONGEST_NAME);
+    let but = |at: usize, with: &str| format!("{}{with}{}", &longest[..at], &longest[at + 1..]);
+    let last = LONGEST_NAME - 1;
+    let names = [longest.clone(), but(0, "m"), but(8, "m"), but(last, "m"), but(last, ""), but(last, "\0")];
+    let too_long = format!("{longest}n");
+    let mut net = Net::of(3, 8);
+    for name in names.iter().chain([&too_long]) {
+        let index = net.members.len();
+        net.members.push(None);
+        net.superseded.push(false);
+        net.start(index, Peer { name: name.clone(), ..peer(index, 1) }, 10);
+    }
+    net.run(Duration::from_secs(20));
+    let mut all: Vec<&str> = names.iter().map(String::as_str).chain(["gw-0", "gw-1", "gw-2"]).collect();
+    all.sort_unstable();
+    for member in net.members.iter().take(3 + names.len()).flatten() {
+        let me = member.me().name.as_str();
+        let seen: Vec<&str> = member.present().map(|peer| peer.name.as_str()).collect();
+        let others: Vec<&str> = all.iter().copied().filter(|name| *name != me).collect();
+        assert_eq!(seen, others, "as {me} sees them");
+        assert!(member.refused() > 0, "the name that is too long is refused and counted");
+    }
+    assert_eq!(net.superseded, [false; 10]);
+}
