Rig: membership's slopes are measured with each start played once

The regions were parted while the newcomers of a zone's return did not know all yet, so the time until they knew each other again was partly the newcomers'.

Change: that net goes on as the first round; the regions part and join before the zone dies, with 30 s for their news to end in between. Turns are booked once and looking at all members does not show in the profile, so these stay.

--- a/crates/rig/src/capacity/measure/members.rs
+++ b/crates/rig/src/capacity/measure/members.rs
@@ -17,7 +17,7 @@
 const SIZES: [usize; 5] = [45, 90, 180, 355, 710];
 /// As `src/fleet/driver.rs` sets it from a probe each 500 ms.
 const PROBE: Duration = Duration::from_millis(500);
-/// How long nothing happens, from a start to where all know all.
+/// How long nothing happens, from a start to where all know all, and from there to where the news of it has ended.
 const SETTLE: Duration = Duration::from_secs(30);
 const WATCHED: Duration = Duration::from_secs(10);
 /// How long regions do not hear each other.
@@ -172,20 +172,20 @@
 /// News that did not get round in time.
 pub fn measure(setup: &Setup) -> Result<Vec<Point>, String> {
     let mut figures = Figures::default();
-    // First, and the smallest first: what is freed between two sizes is used again by the next.
-    let before = memory_kib("self");
-    let sizes: Vec<usize> = SIZES.into_iter().filter(|size| *size <= setup.largest).collect();
-    for size in sizes.iter().copied() {
+    let sizes = SIZES.into_iter().filter(|size| *size <= setup.largest);
+    // By itself, before others take memory. Each goes on as its size's first round: the start is the dearest part.
+    let mut runs: Vec<(usize, u64, Option<Net>)> = Vec::new();
+    for size in sizes {
+        let before = memory_kib("self");
         let mut net = Net::of(size, 1);
         net.run(SETTLE / 3);
-        net.steps.clear();
         figures.add("member_kib", size, (memory_kib("self") - before).max(0.0) / size as f64);
+        runs.push((size, 1, Some(net)));
+        runs.extend((2..=u64::from(setup.rounds)).map(|seed| (size, seed, None)));
     }
-    let seeds = 1..=u64::from(setup.rounds);
-    let runs: Vec<(usize, u64)> =
-        sizes.into_iter().flat_map(|size| seeds.clone().map(move |seed| (size, seed))).collect();
     let ended: Vec<Result<Figures, String>> = std::thread::scope(|scope| {
-        let all: Vec<_> = runs.iter().map(|(size, seed)| scope.spawn(|| play(*size, *seed))).collect();
+        let of = |(size, seed, net): (usize, u64, Option<Net>)| net.unwrap_or_else(|| Net::of(size, seed));
+        let all: Vec<_> = runs.into_iter().map(|run| scope.spawn(move || play(of(run)))).collect();
         all.into_iter().map(|one| one.join().unwrap_or_else(|_| Err("a play panicked".into()))).collect()
     });
     for one in ended {
@@ -196,8 +196,8 @@
     Ok(figures.points())
 }
 
-fn play(size: usize, seed: u64) -> Result<Figures, String> {
-    let (mut figures, mut net) = (Figures::default(), Net::of(size, seed));
+fn play(mut net: Net) -> Result<Figures, String> {
+    let (mut figures, size) = (Figures::default(), net.members.len());
     net.run(SETTLE);
     if net.until_known("each other", |_| size - 1).is_none() {
         return Ok(figures);
@@ -218,18 +218,20 @@
     net.members[size - 1] = None;
     news(&mut net, "a death", ["death_known_s", "death_bytes_s"], &|_| size - 2);
 
+    // Before the zone: what its return leaves unknown would be counted as the regions'.
+    let (left, half) = (size - 1, size / 2);
+    net.cut = Some(half);
+    net.run(net.now + APART);
+    net.until_known("that regions are apart", |at| if at < half { half - 1 } else { left - half - 1 });
+    net.cut = None;
+    news(&mut net, "that regions are joined", ["rejoin_known_s", "rejoin_bytes_s"], &|_| left - 1);
+
+    // The news of the regions is passed on for a while after all know it, and would stand in the way of the zone's.
+    net.run(net.now + SETTLE);
     let zone = size - size / 6..size;
-    let left = zone.start;
     zone.clone().for_each(|index| net.members[index] = None);
-    news(&mut net, "a zone's death", ["zone_death_known_s", "zone_death_bytes_s"], &|_| left - 1);
+    news(&mut net, "a zone's death", ["zone_death_known_s", "zone_death_bytes_s"], &|_| zone.start - 1);
     zone.for_each(|index| net.start(index, 3));
     news(&mut net, "a zone's return", ["zone_back_known_s", "zone_back_bytes_s"], &|_| size - 1);
-
-    let half = size / 2;
-    net.cut = Some(half);
-    net.run(net.now + APART);
-    net.until_known("that regions are apart", |at| if at < half { half - 1 } else { size - half - 1 });
-    net.cut = None;
-    news(&mut net, "that regions are joined", ["rejoin_known_s", "rejoin_bytes_s"], &|_| size - 1);
     Ok(figures)
 }
