--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dunemount_fleet::member::{Change, Membership, Pace, Peer};
+use dunemount_fleet::member::{Change, Membership, Pace, Peer, LONGEST_NAME};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -225,3 +225,52 @@
     // A datagram that tells of members is full at some fifty of them, and grows no more.
     assert!(rates[1].0 < rates[0].0 * 1.2 && rates[1].1 < rates[0].1 * 2.5, "{rates:?}");
 }
+
+/// Guards the last one to hear: news of a death reaches each member by itself, and nobody is left to find out by its own
+/// probe, whose turn comes once in as many probes as there are members.
+#[test]
+fn the_last_member_hears_of_a_death_as_the_others_do() {
+    let (count, deaths) = (90, 24);
+    for seed in 100..102 {
+        let mut net = Net::of(count, seed);
+        net.run(Duration::from_secs(30));
+        assert!(net.seen().iter().all(|seen| *seen == count - 1), "{:?}", net.seen());
+        for dead in 1..=deaths {
+            let until = net.now + Duration::from_secs(12);
+            net.members[count - dead] = None;
+            while net.seen().iter().any(|seen| *seen != count - 1 - dead) {
+                assert!(net.now < until, "seed {seed}: death {dead} is not known to all by {:?}", net.now);
+                net.run(Duration::from_millis(100));
+            }
+        }
+    }
+}
+
+/// Guards names against being taken for each other: such that differ in one place only, at either end of the longest, are
+/// members each, and one that is too long is none and hides none.
+#[test]
+fn names_that_differ_in_one_place_are_members_each() {
+    let longest = "n".repeat(LONGEST_NAME);
+    let but = |at: usize, with: &str| format!("{}{with}{}", &longest[..at], &longest[at + 1..]);
+    let last = LONGEST_NAME - 1;
+    let names = [longest.clone(), but(0, "m"), but(8, "m"), but(last, "m"), but(last, ""), but(last, "\0")];
+    let too_long = format!("{longest}n");
+    let mut net = Net::of(3, 8);
+    for name in names.iter().chain([&too_long]) {
+        let index = net.members.len();
+        net.members.push(None);
+        net.superseded.push(false);
+        net.start(index, Peer { name: name.clone(), ..peer(index, 1) }, 10);
+    }
+    net.run(Duration::from_secs(20));
+    let mut all: Vec<&str> = names.iter().map(String::as_str).chain(["gw-0", "gw-1", "gw-2"]).collect();
+    all.sort_unstable();
+    for member in net.members.iter().take(3 + names.len()).flatten() {
+        let me = member.me().name.as_str();
+        let seen: Vec<&str> = member.present().map(|peer| peer.name.as_str()).collect();
+        let others: Vec<&str> = all.iter().copied().filter(|name| *name != me).collect();
+        assert_eq!(seen, others, "as {me} sees them");
+        assert!(member.refused() > 0, "the name that is too long is refused and counted");
+    }
+    assert_eq!(net.superseded, [false; 10]);
+}
