Scale run: a pass begins behind the gateway that had its turn last

Cause: a hollow thread began each pass with its first gateway and let two take a list or a version, so that with more to do than time the last ones waited without end: at 355 on one disk two groups of versions, 13 to 29 and 39 to 48, came into force at the last gateways at one moment each, 17.9 and 11 s after their put. Change: the order of a pass goes on where the last turn ended.

--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -165,6 +165,7 @@
             words: words.clone(),
             poller: poller.clone(),
             gateways: BTreeMap::new(),
+            next: 0,
             clock: Clock::start(),
             began: Instant::now(),
         };
@@ -283,6 +284,8 @@
     poller: Arc<Poller>,
     /// By number; one that was killed leaves its counts.
     gateways: BTreeMap<usize, Result<Box<Gateway>, Counts>>,
+    /// Whose turn with a list or a version is first in the next pass.
+    next: usize,
     clock: Clock,
     began: Instant,
 }
@@ -323,33 +326,37 @@
                     _ => ready.control.push(*event),
                 }
             }
-            let Work { gateways, common, words, poller, clock, began, .. } = &mut self;
+            let Work { gateways, common, words, poller, clock, began, next, .. } = &mut self;
+            // Behind the last one that had its turn with a list or a version: from the first one each time, the last would
+            // wait for as long as there is more to do than time.
+            let order: Vec<usize> =
+                gateways.range(*next..).chain(gateways.range(..*next)).map(|(index, _)| *index).collect();
             let mut lists = 0;
-            for (index, gateway) in gateways.iter_mut() {
-                let Ok(gateway) = gateway else { continue };
+            for index in order {
+                let Some(Ok(gateway)) = gateways.get_mut(&index) else { continue };
                 if gateway.frozen {
                     continue;
                 }
-                let Ready { heard, answered, control } = ready.remove(index).unwrap_or_default();
+                let Ready { heard, answered, control } = ready.remove(&index).unwrap_or_default();
                 let now = began.elapsed();
                 if heard || gateway.carrier.node.due() <= now {
                     gateway.turn(now, common);
                 }
                 let following = gateway.following.as_ref();
                 if following.is_some_and(|it| !control.is_empty() || it.carrier.due() <= now) {
-                    gateway.follow(*index, now, &control, words);
+                    gateway.follow(index, now, &control, words);
                 }
                 // Who is left out is found ready, or due, in the next pass.
                 if lists < LISTS && gateway.is_offered() {
-                    lists += 1;
-                    gateway.take_offered(*index, began, common, words);
+                    (lists, *next) = (lists + 1, index + 1);
+                    gateway.take_offered(index, began, common, words);
                 }
                 if lists < LISTS && (answered || gateway.listing.due() <= clock.read()) {
-                    lists += 1;
-                    gateway.watch(*index, clock, common, poller);
+                    (lists, *next) = (lists + 1, index + 1);
+                    gateway.watch(index, clock, common, poller);
                 }
                 if let Some(goal) = gateway.progress.reached() {
-                    let _ = words.send(Word::Acted { gateway: *index, goal, at: Instant::now() });
+                    let _ = words.send(Word::Acted { gateway: index, goal, at: Instant::now() });
                 }
             }
         }
