--- a/crates/rig/src/capacity/measure/pools.rs
+++ b/crates/rig/src/capacity/measure/pools.rs
@@ -165,7 +165,7 @@
                     self.pool.closed(member, key);
                 }
             }
-            Due::Note(_) => {}
+            Due::Notice(_) => {}
         }
     }
 
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -375,7 +375,7 @@
             Action::TellPeers { .. } if !self.settings.peers => {
                 self.breach("told peers where that is not allowed".into());
             }
-            Action::TellPeers { .. } | Action::CloseIdle { .. } | Action::Log { .. } => {}
+            Action::TellPeers { .. } | Action::CloseIdle { .. } | Action::Notice(_) => {}
         }
     }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -8,6 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::notice::Notice;
+
 /// A point on the driver's clock, or a length of time, in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Micros(pub u64);
@@ -313,7 +315,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Status {
     /// Served.
     Ok,
@@ -479,9 +481,6 @@
         /// Its text, at most 256 bytes.
         text: String,
     },
-    /// A line for the operators.
-    Log {
-        /// Its text.
-        text: String,
-    },
+    /// Something for the operators' log.
+    Notice(Notice),
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,6 +11,7 @@
 use rustc_hash::FxBuildHasher;
 
 use crate::api::*;
+use crate::notice::Notice;
 
 mod attempts;
 mod book;
@@ -80,6 +81,10 @@
     /// survey under way.
     usual_offset: Option<Offset>,
     surveyed_offset: Option<Offset>,
+    /// What operators are told at the end of the event under way.
+    notices: Vec<Notice>,
+    /// They are told of single requests as well.
+    traced: bool,
 }
 
 impl Router {
@@ -120,5 +125,6 @@
             Event::Timer(_) | Event::Peer { .. } => {}
             Event::Probed { member, status, report } => self.probed(now, member, status, report, actions),
         }
+        actions.extend(self.notices.drain(..).map(Action::Notice));
     }
 }
--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -2,12 +2,12 @@
 
 use super::capacity::LIMIT_FLOOR;
 use super::health::SEEK;
-use super::log_clock::Offset;
 use super::membership::EJECT_AFTER;
 use super::queue::CROWD_GAIN;
 use super::state::{Attempt, Open};
 use super::{Actions, Router};
 use crate::api::*;
+use crate::notice::{Dating, GiveUp, Source};
 
 /// Weight of a new sample in a running mean of latencies: about the last fifty count.
 const MEAN_GAIN: f64 = 0.02;
@@ -88,10 +88,12 @@
             self.members.entry(o.member).and_modify(|m| m.breaks = 0);
         }
         if let (Some(Role::Primary), Some(position)) = (o.role, o.position) {
-            self.hear_log_time(now, o.member, Offset::between(attempt.sent, now, position));
+            let (member, status) = (o.member, o.status);
+            let dating = Dating { member, status, position, sent: attempt.sent, heard: now };
+            self.hear_log_time(now, dating);
         }
         // A served write's position is its commit, which its primary has reached.
-        self.learn(now, o.member, o.role, now, o.position);
+        self.learn(now, o.member, o.role, now, o.position, Source::Answer(o.status));
         self.learn_report(now, o.member, o.report);
         let write = self.settings.classes[attempt.class.0].need == Need::Write;
         if let Some(key) = attempt.session.filter(|_| write) {
@@ -206,7 +208,7 @@
         if open.out.is_empty() {
             let open = &self.open[&o.request];
             if !self.may_send(now, open) || now + self.settings.tick >= open.deadline {
-                self.give_up(now, o.request, actions);
+                self.give_up(now, o.request, GiveUp::NoRetry, actions);
             } else {
                 self.enqueue(o.request);
             }
--- a/src/balance/final_answer.rs
+++ b/src/balance/final_answer.rs
@@ -4,10 +4,15 @@
 use super::state::{Group, Member};
 use super::{Actions, Router};
 use crate::api::*;
+use crate::notice::{GiveUp, Notice};
 
 impl Router {
     /// Ends a request unserved, at once: refused where that is proved harmless, else failed.
-    pub(super) fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
+    pub(super) fn give_up(&mut self, now: Micros, id: RequestId, why: GiveUp, actions: &mut Actions) {
+        let Some(attempts) = self.open.get(&id).map(|open| open.attempts) else { return };
+        if self.traced {
+            self.note(Notice::GivenUp { request: id, why, attempts });
+        }
         let Some(open) = self.open.get(&id) else { return };
         if open.attempts == 0 {
             let crowded = |group: &mut Group| group.crowd += (1.0 - group.crowd) * CROWD_GAIN;
@@ -38,7 +43,8 @@
         let hopeless = waiting && (now + mean >= open.give_up || now >= self.patience(open));
         let settled = class.effect == Effect::Safe || waiting;
         if hopeless || settled && now >= open.give_up || now + period >= open.deadline {
-            self.give_up(now, id, actions);
+            let why = if hopeless { GiveUp::Waited } else { GiveUp::Overdue };
+            self.give_up(now, id, why, actions);
             return;
         }
         if waiting || !self.may_send(now, open) {
--- a/src/balance/log_clock.rs
+++ b/src/balance/log_clock.rs
@@ -50,6 +50,16 @@
         Offset { at: now, least: less(now) - ROUNDING, most: less(sent) + ROUNDING }
     }
 
+    /// Whether these bounds were exact just now.
+    pub fn is_of(self, now: Micros) -> bool {
+        self.at == now
+    }
+
+    /// The log's time less the router's in microseconds, at least and at most.
+    pub fn bounds(self) -> (i64, i64) {
+        (self.least, self.most)
+    }
+
     /// The bounds at another time.
     fn at(self, now: Micros) -> Offset {
         let drift = (now - self.at).scale(DRIFT).0 as i64;
--- a/src/balance/positions.rs
+++ b/src/balance/positions.rs
@@ -4,6 +4,7 @@
 use super::state::Open;
 use super::Router;
 use crate::api::*;
+use crate::notice::{Dating, Notice, ReadBasis, Source};
 
 impl Router {
     /// Takes in what a member said. A position stays valid for ever; the latest word on the role wins.
@@ -14,6 +15,7 @@
         role: Option<Role>,
         at: Micros,
         position: Option<Micros>,
+        source: Source,
     ) {
         let Some(group) = self.members.get(&id).map(|member| member.entry.group) else { return };
         let (offset, latest) = (self.offset(group), self.log_now(now, group));
@@ -34,6 +36,7 @@
         if position.is_some() && position >= member.position {
             member.position = position;
             member.position_at = now;
+            member.position_from = source;
             member.lag = latest.map_or(member.lag, |latest| latest - position.unwrap_or_default());
         }
         if contested {
@@ -46,7 +49,7 @@
         let Some(group) = self.members.get(&id).map(|member| member.entry.group) else { return };
         let local = |position| self.offset(group).map(|offset| offset.local_earliest(now, position));
         let at = report.position.and_then(local).unwrap_or_default();
-        self.learn(now, id, report.role, at, report.position);
+        self.learn(now, id, report.role, at, report.position, Source::Report);
     }
 
     /// How a family's log time stands to this clock: as its primaries say, or as those of the others do.
@@ -68,14 +71,19 @@
     }
 
     /// Takes in what a primary's answer tells of the log's time.
-    pub(super) fn hear_log_time(&mut self, now: Micros, id: MemberId, told: Offset) {
-        let Some(id) = self.members.get(&id).map(|member| member.entry.group).filter(|_| !self.one_clock)
+    pub(super) fn hear_log_time(&mut self, now: Micros, dating: Dating) {
+        let told = Offset::between(dating.sent, now, dating.position);
+        let Some(id) =
+            self.members.get(&dating.member).map(|member| member.entry.group).filter(|_| !self.one_clock)
         else {
             return;
         };
         let expected = self.usual_offset.unwrap_or(Offset::plausible(now));
-        let Some(group) = self.groups.get_mut(&id) else { return };
+        let (family, Some(group)) = (id, self.groups.get_mut(&id)) else { return };
         let change = group.log_clock.hear(told, expected);
+        if group.log_clock.known().is_some_and(|known| known.is_of(now)) {
+            group.dating = Some(dating);
+        }
         let (Some(offset), true) = (group.log_clock.known(), change != Change::None) else { return };
         self.usual_offset = Some(self.usual_offset.map_or(offset, |usual| usual.hull(offset)));
         if change == Change::Stepped {
@@ -95,6 +103,23 @@
                 member.born = offset.local(now, member.entry.started).min(now);
             }
         }
+        let (stepped, bounds) = (change == Change::Stepped, offset.bounds());
+        self.note(Notice::LogTime { group: family, stepped, dating, bounds });
+    }
+
+    /// What the choice of the member that a request is out at rested on.
+    pub fn read_basis(&self, now: Micros, id: RequestId) -> Option<ReadBasis> {
+        let open = self.open.get(&id)?;
+        let member = self.members.get(&open.out.last()?.1)?;
+        let group = open.req.group;
+        Some(ReadBasis {
+            needed: self.needed(now, open),
+            position: member.position,
+            age: now - member.position_at,
+            source: member.position_from,
+            log_time: self.log_now(now, group),
+            dating: self.groups.get(&group).and_then(|group| group.dating),
+        })
     }
 
     /// The position that a read sent now must see; none where nobody has told the log's time yet.
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -5,6 +5,7 @@
 use super::state::Open;
 use super::{Actions, Router};
 use crate::api::*;
+use crate::notice::GiveUp;
 
 /// Most of its aim that a request may spend waiting for room while its family finds room for all...
 const PATIENCE: f64 = 0.3;
@@ -33,7 +34,7 @@
         self.book.open(req.id, end);
         // What is left of a late retry may be less than a sweep: it is not sent only to be given up.
         if now + self.period() >= give_up {
-            return self.give_up(now, req.id, actions);
+            return self.give_up(now, req.id, GiveUp::NoTime, actions);
         }
         self.enqueue(req.id);
         self.place_waiting(now, req.group, actions);
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -5,6 +5,7 @@
 use super::book::Spot;
 use super::log_clock::LogClock;
 use crate::api::*;
+use crate::notice::{Dating, Source};
 
 /// A member that may be probed: those whose connections broke first, then the one asked longest ago.
 pub type Due = (bool, Micros, MemberId);
@@ -26,6 +27,8 @@
     pub born_by_list: bool,
     pub position: Option<Micros>,
     pub position_at: Micros,
+    #[serde(default)]
+    pub position_from: Source,
     /// How far it is thought to be behind: from its last position, and from reads that it turned away.
     pub lag: Micros,
     pub role: Role,
@@ -93,6 +96,9 @@
     /// What primaries have told of the log's time.
     #[serde(default)]
     pub log_clock: LogClock,
+    /// The answer that the log's time was last taken from.
+    #[serde(skip)]
+    pub dating: Option<Dating>,
     /// The latest commit whose session was forgotten: a member that joins later may not have it yet.
     pub floor: Micros,
     /// The latest claim to be the primary that nothing newer disproved.
--- a/src/balance/upkeep.rs
+++ b/src/balance/upkeep.rs
@@ -14,6 +14,7 @@
 use super::state::{Member, Open};
 use super::{Actions, Router};
 use crate::api::*;
+use crate::notice::Notice;
 
 impl Router {
     /// A router that knows nothing but its settings; `seed` feeds its draws.
@@ -43,6 +44,8 @@
             one_clock: true,
             usual_offset: None,
             surveyed_offset: None,
+            notices: Vec::new(),
+            traced: false,
         }
     }
 
@@ -51,6 +54,19 @@
         Router { one_clock: false, ..Router::new(settings, seed) }
     }
 
+    /// Tells of single requests as well from now on.
+    pub fn trace(&mut self) {
+        self.traced = true;
+    }
+
+    /// Keeps what operators are to be told. A router whose clock is the log's tells nothing: its driver keeps
+    /// its own record.
+    pub(super) fn note(&mut self, notice: Notice) {
+        if !self.one_clock {
+            self.notices.push(notice);
+        }
+    }
+
     /// The longest that any client waits, by the settings.
     pub fn longest_deadline(&self) -> Micros {
         self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
@@ -67,13 +83,18 @@
     }
 
     /// Counts the group's live members and finds its leader anew: after a list, a claim, or one that is void.
-    pub(super) fn recount(&mut self, group: GroupId) {
-        let Some(group) = self.groups.get_mut(&group) else { return };
+    pub(super) fn recount(&mut self, id: GroupId) {
+        let Some(group) = self.groups.get_mut(&id) else { return };
+        let before = group.leader;
         let members = group.members.iter().filter_map(|id| Some((self.members.get(id)?, *id)));
         let claims = members.filter(|(m, _)| m.role == Role::Primary);
         group.leader = claims.max_by_key(|(m, _)| m.role_at).map(|(_, id)| id);
         let live = group.members.iter().filter(|id| self.members.get(*id).is_some_and(Member::listed));
         group.live = live.count() as f64;
+        let after = group.leader;
+        if before != after {
+            self.note(Notice::Primary { group: id, before, after });
+        }
     }
 
     /// Puts a request into its family's queue.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -8,6 +8,7 @@
 
 use crate::api::*;
 use crate::balance::{self, Router};
+use crate::notice::{Notice, ReadBasis};
 use crate::request::{Broken, Cause};
 
 /// A request's number, unique while the gateway runs.
@@ -53,7 +54,7 @@
 }
 
 /// Something that has fallen due.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Due {
     /// The verdict on a request that was held.
     Verdict(Ticket, Verdict),
@@ -63,8 +64,8 @@
     Probe(MemberId),
     /// Close the idle connections to a member.
     CloseIdle(MemberId),
-    /// A line for the operators.
-    Note(String),
+    /// Something for the operators' log.
+    Notice(Notice),
 }
 
 /// What a host's answer says, whatever the protocol.
@@ -327,6 +328,21 @@
         self.tracks.contains_key(&ticket) && self.router.holds(now, RequestId(ticket.0))
     }
 
+    /// What the choice of the member that a request is out at rested on.
+    pub fn read_basis(&self, now: Micros, ticket: Ticket) -> Option<ReadBasis> {
+        self.router.read_basis(now, RequestId(ticket.0))
+    }
+
+    /// Tells of single requests as well from now on.
+    pub fn trace(&mut self) {
+        self.router.trace();
+    }
+
+    /// The ticket of a request that a notice names.
+    pub fn ticket(request: RequestId) -> Ticket {
+        Ticket(request.0)
+    }
+
     /// The client has left or was answered by other means: nothing is owed any more.
     pub fn gone(&mut self, now: Micros, ticket: Ticket) {
         self.due.retain(|due| !matches!(due, Due::Verdict(t, _) | Due::Cancel(t) if *t == ticket));
@@ -446,7 +462,7 @@
                 Action::SetTimer { timer, at } => {
                     self.timers.insert((at, timer));
                 }
-                Action::Log { text } => self.due.push_back(Due::Note(text)),
+                Action::Notice(notice) => self.due.push_back(Due::Notice(notice)),
                 // The list is always watched, and there is no way to talk to other gateways.
                 Action::Watch | Action::TellPeers { .. } => {}
             }
--- a/src/bin/dunemount-benchlink.rs
+++ b/src/bin/dunemount-benchlink.rs
@@ -388,6 +388,6 @@
         Action::SetTimer { timer, at } => WireAction::SetAlarm { who, nonce: timer.0, time_ms: at.into() },
         Action::Watch => WireAction::Watch { who, enable: true },
         Action::TellPeers { text } => WireAction::BroadcastTo { who, recipient: "all", raw: text },
-        Action::Log { text } => WireAction::NoteDown { who, body_text: text },
+        Action::Notice(notice) => WireAction::NoteDown { who, body_text: format!("{notice:?}") },
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod http;
 pub mod logging;
 pub mod net;
+pub mod notice;
 pub mod ops;
 pub mod options;
 pub mod pg;
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -67,6 +67,11 @@
         self.base + Micros(self.start.elapsed().as_micros() as u64)
     }
 
+    /// A position as Unix time in milliseconds.
+    pub fn unix_ms(&self, position: Micros) -> f64 {
+        (position.0 as i64).saturating_add(self.reference) as f64 / 1000.0
+    }
+
     /// The position of a Unix time in milliseconds; zero for what lies before its reach.
     pub fn at_unix_ms(&self, ms: f64) -> Micros {
         Micros(((ms * 1000.0) as i64).saturating_sub(self.reference).max(0) as u64)
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -14,7 +14,7 @@
 use dunemount_rollout::version::Document;
 use polling::{Event, PollMode, Poller};
 use slab::Slab;
-use slog::{error, info, o, Logger};
+use slog::{error, info, o, Drain, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 
 mod admin;
@@ -25,6 +25,7 @@
 mod slots;
 mod succession;
 mod timers;
+mod trace;
 mod watching;
 mod workers;
 
@@ -318,6 +319,9 @@
     /// Serves until a signal ends it and all that was taken is answered.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Vec::new();
+        if self.log.is_debug_enabled() {
+            self.balancer.trace();
+        }
         info!(self.log, "ready"; "clients" => self.clients.most, "hosts" => self.pool.most());
         while self.phase != Phase::Closing
             || self.clients.listener.is_some()
@@ -444,10 +448,11 @@
             Due::Probe(member) => self.probe(member),
             Due::CloseIdle(member) => {
                 for key in self.pool.idle_to(member) {
+                    self.log_host_closed(key, "idle connections to it are distrusted");
                     self.close(key);
                 }
             }
-            Due::Note(text) => info!(self.log, "module: {}", text),
+            Due::Notice(notice) => self.log_notice(notice),
         }
         true
     }
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -45,7 +45,10 @@
         let address = self.directory.address(member).ok_or(Cause::NotTried)?;
         if !self.pool.has_room() {
             match self.pool.oldest() {
-                Some(idle) => self.close(idle),
+                Some(idle) => {
+                    self.log_host_closed(idle, "room for another");
+                    self.close(idle);
+                }
                 None => {
                     warn!(self.log, "no descriptors left for hosts"; "open" => self.pool.len());
                     return Err(Cause::NotTried);
@@ -78,6 +81,7 @@
             if self.slot(key).and_then(quiet) == Some(io::ErrorKind::WouldBlock) {
                 return Some(key);
             }
+            self.log_host_closed(key, "bytes or an end while idle");
             self.close(key);
         }
         None
@@ -105,7 +109,7 @@
                     position: None,
                 };
                 match task {
-                    Task::Attempt(ticket) if turned_away => self.answered(ticket, said),
+                    Task::Attempt(ticket) if turned_away => self.answered(ticket, member, said),
                     Task::Attempt(ticket) => {
                         self.ledger.end(ticket);
                         self.broke(ticket, member, Broken { reach: Reach::NotConnected, cause: Cause::Lost });
@@ -122,7 +126,7 @@
             Turn::Answered(answer) => {
                 self.free(key);
                 match task {
-                    Task::Attempt(ticket) => self.answered(ticket, answer),
+                    Task::Attempt(ticket) => self.answered(ticket, member, answer),
                     Task::Probe => self.probed(member, answer),
                     Task::None => {}
                 }
@@ -144,6 +148,9 @@
         let (member, task) = (host.member, std::mem::replace(&mut host.task, Task::None));
         let (reach, welcome) = (host.protocol.reach(), host.welcome);
         let answer = host.protocol.ended();
+        if cause != Cause::Lost {
+            self.log_host_closed(key, if cause == Cause::TimedOut { "no answer in time" } else { "spoilt" });
+        }
         self.close(key);
         match (task, answer) {
             // Whoever it was dialled for did not wait for it to fail, but the module must hear of it.
@@ -151,7 +158,7 @@
                 self.balancer.probed(self.now, member, Ended::Broken(Broken { reach, cause }));
             }
             (Task::None, _) => {}
-            (Task::Attempt(ticket), Some(answer)) => self.answered(ticket, answer),
+            (Task::Attempt(ticket), Some(answer)) => self.answered(ticket, member, answer),
             (Task::Attempt(ticket), None) => {
                 self.ledger.end(ticket);
                 self.broke(ticket, member, Broken { reach, cause });
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -3,8 +3,6 @@
 
 use std::sync::atomic::Ordering;
 
-use slog::debug;
-
 use super::hosts::Task;
 use super::slots::{hung_up, Key, Link, Slot};
 use super::timers::Timer;
@@ -252,9 +250,11 @@
         let Some(host) = self.host(key) else { return };
         let Task::Attempt(ticket) = host.task else { return };
         if host.protocol.reach() == Reach::WhollyWritten && !std::mem::replace(&mut host.counted, true) {
+            let member = host.member;
             if let Some(life) = self.ledger.get(ticket) {
                 self.figures.class(&life.work.class).tries += 1;
             }
+            self.log_attempt(ticket, member);
         }
     }
 
@@ -269,6 +269,10 @@
         if idle && self.balancer.admits(member) {
             self.pool.put(now, member, key);
         } else if welcome {
+            self.log_host_closed(
+                key,
+                if idle { "draining or gone" } else { "its answer is not awaited any more" },
+            );
             self.close(key);
         }
     }
@@ -283,9 +287,9 @@
     /// An attempt has ended without an answer.
     pub(super) fn broke(&mut self, ticket: Ticket, member: MemberId, broken: Broken) {
         self.counts.broken += 1;
-        debug!(self.log, "attempt broke"; "host" => self.directory.name(member),
-            "reach" => ?broken.reach, "cause" => ?broken.cause);
-        let verdict = self.balancer.report(self.now, ticket, Ended::Broken(broken));
+        let ended = Ended::Broken(broken);
+        self.log_attempt_end(ticket, member, &ended);
+        let verdict = self.balancer.report(self.now, ticket, ended);
         while self.do_due() {}
         if self.ledger.get(ticket).is_some_and(|life| life.flows()) {
             return self.cut_off(ticket);
@@ -293,10 +297,11 @@
         self.apply(ticket, verdict);
     }
 
-    pub(super) fn answered(&mut self, ticket: Ticket, answer: Answer) {
+    pub(super) fn answered(&mut self, ticket: Ticket, member: MemberId, answer: Answer) {
         self.ledger.end(ticket);
         let position = self.position(answer.position);
         let ended = Ended::Answer { said: answer.said, role: answer.role, position };
+        self.log_attempt_end(ticket, member, &ended);
         let verdict = self.balancer.report(self.now, ticket, ended);
         if answer.said == Said::Served {
             self.counts.served += 1;
--- a/src/net/event_loop/timers.rs
+++ b/src/net/event_loop/timers.rs
@@ -156,6 +156,7 @@
     pub(super) fn round(&mut self) {
         self.look_for_signals();
         for key in self.pool.stale(self.now) {
+            self.log_host_closed(key, "idle for too long");
             self.close(key);
         }
         let half = |(place, slot): (usize, &Slot)| match &slot.link {
--- /dev/null
+++ b/src/net/event_loop/trace.rs
@@ -0,0 +1,78 @@
+//! The loop's part for the log of decisions: what they rested on, why a request was given up and why a connection to a
+//! host was closed. Lines on single requests are of level debug.
+
+use slog::{debug, info, Drain};
+
+use super::slots::Key;
+use super::Gateway;
+use crate::balancer::{Balancer, Ended, Ticket};
+use crate::notice::{role_name, Dating, Notice, ReadBasis};
+use crate::{MemberId, Micros};
+
+impl Gateway {
+    /// Writes what the decision module has to tell.
+    pub(super) fn log_notice(&self, notice: Notice) {
+        match notice {
+            Notice::LogTime { group, stepped, dating, bounds } => {
+                let Dating { status, position, sent, heard, .. } = dating;
+                info!(self.log, "log time learned"; "group" => group.0, "stepped" => stepped,
+                    "host" => self.directory.name(dating.member), "answer" => ?status,
+                    "position_ms" => self.unix_ms(Some(position)), "sent_ms_ago" => self.ms_ago(sent),
+                    "heard_ms_ago" => self.ms_ago(heard), "ahead_least_us" => bounds.0, "ahead_most_us" => bounds.1);
+            }
+            Notice::Primary { group, before, after } => {
+                let name =
+                    |member: Option<MemberId>| member.map_or("none", |member| self.directory.name(member));
+                info!(self.log, "primary changed"; "group" => group.0, "before" => name(before), "after" => name(after));
+            }
+            Notice::GivenUp { request, why, attempts } => {
+                let id = self.request_id(Balancer::ticket(request));
+                debug!(self.log, "request given up"; "id" => id, "why" => ?why, "attempts" => attempts);
+            }
+        }
+    }
+
+    /// An attempt's last byte has been written.
+    pub(super) fn log_attempt(&self, ticket: Ticket, member: MemberId) {
+        if !self.log.is_debug_enabled() {
+            return;
+        }
+        let basis = self.balancer.read_basis(self.now, ticket);
+        let Some(ReadBasis { needed, position, age, source, log_time, dating }) = basis else { return };
+        let dated = dating.map(|dating| (self.directory.name(dating.member), dating.status));
+        debug!(self.log, "attempt written"; "id" => self.request_id(ticket), "host" => self.directory.name(member),
+            "needed_ms" => self.unix_ms(needed), "position_ms" => self.unix_ms(position), "age_ms" => age.0 / 1000,
+            "source" => ?source, "log_time_ms" => self.unix_ms(log_time), "dated_by" => ?dated,
+            "dated_ms_ago" => dating.map(|dating| self.ms_ago(dating.heard)));
+    }
+
+    /// An attempt has ended.
+    pub(super) fn log_attempt_end(&self, ticket: Ticket, member: MemberId, ended: &Ended) {
+        let (id, host) = (self.request_id(ticket), self.directory.name(member));
+        match ended {
+            Ended::Answer { said, role, position } => {
+                debug!(self.log, "attempt answered"; "id" => id, "host" => host,
+                "said" => ?said, "role" => role_name(*role), "position_ms" => self.unix_ms(*position))
+            }
+            Ended::Broken(broken) => debug!(self.log, "attempt broke"; "id" => id, "host" => host,
+                "reach" => ?broken.reach, "cause" => ?broken.cause),
+        }
+    }
+
+    /// A connection to a host is closed by this gateway.
+    pub(super) fn log_host_closed(&self, key: Key, why: &'static str) {
+        debug!(self.log, "connection to a host closed"; "connection" => key.place, "why" => why);
+    }
+
+    fn request_id(&self, ticket: Ticket) -> &str {
+        self.ledger.get(ticket).map_or("?", |life| life.work.id.as_str())
+    }
+
+    fn unix_ms(&self, position: Option<Micros>) -> Option<f64> {
+        position.map(|position| self.clock.unix_ms(position))
+    }
+
+    fn ms_ago(&self, time: Micros) -> f64 {
+        (self.now - time).as_f64() / 1000.0
+    }
+}
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -121,7 +121,7 @@
                     self.open.get_mut(&ticket).expect("a cancel after the end").1 = None;
                 }
                 Due::Probe(member) => balancer.probed(now, member, answer(Said::Served, member, now)),
-                Due::CloseIdle(_) | Due::Note(_) => {}
+                Due::CloseIdle(_) | Due::Notice(_) => {}
             }
         }
         let overdue = self.open.values().any(|(until, _)| *until < now);
