--- a/tests/faults/preload.c
+++ b/tests/faults/preload.c
@@ -6,12 +6,17 @@
  *     CALL kill EVERY [PATH]          the process is killed in its place
  *     write half EVERY PATH           half of the bytes are written, then the process is killed
  *     recv short EVERY                three bytes are read at the most; likewise of send
+ *     send hold EVERY                 the process is held up for 150 ms before the call
+ *
+ * Where SENT names a file, each statement that goes to a database host is recorded there: the machine's time in microseconds
+ * just before the call that wrote its last byte, the port that it went to, and the request's id.
  *
  * Calls: open, write, fsync, rename, socket, bind, listen, accept4, connect, recv, send, setsockopt, epoll_add, epoll_ctl. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -28,6 +33,10 @@
 #define HALF (-2)
 #define KILL (-3)
 #define SHORT (-4)
+#define HOLD (-5)
+#define HOLD_MICROS 150000
+#define FILES 4096
+#define ID 72
 
 static size_t script(char *text, size_t size) {
     const char *path = getenv("FAULTS");
@@ -55,7 +64,7 @@
         if (sscanf(at, "%31s %31s %u %255s", name, what, &every, part) < 3 || strcmp(name, call) || !every) continue;
         if (part[0] && !(path && strstr(path, part))) continue;
         if (__atomic_add_fetch(&counts[line], 1, __ATOMIC_SEQ_CST) % every) continue;
-        found = !strcmp(what, "half") ? HALF : !strcmp(what, "kill") ? KILL : !strcmp(what, "short") ? SHORT : atoi(what);
+        found = !strcmp(what, "half") ? HALF : !strcmp(what, "kill") ? KILL : !strcmp(what, "short") ? SHORT : !strcmp(what, "hold") ? HOLD : atoi(what);
     }
     errno = before;
     if (found == KILL) kill(getpid(), SIGKILL);
@@ -179,8 +188,41 @@
     REAL(recv);
     return real(file, bytes, error == SHORT && count > 3 ? 3 : count, flags);
 }
+/* The machine's own time, whatever the script does to the clock. */
+static long long true_micros(void) {
+    struct timespec time;
+    syscall(SYS_clock_gettime, CLOCK_REALTIME, &time);
+    return (long long)time.tv_sec * 1000000 + time.tv_nsec / 1000;
+}
+
+/* Records a statement once its last byte is written: what begins with an id may be written in pieces. */
+static void record(int file, const char *bytes, size_t count, ssize_t written, long long before) {
+    static char ids[FILES][ID];
+    const char *path = getenv("SENT");
+    if (!path || file >= FILES || count < 4) return;
+    const char *at = memmem(bytes, count, "/* id=", 6);
+    if (at) sscanf(at + 6, "%71[^, ]", ids[file]);
+    if (written != (ssize_t)count || memcmp(bytes + count - 3, "*/", 3)) return;
+    char line[ID + 32];
+    struct sockaddr_in peer = {0};
+    socklen_t size = sizeof peer;
+    getpeername(file, (struct sockaddr *)&peer, &size);
+    int length = snprintf(line, sizeof line, "%lld %d %s\n", before, ntohs(peer.sin_port), ids[file]);
+    long log = syscall(SYS_openat, AT_FDCWD, path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
+    if (log >= 0) {
+        syscall(SYS_write, log, line, length);
+        syscall(SYS_close, log);
+    }
+}
+
 ssize_t send(int file, const void *bytes, size_t count, int flags) {
     MEETS("send", NULL);
     REAL(send);
-    return real(file, bytes, error == SHORT && count > 3 ? 3 : count, flags);
+    if (error == HOLD) usleep(HOLD_MICROS);
+    long long before = true_micros();
+    ssize_t written = real(file, bytes, error == SHORT && count > 3 ? 3 : count, flags);
+    int kept = errno;
+    record(file, bytes, count, written, before);
+    errno = kept;
+    return written;
 }
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -2,6 +2,7 @@
 //! discovery in threads of the test. Each test file uses its part of it.
 #![allow(dead_code)]
 
+pub mod family;
 pub mod process;
 pub mod stage;
 
--- a/tests/rig/process.rs
+++ b/tests/rig/process.rs
@@ -1,6 +1,7 @@
 //! The built program as a process of its own: its settings, its folder, its log, its signals, and the faults of the system
 //! that it meets.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -45,9 +46,26 @@
         std::fs::rename(&next, &self.script).expect("in place");
     }
 
+    /// When the last byte of each statement went to a host, at the earliest: the machine's time in microseconds by the
+    /// request's id and the host's port.
+    pub fn sent(&self) -> BTreeMap<(String, u16), u64> {
+        let text = std::fs::read_to_string(self.sent_path()).unwrap_or_default();
+        let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+        let line = |line: &str| {
+            let mut parts = line.split(' ');
+            let (time, port, id) = (parts.next()?, parts.next()?, parts.next()?);
+            Some(((id.to_string(), port.parse().ok()?), time.parse().ok()?))
+        };
+        whole.lines().filter_map(line).collect()
+    }
+
+    fn sent_path(&self) -> PathBuf {
+        self.script.with_extension("sent")
+    }
+
     /// The command meets them.
     pub fn meet(&self, command: &mut Command) {
-        command.env("LD_PRELOAD", library()).env("FAULTS", &self.script);
+        command.env("LD_PRELOAD", library()).env("FAULTS", &self.script).env("SENT", self.sent_path());
     }
 }
 
