--- a/src/logging.rs
+++ b/src/logging.rs
@@ -11,7 +11,7 @@
 
 use crate::cli::Form;
 
-/// Most log lines in a second; what is beyond is counted and dropped.
+/// Most log lines in a second, of level debug and of all others; what is beyond is counted and dropped.
 const LINES_A_SECOND: u32 = 100;
 /// Lines that wait for the writer at most.
 const QUEUE: usize = 512;
@@ -44,16 +44,21 @@
 struct Throttle<D> {
     lines: D,
     level: Level,
-    state: Mutex<Cell<(Instant, u32)>>,
+    /// Lines on single requests, which a busy second has many of, and all others: none takes the others' place.
+    single: Allowance,
+    others: Allowance,
 }
 
-impl<D> Throttle<D> {
-    fn over(lines: D, level: Level) -> Self {
-        Throttle { lines, level, state: Mutex::new(Cell::new((Instant::now(), 0))) }
+/// Lines written since the second that is counted began.
+struct Allowance(Mutex<Cell<(Instant, u32)>>);
+
+impl Allowance {
+    fn whole() -> Self {
+        Allowance(Mutex::new(Cell::new((Instant::now(), 0))))
     }
 
     fn admits(&self) -> bool {
-        let Ok(state) = self.state.lock() else { return false };
+        let Ok(state) = self.0.lock() else { return false };
         let (since, lines) = state.get();
         let fresh = since.elapsed() >= Duration::from_secs(1);
         state.set(if fresh { (Instant::now(), 1) } else { (since, lines.saturating_add(1)) });
@@ -61,6 +66,12 @@
     }
 }
 
+impl<D> Throttle<D> {
+    fn over(lines: D, level: Level) -> Self {
+        Throttle { lines, level, single: Allowance::whole(), others: Allowance::whole() }
+    }
+}
+
 impl<D> Drain for Throttle<D>
 where
     D: SendSyncRefUnwindSafeDrain<Ok = (), Err = Never>,
@@ -69,7 +80,8 @@
     type Err = Never;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
-        if record.level().is_at_least(self.level) && self.admits() {
+        let allowance = if record.level().is_at_least(Level::Info) { &self.others } else { &self.single };
+        if record.level().is_at_least(self.level) && allowance.admits() {
             self.lines.log(record, values)?;
         }
         Ok(())
--- a/src/net/event_loop/trace.rs
+++ b/src/net/event_loop/trace.rs
@@ -23,7 +23,12 @@
             Notice::Primary { group, before, after } => {
                 let name =
                     |member: Option<MemberId>| member.map_or("none", |member| self.directory.name(member));
-                info!(self.log, "primary changed"; "group" => group.0, "before" => name(before), "after" => name(after));
+                match before {
+                    Some(_) => {
+                        info!(self.log, "primary changed"; "group" => group.0, "before" => name(before), "after" => name(after));
+                    }
+                    None => debug!(self.log, "primary found"; "group" => group.0, "host" => name(after)),
+                }
             }
             Notice::GivenUp { request, why, attempts } => {
                 let id = self.request_id(Balancer::ticket(request));
