A log is dated by proof that its primary goes on, never by one answer

Cause: took each answer of whoever calls itself the primary for the present of its log. Later answers pulled known bounds back by up to 5 ms each (TOLERANCE), without end where they come fast. Change: a position dates a log only where it has moved on from what the same member told before (progress.rs), as the commit of a write that cannot be a repeat, or by a report newer than an answer; primaries are probed for one while the time is not known closely. The bounds allow nothing that is not proved: no tolerance, a hold of 0.15 s before an answer is taken in, the error of the clock at a hot restart. All families share one time where their proofs fit. What is written later than its choice allowed is not used: the clock is read again before and after the write. The state handed over by an earlier version is not believed. Two tests of the facade had one answer date the log; they now prove it with two, and as many as are asked for.

--- a/benches/scene/mod.rs
+++ b/benches/scene/mod.rs
@@ -74,6 +74,7 @@
         peers: false,
         second_copies: false,
         retry_after: true,
+        marks_retry: false,
         max_retry_after: Micros::millis(1000),
         max_attempts: 8,
         probe_price: 0.01,
--- a/crates/rig/tests/cold_hosts.rs
+++ b/crates/rig/tests/cold_hosts.rs
@@ -48,6 +48,7 @@
         peers: false,
         second_copies: false,
         retry_after: true,
+        marks_retry: false,
         max_retry_after: Micros::millis(500),
         max_attempts: 8,
         probe_price: 0.01,
--- a/src/api.rs
+++ b/src/api.rs
@@ -204,6 +204,8 @@
     pub second_copies: bool,
     /// Refused clients are told when to come back.
     pub retry_after: bool,
+    /// Clients mark a request that repeats another of theirs.
+    pub marks_retry: bool,
     /// The longest advice that clients honour.
     pub max_retry_after: Micros,
     /// Most attempts of one request.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,11 +18,13 @@
 mod capacity;
 pub(crate) mod chance;
 mod choice;
+mod dating;
 mod final_answer;
 mod health;
 mod log_clock;
 mod membership;
 mod positions;
+mod progress;
 mod queue;
 mod sessions;
 mod snapshot;
@@ -32,7 +34,7 @@
 use book::Book;
 use capacity::limit_share;
 use health::SWEEP;
-use log_clock::Offset;
+use log_clock::{LogClock, Offset};
 use sessions::Sessions;
 pub use snapshot::Snapshot;
 use state::{Attempt, Drawn, Due, Group, Member, Open};
@@ -77,10 +79,15 @@
     /// Positions are times of this router's clock; else what primaries say tells how the log's time stands to
     /// it.
     one_clock: bool,
-    /// Bounds of the log's time over all families, for those that no primary has spoken for; and those of the
+    /// The time of all logs: databases read one clock. A family whose own answers do not fit it goes by
+    /// those.
+    common_clock: LogClock,
+    /// Bounds of the log's time over all families, for those of which nothing is proved; and those of the
     /// survey under way.
     usual_offset: Option<Offset>,
     surveyed_offset: Option<Offset>,
+    /// When a primary was last probed for the time of its log.
+    dating_probed: Micros,
     /// What operators are told at the end of the event under way.
     notices: Vec<Notice>,
     /// They are told of single requests as well.
--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -65,13 +65,24 @@
         member.inflight += 1;
         member.load += cost;
         member.credit -= cost;
-        let (session, group) = (open.req.session, open.req.group);
+        let (session, group, repeat) = (open.req.session, open.req.group, open.req.repeat);
         if let (Need::Write, Some(key)) = (self.settings.classes[class.0].need, session) {
             self.sessions.begin(group, key);
         }
         self.attempts.insert(
             (id, attempt),
-            Attempt { class, group, session, sent: now, idle, needed, cost, load: member.load, flows: false },
+            Attempt {
+                class,
+                group,
+                session,
+                sent: now,
+                repeat,
+                idle,
+                needed,
+                cost,
+                load: member.load,
+                flows: false,
+            },
         );
         // The member is told by when it is too late: it drops what it has not begun by then.
         let timeout = Some(open.give_up + self.period() - now);
@@ -88,9 +99,10 @@
             self.members.entry(o.member).and_modify(|m| m.breaks = 0);
         }
         if let (Some(Role::Primary), Some(position)) = (o.role, o.position) {
-            let (member, status) = (o.member, o.status);
-            let dating = Dating { member, status, position, sent: attempt.sent, heard: now };
-            self.hear_log_time(now, dating);
+            let (member, status, sent) = (o.member, o.status, attempt.sent);
+            let told = self.told(&o, &attempt);
+            let dating = Dating { member, status, position, told, sent, heard: now };
+            self.hear_primary(now, dating);
         }
         // A served write's position is its commit, which its primary has reached.
         self.learn(now, o.member, o.role, now, o.position, Source::Answer(o.status));
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -109,13 +109,22 @@
 
     /// Whether the attempt that is out may still be written now that its connection is up.
     pub fn holds(&self, now: Micros, id: RequestId) -> bool {
+        let out = self.open.get(&id).and_then(|open| open.out.last());
+        let listed = out.and_then(|(_, to)| self.members.get(to)).is_some_and(Member::listed);
+        listed && self.covers(now, id)
+    }
+
+    /// Whether the member that a request is out at covers what it must see, were its last byte written now:
+    /// it is the primary, or has told of a position that is late enough.
+    pub fn covers(&self, now: Micros, id: RequestId) -> bool {
         let Some(open) = self.open.get(&id) else { return false };
-        let to = open.out.last().map(|(_, to)| *to);
-        let Some(member) = to.and_then(|to| self.members.get(&to)) else { return false };
+        let Some((_, to)) = open.out.last() else { return false };
         let leads = self.settings.classes[open.req.class.0].need == Need::Write;
-        let leads = leads || to == self.primary(open.req.group);
-        let current = |needed| member.position.unwrap_or_default() >= needed;
-        member.listed() && (leads || self.needed(now, open).is_some_and(current))
+        if leads || Some(*to) == self.primary(open.req.group) {
+            return true;
+        }
+        let position = self.members.get(to).and_then(|member| member.position).unwrap_or_default();
+        self.needed(now, open).is_some_and(|needed| position >= needed)
     }
 
     /// Where a write goes: the primary, or while none is known the most advanced of the members that
--- /dev/null
+++ b/src/balance/dating.rs
@@ -0,0 +1,136 @@
+//! Who dates a log: the members that call themselves primaries, with answers that prove it.
+
+use super::log_clock::{Change, Offset, HOLD};
+use super::state::Attempt;
+use super::{Actions, Router};
+use crate::api::*;
+use crate::notice::{Dating, Notice, Told};
+
+/// How closely a log's time should be known, as a part of the least bound on the age of data: until then
+/// primaries are probed for it.
+const CLOSE: f64 = 0.1;
+/// How long ago a primary told where it stands, at least and at most, for its next report to date the log:
+/// the report must be newer than that, and what it proves is as wide as the time between.
+const REPORT_SOON: Micros = Micros::millis(25);
+const REPORT_LATE: Micros = Micros::millis(250);
+/// Least time between two such probes.
+const DATING_PAUSE: Micros = Micros::millis(100);
+
+impl Router {
+    /// What the position in an answer is.
+    pub(super) fn told(&self, outcome: &Outcome, attempt: &Attempt) -> Told {
+        let class = &self.settings.classes[attempt.class.0];
+        if outcome.status != Status::Ok || class.need != Need::Write {
+            return Told::Position;
+        }
+        // A repeat may be dropped and told the commit of the first run, whoever repeats: this router, or the
+        // client, which may come by another one.
+        let repeatable = matches!(class.effect, Effect::Keyed { .. });
+        let first = outcome.attempt == AttemptNo(0) && !attempt.repeat && self.settings.marks_retry;
+        match first || !repeatable {
+            true => Told::NewCommit,
+            false => Told::Commit,
+        }
+    }
+
+    /// Takes in what a primary reports of itself: it proves nothing alone, but may show that its log goes on.
+    pub(super) fn hear_report(&mut self, now: Micros, member: MemberId, report: Report) {
+        if let (Some(Role::Primary), Some(position)) = (report.role, report.position) {
+            let (told, status) = (Told::Report, Status::Ok);
+            self.hear_primary(now, Dating { member, status, position, told, sent: now, heard: now });
+        }
+    }
+
+    /// Probes a primary that has told where it stands, while no log's time is known closely enough.
+    pub(super) fn probe_to_date(&mut self, now: Micros, actions: &mut Actions) {
+        let bound = |class: &Class| if let Need::Bounded(bound) = class.need { Some(bound) } else { None };
+        let Some(least) = self.settings.classes.iter().filter_map(bound).min() else { return };
+        let close = self.common_clock.known().is_some_and(|known| known.width(now) <= least.scale(CLOSE));
+        let rests = now - self.dating_probed < DATING_PAUSE || self.probe_credit < 1.0;
+        if self.one_clock || !self.settings.probes || close || rests {
+            return;
+        }
+        let soon = |id: &MemberId| {
+            let member = self.members.get(id).filter(|member| !member.probing && member.usable())?;
+            let ago = now - member.progress.since()?;
+            (REPORT_SOON..REPORT_LATE).contains(&ago).then_some((ago, *id))
+        };
+        let leaders = self.groups.values().filter_map(|group| group.leader);
+        if let Some((_, member)) = leaders.filter_map(|id| soon(&id)).min() {
+            self.probe_credit -= 1.0;
+            self.dating_probed = now;
+            self.ask(now, member, actions);
+        }
+    }
+
+    /// How a family's log time stands to this clock: as its primaries prove, or as those of the others do.
+    pub(super) fn offset(&self, group: GroupId) -> Option<Offset> {
+        if self.one_clock {
+            return Some(Offset::NONE);
+        }
+        let own = self.groups.get(&group).and_then(|group| group.log_time.known());
+        own.map_or(self.usual_offset, |own| self.agreed(own))
+    }
+
+    /// What is proved of a family's log time, closer where the proofs of all families fit.
+    pub(super) fn agreed(&self, own: Offset) -> Option<Offset> {
+        let common = self.common_clock.known().and_then(|common| common.meet(own));
+        Some(common.unwrap_or(own))
+    }
+
+    /// The time of a family's log by now at the latest: what a replica shows counts against it. None as long
+    /// as nothing is proved of any log.
+    pub(super) fn log_now(&self, now: Micros, group: GroupId) -> Option<Micros> {
+        Some(self.offset(group)?.latest(now))
+    }
+
+    /// Takes in an answer of a member that calls itself the primary: its log has come to this position, and
+    /// if it has moved on, that dates the log.
+    pub(super) fn hear_primary(&mut self, now: Micros, answer: Dating) {
+        if self.one_clock {
+            return;
+        }
+        let Some(member) = self.members.get_mut(&answer.member) else { return };
+        let (id, proof) = (member.entry.group, member.progress.hear(&answer));
+        let (common, usual) = (&mut self.common_clock, self.usual_offset);
+        let Some(group) = self.groups.get_mut(&id) else { return };
+        let Some(proof) = proof else {
+            common.reach(now, answer.position);
+            group.log_time.reach(now, answer.position);
+            return;
+        };
+        let expected = usual.unwrap_or(Offset::plausible(now));
+        common.prove(proof, Offset::plausible(now));
+        let change = group.log_time.prove(proof, expected);
+        group.dating = Some(answer);
+        if change != Change::None {
+            self.log_time_changed(now, id, change, answer);
+        }
+    }
+
+    /// What is known of a family's log time is new, or holds no more.
+    fn log_time_changed(&mut self, now: Micros, id: GroupId, change: Change, dating: Dating) {
+        let Some(offset) = self.offset(id) else { return };
+        self.usual_offset = Some(self.usual_offset.map_or(offset, |usual| usual.hull(offset)));
+        let (stepped, bounds) = (change != Change::Learned, offset.bounds());
+        self.note(Notice::LogTime { group: id, stepped, dating, bounds });
+        let Some(group) = self.groups.get_mut(&id) else { return };
+        if change == Change::Stepped {
+            // Commits and positions of before are on another scale: all that was committed so far has to be
+            // seen.
+            group.floor = offset.latest(now + HOLD);
+        }
+        for id in &group.members {
+            let Some(member) = self.members.get_mut(id) else { continue };
+            if change == Change::Stepped || member.position.is_some_and(|at| !offset.allows(now, at)) {
+                member.position = None;
+            }
+            if let Some(position) = member.position {
+                member.lag = offset.latest(now) - position;
+            }
+            if change == Change::Learned && member.born_by_list {
+                member.born = offset.local(now, member.entry.started).min(now);
+            }
+        }
+    }
+}
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -95,6 +95,7 @@
         if self.survey.is_some() {
             return;
         }
+        self.probe_to_date(now, actions);
         for (_, _, id) in std::mem::take(&mut self.due) {
             if self.probe_credit < 1.0 {
                 return;
@@ -181,7 +182,8 @@
         if let Some(latest) = latest {
             self.sessions.lower(*id, latest + LATEST_COMMIT, SLICE);
         }
-        if let Some(offset) = group.log_clock.known() {
+        let offset = self.groups.get_index(place).and_then(|(_, group)| self.agreed(group.log_time.known()?));
+        if let Some(offset) = offset {
             self.surveyed_offset = Some(self.surveyed_offset.map_or(offset, |other| other.hull(offset)));
         }
         looked
@@ -201,6 +203,7 @@
         match status {
             Status::Ok => {
                 self.heard(now, id);
+                self.hear_report(now, id, report);
                 self.learn_report(now, id, report);
                 self.place_waiting(now, group, actions);
             }
--- a/src/balance/log_clock.rs
+++ b/src/balance/log_clock.rs
@@ -1,9 +1,9 @@
 //! How the time of a family's log stands to the router's own clock.
 //!
 //! Positions are times of the databases' clock, and the router's clock runs on its own: what this machine
-//! takes for the time of day may be off, or be stepped, and says nothing. A primary stands at the present of
-//! its log, so each of its answers bounds the offset between the two clocks: the position was taken after the
-//! request was sent and before the answer was here.
+//! takes for the time of day may be off, or be stepped, and says nothing. What dates a log is proof that a
+//! primary was at its present between two moments, see [`super::progress`]: each bounds the offset between
+//! the two clocks, and all of them hold.
 
 use serde::{Deserialize, Serialize};
 
@@ -12,19 +12,17 @@
 /// Most that two clocks run apart, as a part of the time that goes by: twice the fastest slew of a clock that
 /// is set.
 const DRIFT: f64 = 0.001;
-/// Positions are whole milliseconds, rounded down or up.
-const ROUNDING: i64 = 1_000;
-/// Bounds that miss each other by no more than this still agree: members of a family differ a little.
-const TOLERANCE: i64 = 5_000;
-/// How far the time of day of this machine and a position may be apart for one answer to be enough.
+/// Positions are whole milliseconds, rounded down, or up where they are commits.
+pub(super) const ROUNDING: i64 = 1_000;
+/// A router may be held up for so long between reading its clock and what it then reads or writes.
+pub(super) const HOLD: Micros = Micros::millis(150);
+/// How far the time of day of this machine and a position may be apart for the first proof to be enough.
 const PLAUSIBLE: i64 = 1_000_000;
-/// Answers in a row that agree with each other and with nothing that is known: then the log's time was
-/// stepped.
+/// Proofs in a row that agree with each other and with nothing that is known: then the log's time was stepped
+/// back, or what is known came from an answer that was spoilt.
 const CONVINCING: u32 = 3;
-/// Time over which they have to agree where it was stepped back: one that was a primary and does not know yet
-/// that it is none stands still, which for a moment looks the same, and would make replicas look fresher than
-/// they are.
-const CONVINCING_BACK: Micros = Micros::millis(3_000);
+/// Time over which they have to agree where something else is known.
+const CONVINCING_TIME: Micros = Micros::millis(3_000);
 
 /// Bounds of an offset, in microseconds: the log's time less the router's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,20 +37,16 @@
     /// For a router whose clock is the log's.
     pub const NONE: Offset = Offset { at: Micros(u64::MAX), least: 0, most: 0 };
 
-    /// What this machine's time of day says, for as long as no primary has said better.
+    /// What this machine's time of day says, for as long as nothing is proved.
     pub fn plausible(now: Micros) -> Offset {
         Offset { at: now, least: -PLAUSIBLE, most: PLAUSIBLE }
     }
 
-    /// What a primary's answer tells: it stood at this position at some time from `sent` to `now`.
-    pub fn between(sent: Micros, now: Micros, position: Micros) -> Offset {
+    /// The log stood at this position at some time from `since` on, and an answer that says so is here. That
+    /// may have come up to a hold later than the clock shows.
+    pub fn between(since: Micros, now: Micros, position: Micros) -> Offset {
         let less = |time: Micros| position.0 as i64 - time.0 as i64;
-        Offset { at: now, least: less(now) - ROUNDING, most: less(sent) + ROUNDING }
-    }
-
-    /// Whether these bounds were exact just now.
-    pub fn is_of(self, now: Micros) -> bool {
-        self.at == now
+        Offset { at: now, least: less(now + HOLD) - ROUNDING, most: less(since) + ROUNDING }
     }
 
     /// The log's time less the router's in microseconds, at least and at most.
@@ -60,19 +54,24 @@
         (self.least, self.most)
     }
 
+    /// How far the log's time may lie below the latest that is reckoned with.
+    pub fn width(self, now: Micros) -> Micros {
+        let bounds = self.at(now);
+        Micros((bounds.most - bounds.least).max(0) as u64) - HOLD
+    }
+
     /// The bounds at another time.
     fn at(self, now: Micros) -> Offset {
         let drift = (now - self.at).scale(DRIFT).0 as i64;
         Offset { at: self.at.max(now), least: self.least - drift, most: self.most + drift }
     }
 
-    /// What both say, if they can both be right. Where they miss each other a little the second counts.
-    fn meet(self, other: Offset) -> Option<Offset> {
-        let (least, most) = (self.least.max(other.least), self.most.min(other.most));
-        if least - most > TOLERANCE {
-            return None;
-        }
-        Some(if least <= most { Offset { least, most, ..other } } else { other })
+    /// What both say, if they can both be right.
+    pub fn meet(self, other: Offset) -> Option<Offset> {
+        let at = self.at.max(other.at);
+        let (one, two) = (self.at(at), other.at(at));
+        let (least, most) = (one.least.max(two.least), one.most.min(two.most));
+        (least <= most).then_some(Offset { at, least, most })
     }
 
     /// Bounds within which both lie.
@@ -82,6 +81,19 @@
         Offset { at, least: one.least.min(two.least), most: one.most.max(two.most) }
     }
 
+    /// The same where the router's clock may have gone wrong by so much either way.
+    fn widened(self, error: Micros) -> Offset {
+        let error = error.0 as i64;
+        Offset { least: self.least - error, most: self.most + error, ..self }
+    }
+
+    /// The same with room for a log that has come to this position by now at the least.
+    fn reaching(self, now: Micros, position: Micros) -> Offset {
+        let bounds = self.at(now);
+        let reached = position.0 as i64 - bounds.at.0 as i64;
+        Offset { most: bounds.most.max(reached), ..bounds }
+    }
+
     /// The log's time at the latest.
     pub fn latest(self, now: Micros) -> Micros {
         let most = self.at(now).most;
@@ -90,7 +102,7 @@
 
     /// Whether the log may stand at this position by now.
     pub fn allows(self, now: Micros, position: Micros) -> bool {
-        position <= self.latest(now) + Micros(TOLERANCE as u64)
+        position <= self.latest(now + HOLD)
     }
 
     /// A time of the log on the router's clock, the latest that it may be.
@@ -106,68 +118,89 @@
     }
 }
 
-/// What an answer changed.
+/// What a proof changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
     /// It fits.
     None,
     /// Nothing was known before.
     Learned,
+    /// The log's time is later than it was taken for.
+    Raised,
     /// What was known holds no more.
     Stepped,
 }
 
-/// Answers that agree with each other and do not fit what is known.
+/// Proofs that agree with each other and do not fit what is known.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Doubt {
     offset: Offset,
-    answers: u32,
+    proofs: u32,
     since: Micros,
 }
 
-/// What a family's primaries have told of its log's time.
+/// What is proved of a log's time.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct LogClock {
     known: Option<Offset>,
-    /// What the latest answers told that do not fit.
+    /// What the latest proofs say that do not fit.
     doubt: Option<Doubt>,
 }
 
 impl LogClock {
-    /// The offset that all answers fit.
+    /// The offset that all proofs fit.
     pub fn known(&self) -> Option<Offset> {
         self.known
     }
 
-    /// The log's time at the latest, with all doubts.
-    pub fn latest(&self, now: Micros) -> Option<Micros> {
-        let known = self.known?.latest(now);
-        Some(self.doubt.map_or(known, |doubt| known.max(doubt.offset.latest(now))))
+    /// Takes in a proof; `expected` is what is plausible as long as nothing is known.
+    pub fn prove(&mut self, told: Offset, expected: Offset) -> Change {
+        let Some(known) = self.known else {
+            return match expected.meet(told) {
+                Some(_) => self.adopt(told, Change::Learned),
+                None => self.doubt(told, Micros(0), Change::Learned),
+            };
+        };
+        if let Some(both) = known.meet(told) {
+            return self.adopt(both, Change::None);
+        }
+        if told.least > known.at(told.at).most {
+            // The log has come further than it could: it was stepped forward, or this answer was spoilt.
+            // For as long as that is open its time is the later of the two, which makes no replica look
+            // fresher.
+            return self.adopt(known.hull(told), Change::Raised);
+        }
+        // Earlier than it can be. The later counts until this is beyond doubt.
+        self.doubt(told, CONVINCING_TIME, Change::Stepped)
     }
 
-    /// Takes in what an answer told; `expected` is what is plausible as long as nothing is known.
-    pub fn hear(&mut self, told: Offset, expected: Offset) -> Change {
-        let now = told.at;
-        let fits = self.known.unwrap_or(expected).at(now).meet(told);
-        if let Some(fits) = fits {
-            let change = if self.known.is_some() { Change::None } else { Change::Learned };
-            *self = LogClock { known: Some(if change == Change::None { fits } else { told }), doubt: None };
-            return change;
-        }
+    /// A primary has told this position, which its log has come to whatever else is true.
+    pub fn reach(&mut self, now: Micros, position: Micros) {
+        self.known = self.known.map(|known| known.reaching(now, position));
+    }
+
+    /// What is left of it where the router's clock may have gone wrong by so much either way.
+    pub fn after_error(self, error: Micros) -> LogClock {
+        LogClock { known: self.known.map(|known| known.widened(error)), doubt: None }
+    }
+
+    fn adopt(&mut self, offset: Offset, change: Change) -> Change {
+        *self = LogClock { known: Some(offset), doubt: None };
+        change
+    }
+
+    fn doubt(&mut self, told: Offset, time: Micros, change: Change) -> Change {
         let agrees = |doubt: Doubt| {
-            let offset = doubt.offset.at(now).meet(told)?;
-            Some(Doubt { offset, answers: doubt.answers + 1, ..doubt })
+            let offset = doubt.offset.meet(told)?;
+            Some(Doubt { offset, proofs: doubt.proofs + 1, ..doubt })
         };
-        let doubt = self.doubt.and_then(agrees).unwrap_or(Doubt { offset: told, answers: 1, since: now });
-        let back = self.known.is_some_and(|known| doubt.offset.latest(now) < known.latest(now));
-        let long_enough = !back || now - doubt.since >= CONVINCING_BACK;
-        if doubt.answers < CONVINCING || !long_enough {
-            self.doubt = Some(doubt);
-            return Change::None;
+        let first = Doubt { offset: told, proofs: 1, since: told.at };
+        let doubt = self.doubt.and_then(agrees).unwrap_or(first);
+        if doubt.proofs >= CONVINCING && told.at - doubt.since >= time {
+            return self.adopt(doubt.offset, change);
         }
-        let change = if self.known.is_some() { Change::Stepped } else { Change::Learned };
-        *self = LogClock { known: Some(doubt.offset), doubt: None };
-        change
+        self.doubt = Some(doubt);
+        Change::None
     }
 }
 
--- a/src/balance/snapshot.rs
+++ b/src/balance/snapshot.rs
@@ -15,6 +15,8 @@
     #[serde(default)]
     roaming: Vec<(SessionKey, sessions::Session)>,
     barred: BTreeSet<MemberId>,
+    #[serde(default)]
+    common_clock: LogClock,
     span: f64,
     /// Mean latency of each class, by its place in the settings.
     pub means: Vec<f64>,
@@ -31,6 +33,7 @@
             }
         }
         self.barred.extend(other.barred);
+        self.common_clock = self.common_clock.known().map_or(other.common_clock, |_| self.common_clock);
         self.span = self.span.max(other.span);
     }
 
@@ -59,17 +62,23 @@
             sessions,
             roaming,
             barred: self.barred.clone(),
+            common_clock: self.common_clock,
             span: self.span,
             means: self.means.clone(),
         }
     }
 
-    /// Takes over what another router knew; `means` are those of this router's classes, where known.
-    pub fn inherit(&mut self, snapshot: Snapshot, means: &[Option<f64>]) {
+    /// Takes over what another router knew; `means` are those of this router's classes, where known. This
+    /// router's clock may differ from the other's by `error` either way.
+    pub fn inherit(&mut self, snapshot: Snapshot, means: &[Option<f64>], error: Micros) {
         self.members = snapshot.members.into_iter().collect();
         self.groups = snapshot.groups.into_iter().collect();
-        let told = self.groups.values().filter_map(|group| group.log_clock.known());
-        self.usual_offset = told.reduce(Offset::hull);
+        for group in self.groups.values_mut() {
+            group.log_time = group.log_time.after_error(error);
+        }
+        self.common_clock = snapshot.common_clock.after_error(error);
+        let groups = self.groups.values().filter_map(|group| self.agreed(group.log_time.known()?));
+        self.usual_offset = groups.reduce(Offset::hull);
         self.sessions.inherit(snapshot.sessions.into_iter().chain(snapshot.roaming));
         self.barred = snapshot.barred;
         self.span = snapshot.span;
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -4,6 +4,7 @@
 
 use super::book::Spot;
 use super::log_clock::LogClock;
+use super::progress::Progress;
 use crate::api::*;
 use crate::notice::{Dating, Source};
 
@@ -33,6 +34,9 @@
     pub lag: Micros,
     pub role: Role,
     pub role_at: Micros,
+    /// What it last told as the primary.
+    #[serde(skip)]
+    pub progress: Progress,
     #[serde(skip)]
     pub inflight: u32,
     /// Cost of the attempts in flight, in usual requests.
@@ -93,10 +97,11 @@
     pub served: f64,
     /// Members listed as ready.
     pub live: f64,
-    /// What primaries have told of the log's time.
+    /// What is proved of the log's time. What earlier versions hand over as `log_clock` rests on single
+    /// answers and is not read.
     #[serde(default)]
-    pub log_clock: LogClock,
-    /// The answer that the log's time was last taken from.
+    pub log_time: LogClock,
+    /// The answer that last proved something of it.
     #[serde(skip)]
     pub dating: Option<Dating>,
     /// The latest commit whose session was forgotten: a member that joins later may not have it yet.
@@ -148,6 +153,8 @@
     pub session: Option<SessionKey>,
     /// When it was sent.
     pub sent: Micros,
+    /// Its client marked the request as a repeat.
+    pub repeat: bool,
     /// For how long the connection had been idle, as far as that matters.
     pub idle: Option<Micros>,
     /// Position that its answer must show.
--- a/src/balance/upkeep.rs
+++ b/src/balance/upkeep.rs
@@ -10,6 +10,7 @@
 use super::book::{Book, Spot};
 use super::capacity::limit_share;
 use super::health::{PROBE_SAVED, SWEEP, SWEEP_TICKS};
+use super::log_clock::LogClock;
 use super::sessions::Sessions;
 use super::state::{Member, Open};
 use super::{Actions, Router};
@@ -42,8 +43,10 @@
             span: 0.0,
             idle_losses: 0,
             one_clock: true,
+            common_clock: LogClock::default(),
             usual_offset: None,
             surveyed_offset: None,
+            dating_probed: Micros(0),
             notices: Vec::new(),
             traced: false,
         }
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -107,6 +107,7 @@
             Ended::Answer { said: Said::Error, .. } => Status::Error,
             Ended::Broken(broken) if broken.may_have_run() => match broken.cause {
                 Cause::TimedOut => Status::Timeout,
+                Cause::WrittenTooLate => Status::Cancelled,
                 Cause::Spoilt => Status::Spoilt,
                 Cause::Lost | Cause::NotTried => Status::Reset,
             },
@@ -226,12 +227,13 @@
         Snapshot { groups: self.groups.clone(), pool: self.pool.clone(), router: self.router.snapshot() }
     }
 
-    /// Takes over what another process knew. `place` says where a class of this one stood there.
-    pub fn inherit(&mut self, snapshot: Snapshot, place: impl Fn(ClassId) -> Option<ClassId>) {
+    /// Takes over what another process knew. `place` says where a class of this one stood there, `error` by how much this
+    /// process's clock may differ from that one's.
+    pub fn inherit(&mut self, snapshot: Snapshot, place: impl Fn(ClassId) -> Option<ClassId>, error: Micros) {
         let known = |class| place(ClassId(class)).and_then(|at| snapshot.router.means.get(at.0).copied());
         let means: Vec<Option<f64>> = (0..self.kinds.len()).map(known).collect();
         (self.groups, self.pool) = (snapshot.groups, snapshot.pool);
-        self.router.inherit(snapshot.router, &means);
+        self.router.inherit(snapshot.router, &means, error);
     }
 
     /// A session's write was committed at another process of this gateway.
@@ -328,6 +330,12 @@
         self.tracks.contains_key(&ticket) && self.router.holds(now, RequestId(ticket.0))
     }
 
+    /// Whether what is known of the member that a request is out at covers what the request must see, were its last byte
+    /// written now.
+    pub fn still_covers(&self, now: Micros, ticket: Ticket) -> bool {
+        self.router.covers(now, RequestId(ticket.0))
+    }
+
     /// What the choice of the member that a request is out at rested on.
     pub fn read_basis(&self, now: Micros, ticket: Ticket) -> Option<ReadBasis> {
         self.router.read_basis(now, RequestId(ticket.0))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 //!     peers: false,
 //!     second_copies: true,
 //!     retry_after: false,
+//!     marks_retry: false,
 //!     max_retry_after: Micros(0),
 //!     max_attempts: 4,
 //!     probe_price: 0.01,
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -42,14 +42,17 @@
     /// Goes on with the clock of another process on this machine. It read it after `asked`, and the time of day tells how
     /// long ago, unless that was stepped meanwhile: then it was as long ago as it may have been, and no span that this
     /// process has to keep is longer than it was meant to be. A process of an earlier version tells no reading.
-    pub fn resume(reference: i64, reading: Option<Reading>, asked: Instant) -> Self {
+    ///
+    /// Also gives by how much it may differ from the other one, either way.
+    pub fn resume(reference: i64, reading: Option<Reading>, asked: Instant) -> (Self, Micros) {
         let (start, now) = (Instant::now(), unix_now());
+        let error = Micros(start.saturating_duration_since(asked).as_micros() as u64);
         let reading = reading.unwrap_or(Reading {
             clock: Micros(now.saturating_sub(reference).max(BASE.0 as i64) as u64),
             unix: now,
         });
         let base = reading.clock + passed(reading.unix, now, start.saturating_duration_since(asked));
-        Clock { start, base, reference }
+        (Clock { start, base, reference }, error)
     }
 
     /// What it shows, beside the time of day.
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -200,12 +200,12 @@
         let pollers = pollers?;
         let listen = |address, shared| retry(until, passes, || listen(address, shared));
         let workers = Arc::new(Workers::of(&pollers));
-        let (line, snapshot, listener, clock) = match config.inherited {
+        let (line, snapshot, listener, (clock, error)) = match config.inherited {
             Some(Inheritance { line, snapshot, listener, asked }) => {
                 let clock = Clock::resume(snapshot.clock, snapshot.reading, asked);
                 (Some(line), Some(snapshot), listener.into(), clock)
             }
-            None => (None, None, listen(config.listen, true)?, Clock::start()),
+            None => (None, None, listen(config.listen, true)?, (Clock::start(), Micros(0))),
         };
         let admin = config.admin.map(|address| listen(address, false)).transpose()?;
         let budget = config.sockets.saturating_sub(RESERVE + WORKER_RESERVE * (count - 1)).max(8 * count);
@@ -290,7 +290,7 @@
         (first.signals, first.config, first.line.path) = (Some(signals), config.text, config.line);
         match (line, snapshot) {
             (Some(line), Some(snapshot)) => {
-                gateways.iter_mut().for_each(|worker| worker.take_part(&snapshot));
+                gateways.iter_mut().for_each(|worker| worker.take_part(&snapshot, error));
                 gateways[0].take_lead(line, snapshot);
             }
             _ => {
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -32,6 +32,17 @@
     pub(super) task: Task,
 }
 
+/// What the log says of a connection that is given up for this cause.
+fn close_reason(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Lost => "lost",
+        Cause::Spoilt => "spoilt",
+        Cause::TimedOut => "no answer in time",
+        Cause::NotTried => "not tried",
+        Cause::WrittenTooLate => "written too late",
+    }
+}
+
 /// What a connection to a host is for at present.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Task {
@@ -149,7 +160,7 @@
         let (reach, welcome) = (host.protocol.reach(), host.welcome);
         let answer = host.protocol.ended();
         if cause != Cause::Lost {
-            self.log_host_closed(key, if cause == Cause::TimedOut { "no answer in time" } else { "spoilt" });
+            self.log_host_closed(key, close_reason(cause));
         }
         self.close(key);
         match (task, answer) {
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -209,7 +209,9 @@
 
     /// Writes the task's request, if the connection is up and the choice still holds.
     pub(super) fn start_task(&mut self, key: Key) {
-        let now = self.now;
+        // Not the turn's time: what the statement tells of its deadline, and the age of the data that it may see, count
+        // from the write.
+        let now = self.clock.read();
         let Some(host) = self.host(key).filter(|host| host.welcome) else { return };
         let (member, task, until) = (host.member, host.task, host.until);
         if matches!(task, Task::Attempt(ticket) if self.has_left(ticket)) {
@@ -245,16 +247,21 @@
         }
     }
 
-    /// Counts the attempt on a connection once its last byte is written.
-    pub(super) fn count_try(&mut self, key: Key) {
+    /// The attempt on a connection has been written to its last byte: counts it, and gives it up if the gateway was
+    /// held up for so long that its data may be too old.
+    pub(super) fn attempt_written(&mut self, key: Key) {
         let Some(host) = self.host(key) else { return };
         let Task::Attempt(ticket) = host.task else { return };
-        if host.protocol.reach() == Reach::WhollyWritten && !std::mem::replace(&mut host.counted, true) {
-            let member = host.member;
-            if let Some(life) = self.ledger.get(ticket) {
-                self.figures.class(&life.work.class).tries += 1;
-            }
-            self.log_attempt(ticket, member);
+        if host.protocol.reach() != Reach::WhollyWritten || std::mem::replace(&mut host.counted, true) {
+            return;
+        }
+        let member = host.member;
+        if let Some(life) = self.ledger.get(ticket) {
+            self.figures.class(&life.work.class).tries += 1;
+        }
+        self.log_attempt(ticket, member);
+        if !self.balancer.still_covers(self.clock.read(), ticket) {
+            self.host_lost(key, Cause::WrittenTooLate);
         }
     }
 
--- a/src/net/event_loop/slots.rs
+++ b/src/net/event_loop/slots.rs
@@ -268,7 +268,7 @@
                 match &slot.link {
                     Link::Client(ClientLink { closing: true, .. }) => return self.hang_up(key),
                     Link::Caller(caller) if caller.call.is_answered() => self.caller_served(key),
-                    Link::Host(_) => self.count_try(key),
+                    Link::Host(_) => self.attempt_written(key),
                     _ => {}
                 }
                 self.arm(key);
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -162,7 +162,7 @@
     }
 
     /// Takes over what the process before knew of this worker's families.
-    pub(super) fn take_part(&mut self, snapshot: &Snapshot) {
+    pub(super) fn take_part(&mut self, snapshot: &Snapshot, error: Micros) {
         let mut directory = snapshot.directory.clone();
         // Zones that only the new settings name have got their numbers by now.
         directory.know_zones(self.directory.zones().clone());
@@ -172,7 +172,8 @@
             snapshot.classes.get(name).copied()
         };
         let (workers, me) = (&self.workers, self.me);
-        self.balancer.inherit(snapshot.balancer.clone().part(|group| workers.home(group) == me), place);
+        let part = snapshot.balancer.clone().part(|group| workers.home(group) == me);
+        self.balancer.inherit(part, place, error);
         self.ledger.leave_to_others(snapshot.open.iter().cloned());
     }
 
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -1,8 +1,6 @@
 //! What the decision module tells operators: changes of what it knows with the evidence for them, what the choice of a
 //! replica rested on, and why a request was given up.
 
-use std::fmt;
-
 use crate::{GroupId, MemberId, Micros, RequestId, Role, Status};
 
 /// Where a belief about a member's position comes from.
@@ -17,15 +15,30 @@
     Report,
 }
 
+/// What a position is that a member tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Where its log stood as it answered.
+    Position,
+    /// Where it stood some time ago.
+    Report,
+    /// The commit of a write that ran between request and answer.
+    NewCommit,
+    /// The commit of a write that may have run before, of which this may be a repeat that was dropped.
+    Commit,
+}
+
 /// An answer from which the time of a family's log was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Dating {
     /// Who answered.
     pub member: MemberId,
-    /// How the attempt ended.
+    /// How the attempt or the probe ended.
     pub status: Status,
     /// The position that it told.
     pub position: Micros,
+    /// What that position is.
+    pub told: Told,
     /// When the request was sent, and when its answer was taken in.
     pub sent: Micros,
     /// See `sent`.
@@ -104,10 +117,3 @@
         None => "untold",
     }
 }
-
-impl fmt::Display for Dating {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Dating { member, status, position, sent, heard } = self;
-        write!(f, "{status:?} of {}, position {}, sent {}, heard {}", member.0, position.0, sent.0, heard.0)
-    }
-}
--- a/src/request.rs
+++ b/src/request.rs
@@ -28,6 +28,8 @@
     TimedOut,
     /// The gateway did not try: no descriptors, no address, or the choice had gone stale.
     NotTried,
+    /// The gateway was held up as it wrote: the data may have become too old meanwhile.
+    WrittenTooLate,
 }
 
 /// An attempt that ended without an answer.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -29,6 +29,8 @@
 pub struct Params {
     balancers: u32,
     classes: Vec<WireClass>,
+    #[serde(default)]
+    clients: Clients,
     registry_mode: RegistryMode,
     specifics: Specifics,
     #[serde(default)]
@@ -45,6 +47,12 @@
     zone: String,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Clients {
+    marks_retry: bool,
+}
+
 #[derive(Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum WireWorthBy {
@@ -305,6 +313,7 @@
             peers: self.permissions.peers,
             second_copies: self.permissions.parallel_tries,
             retry_after: self.permissions.retry_after,
+            marks_retry: self.clients.marks_retry,
             max_retry_after: self.permissions.max_retry_after_ms.into(),
             max_attempts: self.permissions.send_cap,
             probe_price: self.deductions.probe,
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -44,6 +44,7 @@
         // The facade rules a second copy out even where a site would permit it.
         second_copies: true,
         retry_after: true,
+        marks_retry: false,
         max_retry_after: Micros::millis(500),
         max_attempts: 4,
         probe_price: 0.01,
@@ -85,12 +86,14 @@
     Ended::Answer { said, role, position: Some(position) }
 }
 
-/// The primary answers a read at once, and so tells the time of its log: without it no replica's position says how old its
-/// data are.
+/// The primary answers two reads, its log having gone on in between, and so proves the time of its log: without that no
+/// replica's position says how old its data are, and one answer alone proves nothing.
 fn tell_log_time(balancer: &mut Balancer) {
-    let (ticket, verdict) = balancer.pick(START, ask(0, 1, LONG));
-    assert!(matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{verdict:?}");
-    balancer.report(START, ticket, answer(Said::Served, MemberId(1), START));
+    for now in [START, START + Micros::millis(2)] {
+        let (ticket, verdict) = balancer.pick(now, ask(0, 1, LONG));
+        assert!(matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{verdict:?}");
+        balancer.report(now, ticket, answer(Said::Served, MemberId(1), now));
+    }
 }
 
 /// What the network code would hold: the deadline of each open request and the member it is out at.
@@ -370,7 +373,7 @@
     before.committed(GroupId(1), SessionKey(9), START + Micros::millis(50));
     let text = serde_json::to_string(&before.snapshot()).expect("written");
     let mut after = balancer(true);
-    after.inherit(serde_json::from_str(&text).expect("read"), Some);
+    after.inherit(serde_json::from_str(&text).expect("read"), Some, Micros(0));
     let now = START + Micros::millis(100);
     for (session, wanted) in [(9, 1), (8, 3)] {
         let (_, verdict) = after.pick(now, ask(1, session, LONG));
@@ -425,9 +428,11 @@
 fn a_host_is_cold_by_the_time_of_the_databases() {
     let now = Micros::millis(20_000_000);
     for off in [-3_600_000_000i64, -3_000_000, 0, 3_000_000, 3_600_000_000] {
-        let log = Micros(now.0.checked_add_signed(off).expect("a time"));
+        let start = now;
         for (age, cold) in [(Micros::millis(2_000), true), (Micros::millis(3_000_000), false)] {
             let mut balancer = balancer(true);
+            let log_at = |now: Micros| Micros(now.0.checked_add_signed(off).expect("a time"));
+            let (mut now, log) = (start, log_at(start));
             let entry = |id: u64| Entry {
                 member: MemberId(id),
                 group: GroupId(1),
@@ -437,16 +442,18 @@
                 ..Entry::default()
             };
             balancer.members(now, true, (1..=3).map(entry).collect());
-            for _ in 0..3 {
+            // One to start from, and as many proofs as are asked for where the time of day is off by much.
+            for _ in 0..4 {
                 let (ticket, verdict) = balancer.pick(now, ask(0, 1, LONG));
                 assert!(
                     matches!(verdict, Verdict::Send { member: MemberId(1), .. }),
                     "off by {off}: {verdict:?}"
                 );
-                balancer.report(now, ticket, answer(Said::Served, MemberId(1), log));
+                balancer.report(now, ticket, answer(Said::Served, MemberId(1), log_at(now)));
+                now = now + Micros::millis(5);
             }
             for member in [2, 3] {
-                balancer.probed(now, MemberId(member), answer(Said::Served, MemberId(member), log));
+                balancer.probed(now, MemberId(member), answer(Said::Served, MemberId(member), log_at(now)));
             }
             let mut sent = BTreeMap::new();
             for _ in 0..8 {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -43,6 +43,7 @@
         peers: false,
         second_copies: true,
         retry_after: true,
+        marks_retry: false,
         max_retry_after: Micros::millis(500),
         max_attempts: 4,
         probe_price: 0.01,
