Roles are ordered by position, positions stay in their family, commits survive a hold

Cause: (1) a member that the list moves to another family kept its position and role of the one before; (2) words on the role were ordered by when they were heard, so that an answer given before a hand-over and heard after it made the old primary one again, which no rule excuses; (3) commits were lowered to 50 ms beyond the log's time, while a hold of 0.15 s may make them 0.15 s later than the clock shows; (4) what members that check have served dated their position also where a new configuration has none of them check. Change: leave_family; take_role goes by position, with the rounding of both; the hold in place of 50 ms; retune forgets such positions.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -103,6 +103,10 @@
             self.means[place] = if same { self.means[place] } else { class.aim.as_f64() / 5.0 };
         }
         self.limit_share = limit_share(&settings);
+        if self.settings.checks == Checks::Refuse && settings.checks == Checks::None {
+            // What a member that checked has served tells no position that counts where none checks.
+            self.members.values_mut().for_each(|member| member.position = None);
+        }
         self.settings = settings;
         let period = self.period();
         for (id, open) in &mut self.open {
--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -111,7 +111,7 @@
         if let Some(key) = attempt.session.filter(|_| write) {
             // What was lost on the way may have been a commit: its session reads on from this moment.
             let told = o.position.filter(|_| o.status == Status::Ok);
-            let lost = self.log_now(now, attempt.group).unwrap_or(Micros(u64::MAX));
+            let lost = self.log_now(now + self.hold(), attempt.group).unwrap_or(Micros(u64::MAX));
             let commit = if o.status.proves_unrun() { Micros(0) } else { told.unwrap_or(lost) };
             self.committed(attempt.group, key, commit);
             self.sessions.end(attempt.group, key);
--- a/src/balance/dating.rs
+++ b/src/balance/dating.rs
@@ -94,15 +94,13 @@
         let (id, proof) = (member.entry.group, member.progress.hear(&answer));
         let (common, usual) = (&mut self.common_clock, self.usual_offset);
         let Some(group) = self.groups.get_mut(&id) else { return };
-        let Some(proof) = proof else {
-            common.reach(now, answer.position);
-            group.log_time.reach(now, answer.position);
-            return;
-        };
-        let expected = usual.unwrap_or(Offset::plausible(now));
-        common.prove(proof, Offset::plausible(now));
-        let change = group.log_time.prove(proof, expected);
-        group.dating = Some(answer);
+        let change = proof.map_or(Change::None, |proof| {
+            group.dating = Some(answer);
+            common.prove(proof, Offset::plausible(now));
+            group.log_time.prove(proof, usual.unwrap_or(Offset::plausible(now)))
+        });
+        common.reach(now, answer.position);
+        group.log_time.reach(now, answer.position);
         if change != Change::None {
             self.log_time_changed(now, id, change, answer);
         }
@@ -123,7 +121,7 @@
         for id in &group.members {
             let Some(member) = self.members.get_mut(id) else { continue };
             if change == Change::Stepped || member.position.is_some_and(|at| !offset.allows(now, at)) {
-                member.position = None;
+                (member.position, member.role_position) = (None, None);
             }
             if let Some(position) = member.position {
                 member.lag = offset.latest(now) - position;
--- a/src/balance/health.rs
+++ b/src/balance/health.rs
@@ -1,6 +1,7 @@
 //! What is renewed in time: sweeps over requests, surveys of members with their weights and slow-start
 //! budgets, and probes.
 
+use super::log_clock::{HOLD, ROUNDING};
 use super::membership::{AWAY, EJECT_AFTER, TRICKLE};
 use super::state::Due;
 use super::{Actions, Router};
@@ -24,9 +25,6 @@
 const COLD_BURST: f64 = 0.25;
 /// Most members surveyed, sessions forgotten and families retried in one step; the rest comes in the next.
 const SLICE: usize = 512;
-/// How far beyond the log's time a session's commit is held as it is told; further on it stands for a time
-/// that was not known when the commit's answer was lost.
-const LATEST_COMMIT: Micros = Micros::millis(50);
 /// The one timer: each sweep asks for the next.
 pub(super) const SWEEP: TimerId = TimerId(0);
 
@@ -180,7 +178,8 @@
         let forgotten = self.sessions.forget(*id, passed.or(latest).unwrap_or_default(), SLICE);
         group.floor = forgotten.map_or(group.floor, |commit| group.floor.max(commit));
         if let Some(latest) = latest {
-            self.sessions.lower(*id, latest + LATEST_COMMIT, SLICE);
+            // What is further on stands for a time that was not known when the commit's answer was lost.
+            self.sessions.lower(*id, latest + HOLD + Micros(ROUNDING as u64), SLICE);
         }
         let offset = self.groups.get_index(place).and_then(|(_, group)| self.agreed(group.log_time.known()?));
         if let Some(offset) = offset {
--- a/src/balance/log_clock.rs
+++ b/src/balance/log_clock.rs
@@ -102,7 +102,7 @@
 
     /// Whether the log may stand at this position by now.
     pub fn allows(self, now: Micros, position: Micros) -> bool {
-        position <= self.latest(now + HOLD)
+        position <= self.latest(now + HOLD) + Micros(ROUNDING as u64)
     }
 
     /// A time of the log on the router's clock, the latest that it may be.
--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -75,6 +75,7 @@
             if member.entry.group != entry.group {
                 let before = self.groups.entry(member.entry.group).or_default();
                 before.members.retain(|id| *id != entry.member);
+                member.leave_family(role);
                 changed.insert(member.entry.group);
             }
             let group = self.groups.entry(entry.group).or_default();
--- a/src/balance/positions.rs
+++ b/src/balance/positions.rs
@@ -26,11 +26,9 @@
         }
         let Some(member) = self.members.get_mut(&id) else { return };
         let mut contested = false;
-        if let Some(role) = role.filter(|_| at >= member.role_at) {
+        if let Some(role) = role.filter(|role| member.take_role(*role, at, position)) {
             let leads = self.groups.get(&group).and_then(|g| g.leader) == Some(id);
             contested = leads != (role == Role::Primary);
-            member.role = role;
-            member.role_at = at;
         }
         let position = position.map(|position| latest.map_or(position, |latest| position.min(latest)));
         if position.is_some() && position >= member.position {
@@ -69,7 +67,7 @@
 
     /// For how long this router may be held up between its clock and what it does then: one whose clock is
     /// the log's acts in no time.
-    fn hold(&self) -> Micros {
+    pub(super) fn hold(&self) -> Micros {
         if self.one_clock {
             Micros(0)
         } else {
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::book::Spot;
-use super::log_clock::LogClock;
+use super::log_clock::{LogClock, ROUNDING};
 use super::progress::Progress;
 use crate::api::*;
 use crate::notice::{Dating, Source};
@@ -34,6 +34,9 @@
     pub lag: Micros,
     pub role: Role,
     pub role_at: Micros,
+    /// The position that it told along with its role, if it told one.
+    #[serde(default)]
+    pub role_position: Option<Micros>,
     /// What it last told as the primary.
     #[serde(skip)]
     pub progress: Progress,
@@ -82,6 +85,36 @@
         Member { entry, role, limit, weight, stretch: 1.0, ..Member::default() }
     }
 
+    /// Whether a word on the role, said at this time and with this position, is later than the last one.
+    /// Positions never go back, and answers may be heard in another order than they were given; they are
+    /// rounded either way, and whoever hands over tells both roles at one position, the replica's last.
+    fn role_is_later(&self, role: Role, at: Micros, position: Option<Micros>) -> bool {
+        let rounding = Micros(ROUNDING as u64);
+        match (position, self.role_position) {
+            (Some(position), Some(last)) if role == Role::Primary && self.role == Role::Replica => {
+                position > last + rounding
+            }
+            (Some(position), Some(last)) => position + rounding >= last,
+            _ => at >= self.role_at,
+        }
+    }
+
+    /// Takes in a word on the role if it is later than the last one. Whether it was.
+    pub fn take_role(&mut self, role: Role, at: Micros, position: Option<Micros>) -> bool {
+        let later = self.role_is_later(role, at, position);
+        if later {
+            (self.role, self.role_at, self.role_position) = (role, at.max(self.role_at), position);
+        }
+        later
+    }
+
+    /// Forgets what it told as a member of another family: the list has moved it.
+    pub fn leave_family(&mut self, role: Role) {
+        (self.position, self.position_from, self.lag) = (None, Source::Nobody, Micros(0));
+        (self.role, self.role_at, self.role_position) = (role, Micros(0), None);
+        self.progress = Progress::default();
+    }
+
     /// Books that an attempt of this cost takes no room any more.
     pub fn release(&mut self, cost: f64) {
         self.inflight = self.inflight.saturating_sub(1);
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -1403,6 +1403,8 @@
         rig.event(outcome(second, PRIMARY, Status::Miss, Role::Replica, stood));
         rig.now = rig.now + Micros::millis(20);
         rig.event(outcome(late, PRIMARY, Status::Full, Role::Primary, stood - Micros::millis(behind)));
+        // By then its position as a replica covers no bounded read.
+        rig.now = rig.now + Micros::millis(600);
         let (_, actions) = rig.request(BOUNDED, 3);
         let sent: Vec<MemberId> = sends(&actions).iter().map(|(_, member)| *member).collect();
         assert!(!sent.contains(&PRIMARY), "equal {equal}: {sent:?}");
