--- a/tests/data_age.rs
+++ b/tests/data_age.rs
@@ -1,32 +1,42 @@
-//! The age of the data that bounded reads are answered from, with a gateway as a process of its own. A family's primary
-//! stands still while it says that it is the primary: as one that hands over, hangs or was deposed does.
+//! The age of the data that bounded reads are answered from, with a gateway as a process of its own: a primary that stands
+//! still while it says that it is the primary, one that is deposed, a gateway that is held up or stopped, hot restarts,
+//! several workers. Spans, lags and rates are drawn evenly on a log scale over the ranges below.
 //!
 //! `DATA_AGE_SEEDS=1..101 cargo test --release --test data_age -- --nocapture` plays others than the few that stand here.
 
 mod rig;
 
+use std::net::TcpListener;
 use std::ops::Range;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use rig::family::{ask, Conduct, Family, Read, STANDING};
+use rig::family::{ask, write, Family, Read, STANDING};
 use rig::process::{Faults, Process, Start};
-use rig::{listing, local, settings};
+use rig::{local, settings};
+use rustix::process::Signal;
 use serde_json::{json, Value};
 
 /// How old the data of a bounded read may be.
 const BOUND: Duration = Duration::from_millis(300);
 /// For how long clients ask once the data have become too old.
 const BEYOND: Duration = Duration::from_millis(400);
-/// How long the primary has stood still before the first request, drawn evenly on a log scale: a millisecond to 2 s.
+/// How far behind replicas are that keep up, in microseconds.
+const LAG: u64 = 2_000;
+/// How long the primary has stood still before something else happens, in seconds.
 const STOOD: Range<f64> = 0.001..2.0;
-/// Requests a second, drawn likewise: one to thousands.
+/// Requests a second: one to thousands.
 const RATE: Range<f64> = 1.0..4_000.0;
-/// Clients that share this rate.
+/// How far behind replicas are that are about to be too far, in microseconds.
+const NEAR_BOUND: Range<f64> = 1_000.0..299_000.0;
+/// For how long the gateway is stopped at a time, in seconds.
+const STOPPED: Range<f64> = 0.001..0.5;
+/// Clients that share a rate.
 const CLIENTS: u32 = 4;
 /// Seeds played where none are named.
-const SEEDS: Range<u64> = 1..9;
+const SEEDS: Range<u64> = 1..6;
 
 /// Draws from a seed.
 struct Dice(Pcg64Mcg);
@@ -42,6 +52,10 @@
         range.start * (range.end / range.start).powf(part)
     }
 
+    fn span(&mut self, seconds: &Range<f64>) -> Duration {
+        Duration::from_secs_f64(self.log(seconds))
+    }
+
     fn one_of<T: Copy>(&mut self, all: &[T]) -> T {
         all[self.0.next_u64() as usize % all.len()]
     }
@@ -55,70 +69,106 @@
     parsed.unwrap_or(SEEDS)
 }
 
-/// One deadline, a bounded class and one that must be current.
-fn bounded() -> Value {
+/// A bounded class, one of keyed writes and one that must be current.
+fn bounded(marks_retry: bool) -> Value {
     let mut settings = settings();
     settings["Specifics"]["NeedsByClass"] = json!(["recent", "update", "latest", "update"]);
     settings["Specifics"]["LagAllowedMs"] = json!([BOUND.as_millis() as f64, 0.0, 0.0, 0.0]);
     settings["Permissions"]["Probing"] = json!(true);
+    settings["Clients"] = json!({ "MarksRetry": marks_retry });
     settings
 }
 
-/// A gateway in front of a family, with a record of what it writes to hosts.
-struct Stand {
+/// The list of some families.
+fn listing(families: &[&Family]) -> Value {
+    let lines: Vec<Value> = families.iter().flat_map(|family| family.lines()).collect();
+    json!({"rev": 4, "all": true, "targets": lines})
+}
+
+/// A gateway in front of some families, with a record of what it writes to hosts.
+struct Stand<'f> {
+    start: Start,
     process: Process,
     faults: Faults,
-    _discovery: std::net::TcpListener,
+    families: Vec<&'f Family>,
+    _discovery: TcpListener,
 }
 
-impl Stand {
-    fn of(test: &str, family: &Family) -> Stand {
+impl<'f> Stand<'f> {
+    fn of(test: &str, families: &[&'f Family], cores: usize) -> Stand<'f> {
         let discovery = local();
         let place = discovery.local_addr().expect("bound");
-        let mut start = Start { settings: bounded(), ..Start::usual(test, 200, place) };
+        let start = Start { settings: bounded(true), cores, ..Start::usual(test, 300, place) };
+        Stand::with(start, discovery, families)
+    }
+
+    fn with(mut start: Start, discovery: TcpListener, families: &[&'f Family]) -> Stand<'f> {
         let faults = Faults::none_yet(&start.folder());
         start.faults = Some(faults.clone());
-        let process = start.up(&listing(&family.endpoints));
-        Stand { process, faults, _discovery: discovery }
+        let process = start.up(&listing(families));
+        Stand { start, process, faults, families: families.to_vec(), _discovery: discovery }
     }
 
-    /// Clients ask at this rate for so long, every second read a bounded one and the others such as must be current.
+    /// Another process takes over from this one.
+    fn hot_restart(&mut self) {
+        let door = local();
+        let admin = door.local_addr().expect("bound");
+        drop(door);
+        let mut next = self.start.spawn_at(self.process.address, admin, &listing(&self.families));
+        assert!(next.comes_up());
+        self.process.signal(Signal::TERM);
+        // Their folder is one; the process that goes on removes it.
+        self.process.folder = PathBuf::new();
+        let _ = self.process.child.wait();
+        self.process = next;
+    }
+
+    /// Clients ask at this rate for so long: bounded reads, such as must be current, and writes, some of them repeats of
+    /// writes before. What the reads were answered.
     fn load(&self, rate: f64, time: Duration) -> Vec<Read> {
         let pause = Duration::from_secs_f64(f64::from(CLIENTS) / rate);
         let end = Instant::now() + time;
         std::thread::scope(|scope| {
-            let clients = (0..CLIENTS).map(|_| scope.spawn(|| self.client(pause, end)));
+            let clients = (0..CLIENTS).map(|seed| scope.spawn(move || self.client(pause, end, seed.into())));
             let clients: Vec<_> = clients.collect();
             clients.into_iter().flat_map(|client| client.join().expect("a client")).collect()
         })
     }
 
-    fn client(&self, pause: Duration, end: Instant) -> Vec<Read> {
-        let mut client = self.process.client();
-        let (mut reads, mut next) = (Vec::new(), Instant::now());
-        for turn in 0.. {
-            reads.extend(ask(&mut client, if turn % 2 == 0 { "look" } else { "own" }));
-            next += pause;
+    fn client(&self, pause: Duration, end: Instant, seed: u64) -> Vec<Read> {
+        let (mut client, mut dice) = (self.process.client(), Dice::of(seed));
+        let (mut reads, mut next, mut key) = (Vec::new(), Instant::now(), rig::name() as u64);
+        loop {
+            let group = dice.one_of(&self.families).group;
+            match dice.one_of(&["look", "look", "look", "own", "store", "again"]) {
+                "store" => {
+                    key = rig::name() as u64;
+                    write(&mut client, key, false, group);
+                }
+                "again" => write(&mut client, key, true, group),
+                class => reads.extend(ask(&mut client, class, group)),
+            }
+            next = (next + pause).max(Instant::now());
             if next >= end {
-                break;
+                return reads;
             }
             std::thread::sleep(next.saturating_duration_since(Instant::now()));
         }
-        reads
     }
 
     /// No answer of a replica was too old.
-    fn judge(&self, family: &Family, reads: &[Read], what: &str) {
+    fn judge(&self, reads: &[Read], what: &str) {
         let sent = self.faults.sent();
-        let bound = BOUND.as_micros() as u64;
-        let stale: Vec<_> =
-            reads.iter().filter_map(|read| Some((read, family.too_old(read, &sent, bound)?))).collect();
+        let stale: Vec<_> = reads
+            .iter()
+            .filter_map(|read| Some((read, read.too_old(&sent, BOUND, &self.families)?)))
+            .collect();
         let worst = stale.iter().map(|(_, beyond)| *beyond).max().unwrap_or_default();
-        let (count, all) = (stale.len(), reads.iter().filter(|read| family.by_replica(read)).count());
+        let (count, all) = (stale.len(), reads.iter().filter(|read| read.by_replica).count());
         let log = self.process.log();
         assert!(
             stale.is_empty(),
-            "{what}: {count} of {all} answers of replicas too old, by {worst} us at most\n{log}"
+            "{what}: {count} of {all} answers of replicas too old, by {worst:?} at most\n{log}"
         );
     }
 }
@@ -129,18 +179,13 @@
 fn a_primary_that_stood_still_before_the_start_does_not_date_the_log() {
     for seed in seeds() {
         let mut dice = Dice::of(seed);
-        let (stood, rate) = (dice.log(&STOOD), dice.log(&RATE));
-        let conduct = dice.one_of(&STANDING);
-        let family = Family::following(2_000);
-        let stand = Stand::of("age-start", &family);
-        family.conduct(conduct);
-        std::thread::sleep(Duration::from_secs_f64(stood));
+        let (stood, rate, conduct) = (dice.span(&STOOD), dice.log(&RATE), dice.one_of(&STANDING));
+        let family = Family::following(LAG);
+        let stand = Stand::of("age-start", &[&family], 1);
+        family.stand(conduct);
+        std::thread::sleep(stood);
         let reads = stand.load(rate, BOUND + BEYOND);
-        stand.judge(
-            &family,
-            &reads,
-            &format!("seed {seed}: {conduct:?}, stood for {stood:.3} s, {rate:.0} a second"),
-        );
+        stand.judge(&reads, &format!("seed {seed}: {conduct:?}, stood for {stood:?}, {rate:.0} a second"));
     }
 }
 
@@ -150,25 +195,140 @@
 fn a_primary_that_stands_still_does_not_pull_the_log_back() {
     for seed in seeds() {
         let mut dice = Dice::of(seed);
-        let rate = dice.log(&RATE);
-        let conduct = dice.one_of(&STANDING);
-        let family = Family::following(2_000);
-        let stand = Stand::of("age-run", &family);
+        let (rate, conduct) = (dice.log(&RATE), dice.one_of(&STANDING));
+        let family = Family::following(LAG);
+        let stand = Stand::of("age-run", &[&family], 1);
         let mut reads = stand.load(200.0, Duration::from_millis(400));
-        family.conduct(conduct);
+        family.stand(conduct);
         reads.extend(stand.load(rate, BOUND + BEYOND));
-        stand.judge(&family, &reads, &format!("seed {seed}: {conduct:?}, {rate:.0} a second"));
+        stand.judge(&reads, &format!("seed {seed}: {conduct:?}, {rate:.0} a second"));
+    }
+}
+
+/// Guards bounded reads through an election: the old primary stands still, another one is elected, the old one goes on
+/// calling itself the primary for a while, and comes back as a replica.
+#[test]
+fn an_old_primary_beside_a_new_one_dates_no_log() {
+    for seed in seeds() {
+        let mut dice = Dice::of(seed);
+        let (rate, conduct) = (dice.log(&(20.0..RATE.end)), dice.one_of(&STANDING));
+        let spans = [dice.span(&STOOD), dice.span(&STOOD), BEYOND];
+        let family = Family::following(LAG);
+        let stand = Stand::of("age-elect", &[&family], 1);
+        let mut reads = if seed % 2 == 0 { stand.load(rate, BOUND) } else { vec![] };
+        family.stand(conduct);
+        reads.extend(stand.load(rate, spans[0]));
+        family.elect(1);
+        reads.extend(stand.load(rate, spans[1]));
+        family.settle();
+        family.lag(BOUND.as_micros() as u64 * 2);
+        reads.extend(stand.load(rate, spans[2]));
+        stand.judge(&reads, &format!("seed {seed}: {conduct:?}, {spans:?}, {rate:.0} a second"));
     }
 }
 
-/// Guards the tests above: while the primary serves, replicas answer bounded reads.
+/// Guards bounded reads of a gateway that is held up for 0.15 s between its clock and every third write, while replicas are
+/// about to be too far behind.
+#[test]
+fn a_hold_between_clock_and_write_makes_no_read_stale() {
+    for seed in seeds() {
+        let mut dice = Dice::of(seed);
+        let (rate, lag) = (dice.log(&(4.0..RATE.end)), dice.log(&NEAR_BOUND));
+        let family = Family::following(LAG);
+        let stand = Stand::of("age-hold", &[&family], 1);
+        let mut reads = stand.load(400.0, BOUND);
+        family.lag(lag as u64);
+        stand.faults.set("send hold 3\n");
+        reads.extend(stand.load(rate, Duration::from_secs(3)));
+        stand.faults.set("");
+        stand.judge(&reads, &format!("seed {seed}: {lag:.0} us behind, {rate:.0} a second"));
+    }
+}
+
+/// Guards the same where the process is stopped again and again, for less and for more.
+#[test]
+fn stops_in_series_make_no_read_stale() {
+    for seed in seeds() {
+        let mut dice = Dice::of(seed);
+        let (rate, lag) = (dice.log(&(20.0..RATE.end)), dice.log(&NEAR_BOUND));
+        let family = Family::following(lag as u64);
+        let stand = Stand::of("age-stop", &[&family], 1);
+        let reads = std::thread::scope(|scope| {
+            let load = scope.spawn(|| stand.load(rate, Duration::from_secs(3)));
+            while !load.is_finished() {
+                std::thread::sleep(dice.span(&STOPPED));
+                stand.process.signal(Signal::STOP);
+                std::thread::sleep(dice.span(&STOPPED));
+                stand.process.signal(Signal::CONT);
+            }
+            load.join().expect("the load")
+        });
+        stand.judge(&reads, &format!("seed {seed}: {lag:.0} us behind, {rate:.0} a second"));
+    }
+}
+
+/// Guards hot restarts while the primary stands still, the wall clock of the next process being off: it must not take the
+/// log's time from what it hears first, nor from what was handed over on another clock.
+#[test]
+fn a_hot_restart_while_the_primary_stands_still_makes_no_read_stale() {
+    for seed in seeds() {
+        let mut dice = Dice::of(seed);
+        let (stood, rate, conduct) = (dice.span(&STOOD), dice.log(&RATE), dice.one_of(&STANDING));
+        let step = dice.one_of(&[0, -600, 600, -3_600_000, 3_600_000]);
+        let family = Family::following(LAG);
+        let mut stand = Stand::of("age-next", &[&family], 1);
+        let mut reads = if seed % 2 == 0 { stand.load(200.0, BOUND) } else { vec![] };
+        family.stand(conduct);
+        std::thread::sleep(stood);
+        stand.faults.set(&format!("clock {step}\n"));
+        stand.hot_restart();
+        reads.extend(stand.load(rate, BOUND + BEYOND));
+        let what =
+            format!("seed {seed}: {conduct:?}, stood for {stood:?}, off by {step} ms, {rate:.0} a second");
+        stand.judge(&reads, &what);
+    }
+}
+
+/// Guards several families over several workers: what one that stands still tells says nothing of the others, and what the
+/// others tell says nothing of how long it has stood.
+#[test]
+fn a_family_that_stands_still_dates_no_other_on_any_worker() {
+    for seed in seeds() {
+        let mut dice = Dice::of(seed);
+        let (stood, rate, conduct) = (dice.span(&STOOD), dice.log(&RATE), dice.one_of(&STANDING));
+        let cores = dice.one_of(&[1, 2, 4]);
+        let families: Vec<Family> = (1..=3).map(|group| Family::numbered(group, LAG)).collect();
+        let families: Vec<&Family> = families.iter().collect();
+        let stand = Stand::of("age-workers", &families, cores);
+        families[0].stand(conduct);
+        std::thread::sleep(stood);
+        let mut reads = stand.load(rate, BOUND);
+        families[1].stand(conduct);
+        reads.extend(stand.load(rate, BOUND + BEYOND));
+        stand.judge(
+            &reads,
+            &format!("seed {seed}: {conduct:?}, {cores} workers, stood for {stood:?}, {rate:.0} a second"),
+        );
+    }
+}
+
+/// Guards the tests above: while the primary serves, replicas answer bounded reads, whether clients mark retries or not, and
+/// one that is too far behind answers none.
 #[test]
 fn replicas_serve_while_the_primary_goes_on() {
-    let family = Family::following(2_000);
-    family.conduct(Conduct::Serves);
-    let stand = Stand::of("age-live", &family);
-    let reads = stand.load(400.0, Duration::from_millis(1_500));
-    let by_replicas = reads.iter().filter(|read| family.by_replica(read)).count();
-    assert!(by_replicas * 10 > reads.len(), "{by_replicas} of {}, {}", reads.len(), stand.process.log());
-    stand.judge(&family, &reads, "live");
+    for marks_retry in [true, false] {
+        let family = Family::following(LAG);
+        let discovery = local();
+        let place = discovery.local_addr().expect("bound");
+        let start = Start { settings: bounded(marks_retry), ..Start::usual("age-live", 300, place) };
+        let stand = Stand::with(start, discovery, &[&family]);
+        let reads = stand.load(400.0, Duration::from_millis(1_500));
+        let by_replicas = reads.iter().filter(|read| read.by_replica).count();
+        assert!(by_replicas * 4 > reads.len(), "{by_replicas} of {}, {}", reads.len(), stand.process.log());
+        stand.judge(&reads, "live");
+        family.lag(2 * BOUND.as_micros() as u64);
+        std::thread::sleep(BOUND);
+        let reads = stand.load(400.0, Duration::from_millis(500));
+        assert!(reads.iter().all(|read| !read.by_replica), "marked {marks_retry}");
+    }
 }
--- a/tests/rig/process.rs
+++ b/tests/rig/process.rs
@@ -104,13 +104,15 @@
     pub sockets: usize,
     pub discovery: SocketAddr,
     pub settings: Value,
+    /// Workers.
+    pub cores: usize,
     pub faults: Option<Faults>,
 }
 
 impl Start {
     /// The usual settings, and no faults.
     pub fn usual(name: &str, sockets: usize, discovery: SocketAddr) -> Start {
-        Start { name: name.to_string(), sockets, discovery, settings: settings(), faults: None }
+        Start { name: name.to_string(), sockets, discovery, settings: settings(), cores: 1, faults: None }
     }
 
     /// The folder that all processes of this name share.
@@ -153,6 +155,11 @@
             .env("GW_CONFIG", folder.join("config.json"))
             .env("TMPDIR", &folder)
             .stdout(Stdio::from(std::fs::File::create(folder.join("log")).expect("a file")));
+        if self.cores > 1 {
+            let options = folder.join("options.ini");
+            std::fs::write(&options, format!("[cores]\ncount = {}\n", self.cores)).expect("written");
+            command.env("GW_SETTINGS", options);
+        }
         if let Some(faults) = &self.faults {
             faults.meet(&mut command);
         }
