--- a/src/balance/dating.rs
+++ b/src/balance/dating.rs
@@ -81,7 +81,13 @@
     /// The time of a family's log by now at the latest: what a replica shows counts against it. None as long
     /// as nothing is proved of any log.
     pub(super) fn log_now(&self, now: Micros, group: GroupId) -> Option<Micros> {
-        Some(self.offset(group)?.latest(now))
+        let latest = self.offset(group)?.latest(now);
+        if self.one_clock {
+            return Some(latest);
+        }
+        let own = self.groups.get(&group).and_then(|group| group.log_time.latest_in_doubt(now));
+        let doubt = own.or_else(|| self.common_clock.latest_in_doubt(now));
+        Some(doubt.map_or(latest, |doubt| doubt.max(latest)))
     }
 
     /// Takes in an answer of a member that calls itself the primary: its log has come to this position, and
@@ -99,8 +105,9 @@
             common.prove(proof, Offset::plausible(now));
             group.log_time.prove(proof, usual.unwrap_or(Offset::plausible(now)))
         });
-        common.reach(now, answer.position);
-        group.log_time.reach(now, answer.position);
+        let (sent, position) = (answer.sent, answer.position);
+        common.reach(sent, now, position);
+        group.log_time.reach(sent, now, position);
         if change != Change::None {
             self.log_time_changed(now, id, change, answer);
         }
--- a/src/balance/log_clock.rs
+++ b/src/balance/log_clock.rs
@@ -125,8 +125,6 @@
     None,
     /// Nothing was known before.
     Learned,
-    /// The log's time is later than it was taken for.
-    Raised,
     /// What was known holds no more.
     Stepped,
 }
@@ -164,19 +162,26 @@
         if let Some(both) = known.meet(told) {
             return self.adopt(both, Change::None);
         }
-        if told.least > known.at(told.at).most {
-            // The log has come further than it could: it was stepped forward, or this answer was spoilt.
-            // For as long as that is open its time is the later of the two, which makes no replica look
-            // fresher.
-            return self.adopt(known.hull(told), Change::Raised);
+        // The log was stepped, or this answer was spoilt. For as long as that is open the later time counts,
+        // which makes no replica look fresher.
+        let back = told.most < known.at(told.at).least;
+        self.doubt(told, if back { CONVINCING_TIME } else { Micros(0) }, Change::Stepped)
+    }
+
+    /// A primary has told that its log has come to this position, asked at `sent`, which proves nothing else.
+    pub fn reach(&mut self, sent: Micros, now: Micros, position: Micros) {
+        let Some(known) = self.known else { return };
+        if known.allows(now, position) {
+            self.known = Some(known.reaching(now, position));
+        } else if self.latest_in_doubt(now).is_none_or(|latest| latest < position) {
+            let offset = Offset::between(sent, now, position);
+            self.doubt = Some(Doubt { offset, proofs: 0, since: now });
         }
-        // Earlier than it can be. The later counts until this is beyond doubt.
-        self.doubt(told, CONVINCING_TIME, Change::Stepped)
     }
 
-    /// A primary has told this position, which its log has come to whatever else is true.
-    pub fn reach(&mut self, now: Micros, position: Micros) {
-        self.known = self.known.map(|known| known.reaching(now, position));
+    /// The log's time at the latest by what does not fit, if something does not.
+    pub fn latest_in_doubt(&self, now: Micros) -> Option<Micros> {
+        Some(self.doubt?.offset.latest(now))
     }
 
     /// What is left of it where the router's clock may have gone wrong by so much either way.
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -495,3 +495,26 @@
         );
     }
 }
+
+/// Guards bounded reads after an answer of the primary whose position was spoilt: later, as a replica that is far behind, it is
+/// not taken for as fresh as that said.
+#[test]
+fn a_spoilt_position_of_the_primary_is_not_believed_of_it_later() {
+    for beyond in [200, 2_000, 3_600_000] {
+        let mut balancer = balancer(true);
+        tell_log_time(&mut balancer);
+        let mut now = START + Micros::millis(5);
+        let (ticket, _) = balancer.pick(now, ask(2, 1, LONG));
+        let spoilt = now + Micros::millis(beyond);
+        balancer.report(now, ticket, answer(Said::Served, MemberId(1), spoilt));
+        now = now + Micros::millis(700);
+        while balancer.tick(now).is_some() {}
+        // A write tells that it is a replica now, 700 ms behind.
+        let (ticket, verdict) = balancer.pick(now, ask(3, 1, LONG));
+        assert!(matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{verdict:?}");
+        let (said, role, position) = (Said::Miss, Some(Role::Replica), Some(START + Micros::millis(5)));
+        balancer.report(now, ticket, Ended::Answer { said, role, position });
+        let (_, verdict) = balancer.pick(now, ask(0, 2, LONG));
+        assert!(!matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{beyond} ms: {verdict:?}");
+    }
+}
