Reads withdrawn for a hold are held against no host; barred becomes administratively down

Cause: a read that was written too late was booked as called off, which makes its host look silent and lowers its limit, though the hold was this gateway's. Change: Status::Withdrawn, which says nothing of the member and may have run; barred, bar, ban are administratively_down, set_down, store_down, restore_down (forms on the wire between two processes stay).

--- a/src/api.rs
+++ b/src/api.rs
@@ -335,6 +335,8 @@
     Spoilt,
     /// Called off; it may have run.
     Cancelled,
+    /// Taken back for a cause of the driver's own, which says nothing of the member; it may have run.
+    Withdrawn,
     /// Never sent.
     Moot,
     /// Turned away untouched: wrong role, or too far behind.
@@ -403,12 +405,12 @@
     Gone(RequestId),
     /// A timer is due.
     Timer(TimerId),
-    /// Operators leave a member out, or put it back.
-    Bar {
+    /// Operators put a member down, or back up.
+    SetDown {
         /// The member.
         member: MemberId,
-        /// Out, or back.
-        out: bool,
+        /// Down, or up.
+        down: bool,
     },
     /// A probe has ended.
     Probed {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,7 +48,7 @@
     members: IndexMap<MemberId, Member, FxBuildHasher>,
     groups: IndexMap<GroupId, Group, FxBuildHasher>,
     /// Members that operators have put down, in the list or not.
-    barred: BTreeSet<MemberId>,
+    administratively_down: BTreeSet<MemberId>,
     open: BTreeMap<RequestId, Open>,
     attempts: BTreeMap<(RequestId, AttemptNo), Attempt>,
     book: Book,
@@ -131,7 +131,9 @@
             Event::Started { request } => self.started(now, request, actions),
             Event::Outcome(outcome) => self.outcome(now, outcome, actions),
             Event::Gone(id) => self.close(id),
-            Event::Bar { member, out } => self.bar(now, member, out, actions),
+            Event::SetDown { member, down } => {
+                self.set_administratively_down(now, member, down, actions);
+            }
             Event::Timer(SWEEP) if now >= self.wake => self.sweep(now, actions),
             Event::Timer(_) | Event::Peer { .. } => {}
             Event::Probed { member, status, report } => self.probed(now, member, status, report, actions),
--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -25,7 +25,7 @@
 
     pub(super) fn listed(&self) -> bool {
         let listed = self.entry.listed == Listed::Ready || self.entry.listed == Listed::Gone && self.unbound;
-        listed && !self.barred
+        listed && !self.administratively_down
     }
 
     /// Books a new start: it is cold, its position is still valid.
@@ -82,7 +82,7 @@
             if let Err(place) = group.members.binary_search(&entry.member) {
                 group.members.insert(place, entry.member);
             }
-            member.barred = self.barred.contains(&entry.member);
+            member.administratively_down = self.administratively_down.contains(&entry.member);
             let told = new || entry.started != member.entry.started;
             let started = offset.map_or(entry.started, |offset| offset.local(now, entry.started).min(now));
             let started = if entry.started == Micros(0) { entry.started } else { started };
@@ -109,12 +109,19 @@
 
     /// Leaves a member out by hand, or puts it back. It may have been started anew meanwhile: it comes back
     /// cold, with its old position and no say in who leads, and nothing else of it counts any more.
-    pub(super) fn bar(&mut self, now: Micros, id: MemberId, out: bool, actions: &mut Actions) {
-        let changed = if out { self.barred.insert(id) } else { self.barred.remove(&id) };
+    pub(super) fn set_administratively_down(
+        &mut self,
+        now: Micros,
+        id: MemberId,
+        down: bool,
+        actions: &mut Actions,
+    ) {
+        let all = &mut self.administratively_down;
+        let changed = if down { all.insert(id) } else { all.remove(&id) };
         actions.push(Action::CloseIdle { member: id });
         let Some(member) = self.members.get_mut(&id).filter(|_| changed) else { return };
-        member.barred = out;
-        if !out {
+        member.administratively_down = down;
+        if !down {
             let limit = LIMIT_START * self.limit_share.sqrt();
             let new = Member::new(member.entry, Role::Replica, limit, TRICKLE);
             let old = std::mem::replace(member, new);
--- a/src/balance/snapshot.rs
+++ b/src/balance/snapshot.rs
@@ -14,7 +14,8 @@
     /// Those that wrote to more than one family; a process of an earlier version knows none.
     #[serde(default)]
     roaming: Vec<(SessionKey, sessions::Session)>,
-    barred: BTreeSet<MemberId>,
+    #[serde(rename = "barred")]
+    administratively_down: BTreeSet<MemberId>,
     #[serde(default)]
     common_clock: LogClock,
     span: f64,
@@ -32,7 +33,7 @@
                 self.roaming.push((key, before));
             }
         }
-        self.barred.extend(other.barred);
+        self.administratively_down.extend(other.administratively_down);
         self.common_clock = self.common_clock.known().map_or(other.common_clock, |_| self.common_clock);
         self.span = self.span.max(other.span);
     }
@@ -61,7 +62,7 @@
             groups: self.groups.iter().map(|(id, group)| (*id, group.clone())).collect(),
             sessions,
             roaming,
-            barred: self.barred.clone(),
+            administratively_down: self.administratively_down.clone(),
             common_clock: self.common_clock,
             span: self.span,
             means: self.means.clone(),
@@ -80,7 +81,7 @@
         let groups = self.groups.values().filter_map(|group| self.agreed(group.log_time.known()?));
         self.usual_offset = groups.reduce(Offset::hull);
         self.sessions.inherit(snapshot.sessions.into_iter().chain(snapshot.roaming));
-        self.barred = snapshot.barred;
+        self.administratively_down = snapshot.administratively_down;
         self.span = snapshot.span;
         for (mean, known) in self.means.iter_mut().zip(means) {
             *mean = known.unwrap_or(*mean);
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -57,7 +57,8 @@
     /// Weight in the draw, before zone and load.
     pub weight: f64,
     /// Out by the operators' hand, whatever the list says.
-    pub barred: bool,
+    #[serde(rename = "barred")]
+    pub administratively_down: bool,
     /// The list calling it gone binds nobody: it has not drained since its start.
     pub unbound: bool,
     /// Connections refused or cut in a row since a request was last answered.
--- a/src/balance/upkeep.rs
+++ b/src/balance/upkeep.rs
@@ -28,7 +28,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             members: IndexMap::default(),
             groups: IndexMap::default(),
-            barred: BTreeSet::new(),
+            administratively_down: BTreeSet::new(),
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
             book: Book::default(),
@@ -82,7 +82,7 @@
 
     /// Whether a member is left out, by hand or by choice.
     pub fn avoids(&self, id: MemberId) -> bool {
-        self.barred.contains(&id) || self.members.get(&id).is_some_and(|m| m.ejected.is_some())
+        self.administratively_down.contains(&id) || self.members.get(&id).is_some_and(|m| m.ejected.is_some())
     }
 
     /// Counts the group's live members and finds its leader anew: after a list, a claim, or one that is void.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -107,7 +107,7 @@
             Ended::Answer { said: Said::Error, .. } => Status::Error,
             Ended::Broken(broken) if broken.may_have_run() => match broken.cause {
                 Cause::TimedOut => Status::Timeout,
-                Cause::WrittenTooLate => Status::Cancelled,
+                Cause::WrittenTooLate => Status::Withdrawn,
                 Cause::Spoilt => Status::Spoilt,
                 Cause::Lost | Cause::NotTried => Status::Reset,
             },
@@ -247,8 +247,8 @@
     }
 
     /// Leaves a member out at the operators' word, whatever the list says, or puts it back.
-    pub fn bar(&mut self, now: Micros, member: MemberId, out: bool) {
-        self.drive(now, Event::Bar { member, out });
+    pub fn set_administratively_down(&mut self, now: Micros, member: MemberId, down: bool) {
+        self.drive(now, Event::SetDown { member, down });
     }
 
     /// Whether the list names a member.
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -147,7 +147,7 @@
 /// The gateway: its sockets and what it owes. Each part that only its neighbours use is a value of its own.
 pub struct Gateway {
     log: Logger,
-    /// Which worker this is, and all of them. The first has the listener, discovery, the door and the line.
+    /// Which worker this is, and all of them. The first has the listener, discovery, the admin interface and the handover socket.
     me: usize,
     workers: Arc<Workers>,
     mailbox: VecDeque<WorkerMessage>,
@@ -295,7 +295,7 @@
             }
             _ => {
                 first.listed(config.known, true);
-                first.recall_bans();
+                first.restore_down();
             }
         }
         gateways[0].await_successors();
--- a/src/net/event_loop/admin.rs
+++ b/src/net/event_loop/admin.rs
@@ -174,33 +174,33 @@
     }
 
     /// Operators put a host down, or back up. They hear yes once it holds on every worker.
-    fn order(&mut self, key: Key, name: &str, out: bool) {
+    fn order(&mut self, key: Key, name: &str, down: bool) {
         if self.directory.member(name).is_none() {
             warn!(self.log, "operators name a host that nobody has"; "host" => name);
             return self.reply(key, Status::NotFound, "no such database host\n");
         }
-        info!(self.log, "{}", if out { "host put down by hand" } else { "host put back up" }; "host" => name);
+        info!(self.log, "{}", if down { "host put down by hand" } else { "host put back up" }; "host" => name);
         let workers = self.workers.size();
         if let Some(link) = self.caller(key) {
-            (link.waits, link.yes) = (workers, if out { "down\n" } else { "up\n" });
+            (link.waits, link.yes) = (workers, if down { "down\n" } else { "up\n" });
         }
-        let message = || WorkerMessage::Bar { host: name.to_string(), out, call: Some(key) };
+        let message = || WorkerMessage::SetDown { host: name.to_string(), down, call: Some(key) };
         self.workers.deliver_others(self.me, message);
-        self.bar(name, out);
-        self.remember_ban(name, out);
-        self.share_bar(name, out);
-        self.is_barred(key);
+        self.set_down(name, down);
+        self.store_down(name, down);
+        self.share_down(name, down);
+        self.is_set_down(key);
     }
 
-    /// A host is left out on this worker, or back. Its idle connections are closed.
-    pub(super) fn bar(&mut self, name: &str, out: bool) {
+    /// A host is administratively down on this worker, or up again. Its idle connections are closed.
+    pub(super) fn set_down(&mut self, name: &str, down: bool) {
         let member = self.directory.number(name);
-        self.balancer.bar(self.now, member, out);
+        self.balancer.set_administratively_down(self.now, member, down);
         while self.do_due() {}
     }
 
     /// An order holds on one more worker.
-    pub(super) fn is_barred(&mut self, key: Key) {
+    pub(super) fn is_set_down(&mut self, key: Key) {
         let Some(link) = self.caller(key) else { return };
         link.waits = link.waits.saturating_sub(1);
         if link.waits == 0 {
@@ -210,10 +210,10 @@
     }
 
     /// Keeps the names of the hosts that are down in a file beside the line, for a start without a
-    /// process to take over from: a ban holds until the call back.
-    pub(super) fn remember_ban(&mut self, name: &str, out: bool) {
+    /// process to take over from: they stay down until the call back.
+    pub(super) fn store_down(&mut self, name: &str, down: bool) {
         let changed =
-            if out { self.admin.down.insert(name.to_string()) } else { self.admin.down.remove(name) };
+            if down { self.admin.down.insert(name.to_string()) } else { self.admin.down.remove(name) };
         let Some(path) = self.line.path.as_ref().filter(|_| changed) else { return };
         let (path, new) = (path.with_extension("down"), path.with_extension("new"));
         let written = serde_json::to_vec(&self.admin.down).map_err(io::Error::from);
@@ -225,14 +225,14 @@
     }
 
     /// Puts down the hosts that were when the process before ended.
-    pub(super) fn recall_bans(&mut self) {
+    pub(super) fn restore_down(&mut self) {
         let Some(path) = self.line.path.as_ref().map(|path| path.with_extension("down")) else { return };
         let Ok(text) = std::fs::read(path) else { return };
         match serde_json::from_slice::<BTreeSet<String>>(&text) {
             Ok(down) => {
                 for name in &down {
-                    self.bar(name, true);
-                    let message = || WorkerMessage::Bar { host: name.clone(), out: true, call: None };
+                    self.set_down(name, true);
+                    let message = || WorkerMessage::SetDown { host: name.clone(), down: true, call: None };
                     self.workers.deliver_others(self.me, message);
                 }
                 if !down.is_empty() {
--- a/src/net/event_loop/succession.rs
+++ b/src/net/event_loop/succession.rs
@@ -310,12 +310,12 @@
                 }
                 self.tell_others(Some(index), &Message::Commit { group, session, commit });
             }
-            Message::Bar { host, out } => {
-                let message = || WorkerMessage::Bar { host: host.clone(), out, call: None };
+            Message::SetDown { host, down } => {
+                let message = || WorkerMessage::SetDown { host: host.clone(), down, call: None };
                 self.workers.deliver_others(self.me, message);
-                self.bar(&host, out);
-                self.remember_ban(&host, out);
-                self.tell_others(Some(index), &Message::Bar { host, out });
+                self.set_down(&host, down);
+                self.store_down(&host, down);
+                self.tell_others(Some(index), &Message::SetDown { host, down });
             }
             Message::Cancel(key) => {
                 if !self.cancel_own(key) {
@@ -403,8 +403,8 @@
     }
 
     /// Tells the other process what operators have said of a host, before they hear yes.
-    pub(super) fn share_bar(&mut self, host: &str, out: bool) {
-        self.tell_others(None, &Message::Bar { host: host.to_string(), out });
+    pub(super) fn share_down(&mut self, host: &str, down: bool) {
+        self.tell_others(None, &Message::SetDown { host: host.to_string(), down });
     }
 
     /// Whether something is still on its way to another process.
--- a/src/net/event_loop/workers.rs
+++ b/src/net/event_loop/workers.rs
@@ -78,12 +78,12 @@
     /// To all: new settings.
     Settings(Box<Site>, Zones),
     /// To all: operators put a host down, or back up; the call that waits for it, if one does.
-    Bar { host: String, out: bool, call: Option<Key> },
-    /// To the door: it holds here.
-    Barred(Key),
+    SetDown { host: String, down: bool, call: Option<Key> },
+    /// To the admin interface: it holds here.
+    IsSetDown(Key),
     /// To all: the figures are asked for by this call.
     Stats(Key),
-    /// To the door: the figures of one worker.
+    /// To the admin interface: the figures of one worker.
     Figures(Key, Box<Figures>),
     /// To the line: a request whose way to its home leads past what the other process has told.
     Via { home: usize, owner: Owner, statement: Box<Statement>, until: Micros },
@@ -270,13 +270,13 @@
                 self.directory.know_zones(zones);
                 self.settle_in(*site);
             }
-            WorkerMessage::Bar { host, out, call } => {
-                self.bar(&host, out);
+            WorkerMessage::SetDown { host, down, call } => {
+                self.set_down(&host, down);
                 if let Some(call) = call {
-                    self.workers.deliver(0, WorkerMessage::Barred(call));
+                    self.workers.deliver(0, WorkerMessage::IsSetDown(call));
                 }
             }
-            WorkerMessage::Barred(call) => self.is_barred(call),
+            WorkerMessage::IsSetDown(call) => self.is_set_down(call),
             WorkerMessage::Stats(call) => {
                 let figures = Box::new(self.figures().clone());
                 self.workers.deliver(0, WorkerMessage::Figures(call, figures));
--- a/src/upgrade/message.rs
+++ b/src/upgrade/message.rs
@@ -85,10 +85,12 @@
         commit: Micros,
     },
     /// Operators put a host down, or back up.
-    Bar {
+    #[serde(rename = "Bar")]
+    SetDown {
         /// Its name.
         host: String,
         /// Down, or up.
-        out: bool,
+        #[serde(rename = "out")]
+        down: bool,
     },
 }
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -342,7 +342,7 @@
     };
     assert!(matches!(verdict, Verdict::Send { .. }) && balancer.still_holds(at, waiting));
     for _ in 0..2 {
-        balancer.bar(at, out, true);
+        balancer.set_administratively_down(at, out, true);
         assert!(!balancer.admits(out) && !balancer.still_holds(at, waiting));
     }
     assert_eq!(balancer.pool(), (3, 1));
@@ -354,7 +354,7 @@
     balancer.members(at, false, vec![entry(2, Listed::Ready)]);
     let (at, sent) = serve(&mut balancer, 1_000);
     assert!(!sent.contains_key(&out), "it is back in the list and still down");
-    balancer.bar(at, out, false);
+    balancer.set_administratively_down(at, out, false);
     assert_eq!(balancer.pool(), (3, 0));
     let (_, sent) = serve(&mut balancer, 5_000);
     assert!((1..120).contains(&sent[&out]), "a trickle for a cold member: {}", sent[&out]);
@@ -369,7 +369,7 @@
     for member in [2, 3] {
         before.probed(START, MemberId(member), answer(Said::Served, MemberId(member), START));
     }
-    before.bar(START, MemberId(2), true);
+    before.set_administratively_down(START, MemberId(2), true);
     before.committed(GroupId(1), SessionKey(9), START + Micros::millis(50));
     let text = serde_json::to_string(&before.snapshot()).expect("written");
     let mut after = balancer(true);
@@ -518,3 +518,28 @@
         assert!(!matches!(verdict, Verdict::Send { member: MemberId(1), .. }), "{beyond} ms: {verdict:?}");
     }
 }
+
+/// Guards hosts from what is this gateway's own doing: a read that was written too late is asked elsewhere, and nothing is held
+/// against the host; one that may not be repeated fails, since it may have run.
+#[test]
+fn a_read_that_was_written_too_late_is_asked_elsewhere() {
+    for late in [10, 150, 2_000] {
+        let mut balancer = balancer(true);
+        tell_log_time(&mut balancer);
+        let now = START + Micros::millis(2);
+        for member in [2, 3] {
+            let position = now - Micros::millis(492);
+            balancer.probed(now, MemberId(member), answer(Said::Served, MemberId(member), position));
+        }
+        let (ticket, verdict) = balancer.pick(now, ask(0, 1, Micros::millis(5_000)));
+        assert!(matches!(verdict, Verdict::Send { member: MemberId(2 | 3), .. }), "{verdict:?}");
+        assert!(balancer.still_covers(now, ticket));
+        let written = now + Micros::millis(late);
+        assert!(!balancer.still_covers(written, ticket), "{late} ms");
+        let broken = Broken { reach: Reach::WhollyWritten, cause: Cause::WrittenTooLate };
+        let verdict = balancer.report(now, ticket, Ended::Broken(broken));
+        let asked_elsewhere = matches!(verdict, Verdict::Send { .. } | Verdict::Held);
+        assert!(asked_elsewhere, "{verdict:?}");
+        assert_eq!(balancer.pool().1, 0, "nobody is ejected");
+    }
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -129,7 +129,7 @@
     new.end();
 }
 
-/// Guards hosts put down by hand: a ban outlives the process that took it, and a word at either door of
+/// Guards hosts put down by hand: what is put down outlives the process that took it, and a word at either admin interface of
 /// two counts at both.
 #[test]
 fn bans_hold_at_both_processes() {
@@ -251,8 +251,8 @@
     };
     // A first message other than a snapshot ends the call; what was sent is still whole on this side.
     let (socket, mut other) = UnixStream::pair().expect("a pair");
-    let bar = Message::Bar { host: long, out: true };
-    line.send(&bar, Some(OwnedFd::from(socket))).expect("sent");
+    let down = Message::SetDown { host: long, down: true };
+    line.send(&down, Some(OwnedFd::from(socket))).expect("sent");
     let commit = Message::Commit { group: GroupId(1), session: SessionKey(u64::MAX), commit: Micros(7) };
     while line.send(&commit, None).is_ok() && line.is_behind() {
         line.flush().unwrap_or_default();
