Review case 3: nobody accepts clients while the next process of an upgrade ends after SIGTERM

Cause: the process before stops accepting once the next one is ready, and starts again only when the line between the two ends; the next one closes its listener 0.5 s after SIGTERM and lives on for as long as it owes an answer.

Nothing of the program is changed.

--- a/review/common.rs
+++ b/review/common.rs
@@ -469,6 +469,11 @@
         }
     }
 
+    /// Whether the gateway has not closed the connection.
+    pub fn is_open(&self) -> bool {
+        !matches!(self.socket.peek(&mut [0]), Ok(0))
+    }
+
     pub fn ask(&mut self, text: &str) -> Answer {
         match self.send(text) {
             Ok(()) => self.answer(),
