Review case 1: eight rounds instead of six

Cause: on a busy machine a round may miss the window by itself; more rounds make a run decide.

Change: review/1 plays eight rounds.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -22,7 +22,7 @@
 /// How late connections come up then, and for how long after the reset: less than `ConnectTimeoutMs`.
 const LATE_MS: u64 = 238;
 const LATE_FOR_MS: u64 = 600;
-const ROUNDS: usize = 6;
+const ROUNDS: usize = 8;
 
 /// A key's arrivals at the group.
 #[derive(Default)]
