--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -80,7 +80,8 @@
     fn serve(&self, mut socket: TcpStream) -> std::io::Result<()> {
         socket.set_nodelay(true)?;
         read_startup(&mut socket)?;
-        let is_late = self.is_primary && lock(&self.group).late_until.is_some_and(|until| Instant::now() < until);
+        let is_late =
+            self.is_primary && lock(&self.group).late_until.is_some_and(|until| Instant::now() < until);
         if is_late {
             self.record.line(format!("{}: a connection comes up {LATE_MS} ms late", self.name));
             sleep_ms(LATE_MS);
@@ -99,7 +100,8 @@
                 "" => socket.write_all(&[message(b'I', &[]), message(b'Z', b"I")].concat())?,
                 "SELECT 1" => socket.write_all(&row(b"1", "SELECT 1", &[]))?,
                 "SHOW gauges" => {
-                    let report = format!("x0={:.3},x1={}", self.position() / 1000.0, u8::from(self.is_primary));
+                    let report =
+                        format!("x0={:.3},x1={}", self.position() / 1000.0, u8::from(self.is_primary));
                     socket.write_all(&row(report.as_bytes(), "SHOW", &[]))?;
                 }
                 _ if text.starts_with("INSERT") => self.write(&mut socket, &text)?,
@@ -114,7 +116,11 @@
 
     fn write(&self, socket: &mut TcpStream, text: &str) -> std::io::Result<()> {
         if !self.is_primary {
-            return socket.write_all(&error("25006", "this is no primary", &self.parameters(self.position().floor())));
+            return socket.write_all(&error(
+                "25006",
+                "this is no primary",
+                &self.parameters(self.position().floor()),
+            ));
         }
         let name = field(text, "k").unwrap_or_default();
         let arrived = self.record.now_ms();
@@ -125,7 +131,8 @@
             let key = group.keys.entry(name.clone()).or_default();
             key.arrived.push(arrived);
             // The group drops a repeat for the window, counted from the first attempt, and for the slack.
-            let is_dropped = key.applied.first().is_some() && arrived - key.arrived[0] <= WINDOW_MS + SLACK_MS;
+            let is_dropped =
+                key.applied.first().is_some() && arrived - key.arrived[0] <= WINDOW_MS + SLACK_MS;
             if !is_dropped {
                 key.applied.push(arrived);
             }
@@ -179,7 +186,14 @@
             Host::start(&record, &group, "host-2 (replica)", false),
             Host::start(&record, &group, "host-3 (replica)", false),
         ];
-        let target = |uid, endpoint, role| Target { uid, endpoint, zone: "quimper-room", group: 1, state: "Ready", role };
+        let target = |uid, endpoint, role| Target {
+            uid,
+            endpoint,
+            zone: "quimper-room",
+            group: 1,
+            state: "Ready",
+            role,
+        };
         let discovery = Discovery::start(vec![
             target("s-1", primary, "master").to_json(),
             target("s-2", replicas[0], "replica").to_json(),
@@ -188,7 +202,8 @@
         let ports = free_ports(2);
         let path = context.scratch.join("config.json");
         std::fs::write(&path, config(ports[0], ports[1], &discovery)).expect("written");
-        let env = [("GW_CONFIG", path.display().to_string()), ("TMPDIR", context.scratch.display().to_string())];
+        let env =
+            [("GW_CONFIG", path.display().to_string()), ("TMPDIR", context.scratch.display().to_string())];
         let mut gateway = Process::start(&record, context, "gateway", &context.run, &env);
         let address = SocketAddr::from(([127, 0, 0, 1], ports[0]));
         if !wait_until_ready(address, 20_000) {
@@ -230,12 +245,21 @@
         for (name, key) in &lock(&group).keys {
             let late = key.arrived.iter().filter(|at| **at - key.arrived[0] > bound).count();
             if key.arrived.len() > 1 {
-                let after: Vec<String> = key.arrived.iter().map(|at| format!("{:.1}", at - key.arrived[0])).collect();
-                record.line(format!("k={name}: arrived after {} ms, applied {} times", after.join(", "), key.applied.len()));
+                let after: Vec<String> =
+                    key.arrived.iter().map(|at| format!("{:.1}", at - key.arrived[0])).collect();
+                record.line(format!(
+                    "k={name}: arrived after {} ms, applied {} times",
+                    after.join(", "),
+                    key.applied.len()
+                ));
             }
             broken += late;
         }
         record.line(format!("attempts sent again later than {bound} ms after the first: {broken}"));
-        if broken > 0 { BROKEN } else { HELD }
+        if broken > 0 {
+            BROKEN
+        } else {
+            HELD
+        }
     })
 }
--- a/review/common.rs
+++ b/review/common.rs
@@ -55,7 +55,10 @@
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 pub fn send_signal(pid: u32, name: &str) {
-    let _ = Command::new("/bin/kill").args([&format!("-{name}"), &pid.to_string()]).stderr(Stdio::null()).status();
+    let _ = Command::new("/bin/kill")
+        .args([&format!("-{name}"), &pid.to_string()])
+        .stderr(Stdio::null())
+        .status();
 }
 
 pub fn end_all_children() {
@@ -76,7 +79,8 @@
         std::process::exit(NOT_RUN);
     });
     let (inner, given) = (record.clone(), &context);
-    let code = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| case(inner, given))).unwrap_or(NOT_RUN);
+    let code =
+        std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| case(inner, given))).unwrap_or(NOT_RUN);
     end_all_children();
     let _ = std::fs::remove_dir_all(&context.scratch);
     let word = match code {
@@ -146,17 +150,34 @@
 
 impl Process {
     /// Starts `/bin/sh -c COMMAND` from the root of the repository.
-    pub fn start(record: &Record, context: &Context, name: &str, command: &str, env: &[(&str, String)]) -> Process {
+    pub fn start(
+        record: &Record,
+        context: &Context,
+        name: &str,
+        command: &str,
+        env: &[(&str, String)],
+    ) -> Process {
         let mut shell = Command::new("/bin/sh");
         shell.args(["-c", command]).current_dir(&context.root);
-        for variable in
-            ["GW_CONFIG", "GW_SETTINGS", "GW_NAME", "GW_LISTEN", "GW_ADMIN_ADDR", "GW_DISCOVERY", "GW_LOG", "TMPDIR"]
-        {
+        for variable in [
+            "GW_CONFIG",
+            "GW_SETTINGS",
+            "GW_NAME",
+            "GW_LISTEN",
+            "GW_ADMIN_ADDR",
+            "GW_DISCOVERY",
+            "GW_LOG",
+            "TMPDIR",
+        ] {
             shell.env_remove(variable);
         }
         shell.envs(env.iter().map(|(key, value)| (*key, value)));
-        let mut child =
-            shell.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("it starts");
+        let mut child = shell
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
         let pid = child.id();
         lock(&CHILDREN).push(pid);
         record.line(format!("{name}: started"));
