--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -18,9 +18,9 @@
 /// The work of a write.
 const WORK_MS: u64 = 100;
 /// When the connections to the primary are reset after a write whose answer is lost has come.
-const RESET_AFTER_MS: u64 = 1178;
+const RESET_AFTER_MS: u64 = 1176;
 /// How late connections come up then, and for how long after the reset: less than `ConnectTimeoutMs`.
-const LATE_MS: u64 = 238;
+const LATE_MS: u64 = 228;
 const LATE_FOR_MS: u64 = 600;
 const ROUNDS: usize = 8;
 
@@ -147,12 +147,19 @@
         }
         self.record.line(format!("{}: the answer to k={name} is lost", self.name));
         sleep_ms(RESET_AFTER_MS - WORK_MS);
+        let own = socket.peer_addr()?;
         let mut group = lock(&self.group);
         group.late_until = Some(Instant::now() + Duration::from_millis(LATE_FOR_MS));
         self.record.line(format!("{}: its {} connections are reset", self.name, group.connections.len()));
+        // The write's own last, or the gateway would take an idle one for the repeat.
         for connection in group.connections.drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
+            if connection.peer_addr().is_ok_and(|peer| peer != own) {
+                let _ = connection.shutdown(Shutdown::Both);
+            }
         }
+        drop(group);
+        sleep_ms(2);
+        let _ = socket.shutdown(Shutdown::Both);
         Ok(())
     }
 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -122,6 +122,15 @@
                     let command = if text.starts_with("INSERT") { "INSERT 0 1" } else { "SELECT 1" };
                     let written = self.record.now_ms();
                     let leaves = self.was_primary && role == "replica" && lock(&self.leaving).is_some();
+                    // Noted before it is written: whoever gets the answer finds it here.
+                    lock(&self.sent).push(Sent {
+                        id: id.clone(),
+                        arrived,
+                        written,
+                        role,
+                        age,
+                        host: self.name,
+                    });
                     socket.write_all(&row(b"value", command, &parameters))?;
                     self.record.line(format!(
                         "{}: the answer to id={id} is written: {role}, position {position:.0}",
@@ -134,7 +143,6 @@
                         }
                         self.record.line(format!("client of id={id}: leaves"));
                     }
-                    lock(&self.sent).push(Sent { id, arrived, written, role, age, host: self.name });
                 }
             }
         }
--- a/review/common.rs
+++ b/review/common.rs
@@ -54,11 +54,10 @@
 /// Process ids of the running children, for the end of the run.
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal by its name to a process that this run has started.
 pub fn send_signal(pid: u32, name: &str) {
-    let _ = Command::new("/bin/kill")
-        .args([&format!("-{name}"), &pid.to_string()])
-        .stderr(Stdio::null())
-        .status();
+    let command = format!("kill -{name} {pid}");
+    let _ = Command::new("/bin/sh").args(["-c", &command]).stderr(Stdio::null()).status();
 }
 
 pub fn end_all_children() {
@@ -71,11 +70,12 @@
 pub fn run_case(case: impl FnOnce(Record, &Context) -> i32 + std::panic::UnwindSafe) -> ! {
     let context = Context::new();
     let record = Record::create(&context.folder.join("record.txt"));
-    let watch = record.clone();
+    let (watch, scratch) = (record.clone(), context.scratch.clone());
     std::thread::spawn(move || {
         std::thread::sleep(Duration::from_secs(112));
         watch.line("verdict: the run took too long");
         end_all_children();
+        let _ = std::fs::remove_dir_all(&scratch);
         std::process::exit(NOT_RUN);
     });
     let (inner, given) = (record.clone(), &context);
@@ -230,6 +230,14 @@
     }
 }
 
+impl Drop for Process {
+    /// No process outlives the run, whatever its verdict.
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 /// Polls a condition; false if it does not hold in time.
 pub fn wait_until(ms: u64, mut condition: impl FnMut() -> bool) -> bool {
     let until = Instant::now() + Duration::from_millis(ms);
