--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -6,7 +6,7 @@
 use super::queue::DROP_RATE_SAMPLE_WEIGHT;
 use super::{Actions, Router};
 use crate::api::*;
-use crate::notice::GiveUp;
+use crate::notice::{AttemptTiming, GiveUp};
 
 /// Errors after which a read is given up.
 const MAX_READ_ERRORS: u32 = 2;
@@ -29,6 +29,21 @@
             }
     }
 
+    /// The times that decide whether the attempt in flight may repeat an earlier one.
+    pub fn attempt_timing(&self, id: RequestId) -> Option<AttemptTiming> {
+        let open = self.open_requests.get(&id)?;
+        let (number, _) = open.in_flight.last()?;
+        let window = match self.settings.classes[open.request.class.0].idempotency {
+            Idempotency::IdempotencyKey { window, .. } => Some(window),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+        };
+        Some(AttemptTiming {
+            chosen_at: self.attempts.get(&(id, *number))?.sent,
+            first_sent_at: open.executed_from.filter(|_| open.may_have_executed),
+            window,
+        })
+    }
+
     /// Sends a request to a member.
     pub(super) fn send(&mut self, now: Micros, id: RequestId, to: MemberId, actions: &mut Actions) {
         let Some(open) = self.open_requests.get(&id) else { return };
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -9,7 +9,7 @@
 use crate::api::*;
 use crate::attempt::AttemptOutcome;
 use crate::balance::{self, Router};
-use crate::notice::{Notice, ReadBasis};
+use crate::notice::{AttemptTiming, Notice, ReadBasis};
 
 /// A request for which a member is to be chosen.
 #[derive(Clone, Copy, Debug)]
@@ -332,6 +332,11 @@
         self.router.read_basis(now, request)
     }
 
+    /// The times that decide whether the attempt in flight may repeat an earlier one of its request.
+    pub fn attempt_timing(&self, request: RequestId) -> Option<AttemptTiming> {
+        self.router.attempt_timing(request)
+    }
+
     /// Enables notices about single requests.
     pub fn enable_request_notices(&mut self) {
         self.router.enable_request_tracing();
--- a/src/net/event_loop/decision_log.rs
+++ b/src/net/event_loop/decision_log.rs
@@ -9,7 +9,7 @@
 use super::host_connection::CloseReason;
 use super::Gateway;
 use crate::attempt::{AttemptOutcome, AttemptProgress, FailureCause, ResponseStatus};
-use crate::notice::{role_name, GiveUp, LogTimeEvidence, Notice, PositionSource, ReadBasis};
+use crate::notice::{role_name, AttemptTiming, GiveUp, LogTimeEvidence, Notice, PositionSource, ReadBasis};
 use crate::{AttemptStatus, GroupId, MemberId, Micros, RequestId};
 
 impl Gateway {
@@ -55,6 +55,20 @@
             "dated_ms_ago" => evidence.map(|evidence| self.ms_ago(evidence.received)));
     }
 
+    /// Logs when an attempt was written, when its host was chosen, and when the first attempt was sent that it may
+    /// repeat.
+    pub(super) fn log_attempt_timing(&self, request_id: RequestId, written_at: Micros) {
+        if !self.log.is_debug_enabled() {
+            return;
+        }
+        let Some(timing) = self.balancer.attempt_timing(request_id) else { return };
+        let AttemptTiming { chosen_at, first_sent_at, window } = timing;
+        let ms_before = |time: Micros| (written_at - time).as_f64() / 1000.0;
+        debug!(self.log, "attempt timing"; "id" => self.client_id(request_id),
+            "chosen_ms_ago" => ms_before(chosen_at), "first_sent_ms_ago" => first_sent_at.map(ms_before),
+            "window_ms" => window.map(|window| window.as_f64() / 1000.0));
+    }
+
     /// Logs the end of an attempt.
     pub(super) fn log_attempt_end(&self, request_id: RequestId, member: MemberId, outcome: &AttemptOutcome) {
         let (id, host) = (self.client_id(request_id), self.directory.name(member));
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -278,8 +278,10 @@
         if let Some(request) = self.requests.get(request_id) {
             self.metrics.class_mut(&request.statement.class).attempts += 1;
         }
+        let written_at = self.clock.read();
         self.log_attempt(request_id, member);
-        if !self.balancer.is_fresh_enough(self.clock.read(), request_id) {
+        self.log_attempt_timing(request_id, written_at);
+        if !self.balancer.is_fresh_enough(written_at, request_id) {
             self.handle_host_lost(id, FailureCause::WrittenTooLate);
         }
     }
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -62,6 +62,17 @@
     pub evidence: Option<LogTimeEvidence>,
 }
 
+/// The times that decide whether an attempt may repeat an earlier one of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptTiming {
+    /// When its member was chosen.
+    pub chosen_at: Micros,
+    /// When the first attempt that may have been executed was sent; `None` if this attempt repeats none.
+    pub first_sent_at: Option<Micros>,
+    /// How long duplicates are dropped after that; `None` if the class has no idempotency key.
+    pub window: Option<Micros>,
+}
+
 /// Why a request was given up before it was served. The log shows these names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GiveUp {
