Ask whether a repeat is still inside its window when it is written, not when its host is chosen

Cause: `may_send` asked for the window as the host was chosen; until the statement is written up to ConnectTimeoutMs may pass. The window's other end was taken at a choice as well, which gave up repeats whose first attempt had to connect.

Change: `Router::begin_write` is asked right before the write, by the clock as it is then: service, data age, and now the window; a refusal has a name in the log (`attempt not written`). The window runs from the write of the first attempt that may have run. An attempt that was refused is reported by the clock of the refusal, so that no further one is chosen.

Why this works: what is decided and what takes effect are one step, whatever lay between the choice and the write.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,8 +7,9 @@
 //!
 //! Inputs of decisions: [`member`] and [`group`] hold the reported state, [`log_time`] and
 //! [`class_latencies`] the estimates. A request arrives in [`queue`], [`choice`] selects its member by
-//! [`capacity`] and [`positions`], [`attempts`] sends it, [`outcomes`] processes the end of each attempt, and
-//! [`final_answer`] ends a request that is not served. [`membership`] follows the endpoint list and the
+//! [`capacity`] and [`positions`], [`attempts`] sends it, [`write_check`] checks it once more when it is
+//! written, [`outcomes`] processes the end of each attempt, and [`final_answer`] ends a request that is not
+//! served. [`membership`] follows the endpoint list and the
 //! roles; [`housekeeping`] and [`health_checks`] do the periodic work.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,6 +47,7 @@
 mod snapshot;
 mod snapshot_conversion;
 mod snapshot_format;
+mod write_check;
 
 use capacity::limit_share;
 use choice::WeightedMembers;
--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -15,16 +15,13 @@
     /// Whether a further attempt is within the limits on attempts and cannot make the request take effect
     /// twice. An idempotent request may be executed twice.
     pub(super) fn may_send(&self, now: Micros, open: &OpenRequest) -> bool {
-        let not_executed = open.proved_not_executed();
         let may_hedge = open.in_flight.is_empty() || self.settings.hedging;
+        let may_repeat = may_hedge && now < self.repeat_window_end(open);
         open.attempts < open.max_attempts
             && match self.settings.classes[open.request.class.0].idempotency {
-                Idempotency::Idempotent => may_hedge && open.errors < MAX_READ_ERRORS,
-                Idempotency::NonIdempotent
-                | Idempotency::IdempotencyKey { scope: DeduplicationScope::Zone, .. } => not_executed,
-                Idempotency::IdempotencyKey { window, .. } => {
-                    let in_window = open.executed_from.is_none_or(|sent| now < sent + window);
-                    not_executed || may_hedge && in_window
+                Idempotency::Idempotent => may_repeat && open.errors < MAX_READ_ERRORS,
+                Idempotency::NonIdempotent | Idempotency::IdempotencyKey { .. } => {
+                    open.proved_not_executed() || may_repeat
                 }
             }
     }
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -224,27 +224,6 @@
             && self.settings.health_check_price <= MAX_HEALTH_CHECK_PRICE
     }
 
-    /// Whether the attempt in flight may still be written now that its connection has been established.
-    pub fn may_write_attempt(&self, now: Micros, id: RequestId) -> bool {
-        let attempt = self.open_requests.get(&id).and_then(|open| open.in_flight.last());
-        let member = attempt.and_then(|(_, to)| self.members.get(to));
-        member.is_some_and(Member::is_in_service) && self.covers(now, id)
-    }
-
-    /// Whether the member that a request was sent to covers the position that the request must see if its
-    /// last byte is written now: the member is the primary, or its last known position is late enough.
-    pub fn covers(&self, now: Micros, id: RequestId) -> bool {
-        let Some(open) = self.open_requests.get(&id) else { return false };
-        let Some((_, to)) = open.in_flight.last() else { return false };
-        let write = self.settings.classes[open.request.class.0].consistency == Consistency::Write;
-        if write || Some(*to) == self.primary(open.request.group) {
-            return true;
-        }
-        let member = self.members.get(to);
-        let reached = |needed| member.map_or(needed == Micros(0), |member| member.log.has_reached(needed));
-        self.needed(now, open).is_some_and(reached)
-    }
-
     /// The member for a write: the primary or, while no primary is known, the member with the latest log
     /// position among those that were not used recently and have not recently claimed a role, if another
     /// attempt remains after this one. A new primary also becomes known from the answers to reads.
--- a/src/balance/open_request.rs
+++ b/src/balance/open_request.rs
@@ -21,7 +21,8 @@
     /// Number of attempts so far.
     pub attempts: u32,
     pub in_flight: Vec<(AttemptNo, MemberId)>,
-    /// Send time of the first attempt that may have been executed.
+    /// Send time of the first attempt that may have been executed or may yet be: while its connection is
+    /// established, the time of the choice of its member.
     pub executed_from: Option<Micros>,
     /// An attempt ended without proof that it was not executed.
     pub may_have_executed: bool,
@@ -51,6 +52,13 @@
         attempt
     }
 
+    /// Records that the attempt in flight is written at `now`.
+    pub fn mark_sent(&mut self, now: Micros) {
+        if !self.may_have_executed && self.in_flight.len() == 1 {
+            self.executed_from = Some(now);
+        }
+    }
+
     /// Records a failed attempt.
     pub fn record_failure(&mut self, outcome: &Outcome) {
         self.in_flight.retain(|(attempt, _)| *attempt != outcome.attempt);
--- /dev/null
+++ b/src/balance/write_check.rs
@@ -0,0 +1,64 @@
+//! The last check of an attempt, right before its request is written. Its member was chosen earlier: the
+//! connection may have taken long to establish, and what allowed the choice may not hold any more.
+
+use super::member::Member;
+use super::open_request::OpenRequest;
+use super::Router;
+use crate::api::*;
+use crate::notice::WriteRefusal;
+
+impl Router {
+    /// Checks whether the attempt in flight may be written at `now`, and records that it is sent then.
+    ///
+    /// # Errors
+    /// The attempt must not be written; the variant tells why.
+    pub fn begin_write(&mut self, now: Micros, id: RequestId) -> Result<(), WriteRefusal> {
+        self.check_write(now, id)?;
+        if let Some(open) = self.open_requests.get_mut(&id) {
+            open.mark_sent(now);
+        }
+        Ok(())
+    }
+
+    fn check_write(&self, now: Micros, id: RequestId) -> Result<(), WriteRefusal> {
+        let open = self.open_requests.get(&id).ok_or(WriteRefusal::NotInFlight)?;
+        let (_, to) = open.in_flight.last().ok_or(WriteRefusal::NotInFlight)?;
+        if !self.members.get(to).is_some_and(Member::is_in_service) {
+            return Err(WriteRefusal::OutOfService);
+        }
+        if !self.covers(now, id) {
+            return Err(WriteRefusal::DataTooOld);
+        }
+        if open.may_have_executed && now >= self.repeat_window_end(open) {
+            return Err(WriteRefusal::OutsideRepeatWindow);
+        }
+        Ok(())
+    }
+
+    /// Whether the member that a request was sent to covers the position that the request must see if its
+    /// last byte is written now: the member is the primary, or its last known position is late enough.
+    pub fn covers(&self, now: Micros, id: RequestId) -> bool {
+        let Some(open) = self.open_requests.get(&id) else { return false };
+        let Some((_, to)) = open.in_flight.last() else { return false };
+        let write = self.settings.classes[open.request.class.0].consistency == Consistency::Write;
+        if write || Some(*to) == self.primary(open.request.group) {
+            return true;
+        }
+        let member = self.members.get(to);
+        let reached = |needed| member.map_or(needed == Micros(0), |member| member.log.has_reached(needed));
+        self.needed(now, open).is_some_and(reached)
+    }
+
+    /// The time before which a request may be sent again although an earlier attempt may have been executed:
+    /// always if it is idempotent, never if duplicates are not dropped by the whole group.
+    pub(super) fn repeat_window_end(&self, open: &OpenRequest) -> Micros {
+        match self.settings.classes[open.request.class.0].idempotency {
+            Idempotency::Idempotent => Micros(u64::MAX),
+            Idempotency::NonIdempotent
+            | Idempotency::IdempotencyKey { scope: DeduplicationScope::Zone, .. } => Micros(0),
+            Idempotency::IdempotencyKey { window, .. } => {
+                open.executed_from.map_or(Micros(u64::MAX), |sent| sent + window)
+            }
+        }
+    }
+}
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -9,7 +9,7 @@
 use crate::api::*;
 use crate::attempt::AttemptOutcome;
 use crate::balance::{self, Router};
-use crate::notice::{AttemptTiming, Notice, ReadBasis};
+use crate::notice::{AttemptTiming, Notice, ReadBasis, WriteRefusal};
 
 /// A request for which a member is to be chosen.
 #[derive(Clone, Copy, Debug)]
@@ -316,9 +316,16 @@
         self.take_decision(request)
     }
 
-    /// Whether the attempt in flight may still be sent to its member: its connection may have taken long to establish.
-    pub fn is_attempt_valid(&self, now: Micros, request: RequestId) -> bool {
-        self.requests.contains_key(&request) && self.router.may_write_attempt(now, request)
+    /// Checks whether the attempt in flight may still be written to its member, and records that it is sent at `now`:
+    /// its connection may have taken long to establish.
+    ///
+    /// # Errors
+    /// The attempt must not be written; the caller reports it as failed.
+    pub fn begin_write(&mut self, now: Micros, request: RequestId) -> Result<(), WriteRefusal> {
+        if !self.requests.contains_key(&request) {
+            return Err(WriteRefusal::NotInFlight);
+        }
+        self.router.begin_write(now, request)
     }
 
     /// Whether the member of the attempt in flight is known to be recent enough for the request if its last byte is
--- a/src/net/event_loop/decision_log.rs
+++ b/src/net/event_loop/decision_log.rs
@@ -9,7 +9,9 @@
 use super::host_connection::CloseReason;
 use super::Gateway;
 use crate::attempt::{AttemptOutcome, AttemptProgress, FailureCause, ResponseStatus};
-use crate::notice::{role_name, AttemptTiming, GiveUp, LogTimeEvidence, Notice, PositionSource, ReadBasis};
+use crate::notice::{
+    role_name, AttemptTiming, GiveUp, LogTimeEvidence, Notice, PositionSource, ReadBasis, WriteRefusal,
+};
 use crate::{AttemptStatus, GroupId, MemberId, Micros, RequestId};
 
 impl Gateway {
@@ -69,6 +71,12 @@
             "window_ms" => window.map(|window| window.as_f64() / 1000.0));
     }
 
+    /// Logs why an attempt was not written although its connection is ready.
+    pub(super) fn log_write_refused(&self, request_id: RequestId, member: MemberId, why: WriteRefusal) {
+        debug!(self.log, "attempt not written"; "id" => self.client_id(request_id),
+            "host" => self.directory.name(member), "why" => write_refusal_name(why));
+    }
+
     /// Logs the end of an attempt.
     pub(super) fn log_attempt_end(&self, request_id: RequestId, member: MemberId, outcome: &AttemptOutcome) {
         let (id, host) = (self.client_id(request_id), self.directory.name(member));
@@ -185,6 +193,16 @@
     }
 }
 
+/// The name in the log of the reason why an attempt was not written.
+fn write_refusal_name(why: WriteRefusal) -> &'static str {
+    match why {
+        WriteRefusal::NotInFlight => "NotInFlight",
+        WriteRefusal::OutOfService => "OutOfService",
+        WriteRefusal::DataTooOld => "DataTooOld",
+        WriteRefusal::OutsideRepeatWindow => "OutsideRepeatWindow",
+    }
+}
+
 /// The name in the log of the reason why a request was given up.
 fn give_up_name(why: GiveUp) -> &'static str {
     match why {
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -9,6 +9,7 @@
 use super::Gateway;
 use crate::attempt::{AttemptOutcome, AttemptProgress, FailedAttempt, FailureCause, ResponseStatus};
 use crate::balancer::RoutingDecision;
+use crate::notice::WriteRefusal;
 use crate::pg::codec::CancelKey;
 use crate::pg::host::HostResponse;
 use crate::pg::statement::Statement;
@@ -241,21 +242,29 @@
         if self.has_client_left(request_id) {
             return;
         }
-        let is_valid = self.balancer.is_attempt_valid(now, request_id);
+        if let Err(why) = self.balancer.begin_write(now, request_id) {
+            return self.refuse_write(now, id, request_id, why);
+        }
         let Some(request) = self.requests.get(request_id) else { return };
         let Some(host) = self.connections.host(id) else { return };
-        let member = host.member;
-        if !is_valid {
-            self.release_connection(id);
-            self.requests.end_attempt(request_id);
-            return self.handle_attempt_failed(request_id, member, NOT_ATTEMPTED);
-        }
         let deadline = host.attempt_deadline.min(request.deadline);
         let text = request.statement.with_wait(deadline - now);
         self.counts.attempts += 1;
         self.write_query(id, &text);
     }
 
+    /// Ends an attempt that must not be written any more, at `now`, and continues with another one or the final answer.
+    fn refuse_write(&mut self, now: Micros, id: ConnectionId, request_id: RequestId, why: WriteRefusal) {
+        let Some(member) = self.connections.host(id).map(|host| host.member) else { return };
+        if self.requests.get(request_id).is_none() {
+            return;
+        }
+        self.log_write_refused(request_id, member, why);
+        self.release_connection(id);
+        self.requests.end_attempt(request_id);
+        self.handle_attempt_failed_at(now, request_id, member, NOT_ATTEMPTED);
+    }
+
     fn write_query(&mut self, id: ConnectionId, text: &str) {
         if self.connections.host(id).is_some_and(|host| host.protocol.send_query(text)) {
             self.write(id);
@@ -318,9 +327,20 @@
         request_id: RequestId,
         member: MemberId,
         failed: FailedAttempt,
+    ) {
+        self.handle_attempt_failed_at(self.now, request_id, member, failed);
+    }
+
+    /// The same for an attempt that has ended at `now`, later than this iteration began.
+    fn handle_attempt_failed_at(
+        &mut self,
+        now: Micros,
+        request_id: RequestId,
+        member: MemberId,
+        failed: FailedAttempt,
     ) {
         self.counts.failed_attempts += 1;
-        let decision = self.report_outcome(request_id, member, AttemptOutcome::NoResponse(failed));
+        let decision = self.report_outcome(now, request_id, member, AttemptOutcome::NoResponse(failed));
         self.continue_request(request_id, decision);
     }
 
@@ -335,7 +355,7 @@
         let (status, role) = (response.status, response.role);
         let position = self.to_position(response.position);
         let outcome = AttemptOutcome::Response { status, role, position };
-        let decision = self.report_outcome(request_id, member, outcome);
+        let decision = self.report_outcome(self.now, request_id, member, outcome);
         if status == ResponseStatus::Served {
             self.counts.served += 1;
             self.finish_request(request_id, FinalAnswer::Served(response.rows));
@@ -346,12 +366,13 @@
 
     fn report_outcome(
         &mut self,
+        now: Micros,
         request_id: RequestId,
         member: MemberId,
         outcome: AttemptOutcome,
     ) -> RoutingDecision {
         self.log_attempt_end(request_id, member, &outcome);
-        self.balancer.handle_outcome(self.now, request_id, outcome)
+        self.balancer.handle_outcome(now, request_id, outcome)
     }
 
     /// Carries out the decision on a request whose attempt has failed. A response that streams already is aborted.
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -73,6 +73,19 @@
     pub window: Option<Micros>,
 }
 
+/// Why an attempt was not written although its member had been chosen. The log shows these names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteRefusal {
+    /// The request is finished or has no attempt in flight.
+    NotInFlight,
+    /// The member receives no new requests any more.
+    OutOfService,
+    /// The member is not known to have applied the position that the read must see now.
+    DataTooOld,
+    /// An earlier attempt may have been executed, and duplicates of it are not dropped any more.
+    OutsideRepeatWindow,
+}
+
 /// Why a request was given up before it was served. The log shows these names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GiveUp {
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -5,6 +5,7 @@
 
 use dunemount::attempt::{AttemptOutcome, AttemptProgress, FailedAttempt, FailureCause, ResponseStatus};
 use dunemount::balancer::{Balancer, EndpointCounts, Output, RoutingDecision, RoutingRequest};
+use dunemount::notice::WriteRefusal;
 use dunemount::request::InFlightRequests;
 use dunemount::*;
 use proptest::prelude::*;
@@ -237,10 +238,12 @@
     }
     let (request_id, decision) = balancer.pick(START, request(0, 1, TIME_LEFT));
     assert!(matches!(decision, RoutingDecision::Send { member: MemberId(2 | 3), .. }));
-    assert!(balancer.is_attempt_valid(START, request_id));
-    assert!(!balancer.is_attempt_valid(START + Micros::millis(20), request_id));
+    assert_eq!(balancer.begin_write(START, request_id), Ok(()));
+    let late = START + Micros::millis(20);
+    assert_eq!(balancer.begin_write(late, request_id), Err(WriteRefusal::DataTooOld));
     balancer.handle_client_gone(START, request_id);
-    assert!(!balancer.is_attempt_valid(START, request_id), "the request is finished");
+    let finished = Err(WriteRefusal::NotInFlight);
+    assert_eq!(balancer.begin_write(START, request_id), finished, "the request is finished");
 }
 
 /// Guards against decisions on a request whose client has disconnected: its attempt counts as cancelled at once.
@@ -364,10 +367,12 @@
             break (request_id, decision);
         }
     };
-    assert!(matches!(decision, RoutingDecision::Send { .. }) && balancer.is_attempt_valid(at, waiting));
+    assert!(matches!(decision, RoutingDecision::Send { .. }));
+    assert_eq!(balancer.begin_write(at, waiting), Ok(()));
     for _ in 0..2 {
         balancer.set_administratively_down(at, down_member, true);
-        assert!(!balancer.is_routable(down_member) && !balancer.is_attempt_valid(at, waiting));
+        assert!(!balancer.is_routable(down_member));
+        assert_eq!(balancer.begin_write(at, waiting), Err(WriteRefusal::OutOfService));
     }
     assert_eq!(balancer.endpoint_counts(), EndpointCounts { listed: 3, ejected: 1 });
     let (at, sent) = serve(&mut balancer, 1_000);
--- /dev/null
+++ b/tests/repeat_window.rs
@@ -0,0 +1,248 @@
+//! The deduplication window of writes with an idempotency key: a repeat whose last byte is written after the window takes
+//! effect twice, and one inside it is still sent. The first three tests step the balancer in virtual time; connects,
+//! breaks, windows and stalls are drawn log-uniformly from the ranges below. The others run the gateway on loopback.
+
+mod harness;
+
+use std::ops::Range;
+use std::time::{Duration, Instant};
+
+use dunemount::attempt::{AttemptOutcome, AttemptProgress, FailedAttempt, FailureCause};
+use dunemount::balancer::{Balancer, Output, RoutingDecision, RoutingRequest};
+use dunemount::*;
+use harness::scripted::{answer, start_gateway, Host, HostConnection};
+use harness::{metric, write, Harness};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+
+const START: Micros = Micros::millis(100_000);
+/// Longest time between reading the clock and writing, which the rules grant the process.
+const MAX_STALL: Micros = Micros::millis(150);
+/// How long a client waits: longer than all that is drawn for one request.
+const TIME_LEFT: Micros = Micros::millis(60_000);
+/// Ranges of the windows, of the time that a connection takes to be established, and of the time after which a written
+/// attempt breaks, in milliseconds.
+const WINDOW_MS: Range<f64> = 20.0..20_000.0;
+const CONNECT_MS: Range<f64> = 0.05..2_000.0;
+const BREAK_MS: Range<f64> = 0.5..20_000.0;
+/// Number of requests in virtual time.
+const SEEDS: Range<u64> = 1..4_001;
+/// Fraction of those requests that must be repeated at least once, and end at a window, for the test to show something.
+const MIN_SHARE: f64 = 0.1;
+
+/// A number drawn log-uniformly.
+fn log_uniform(rng: &mut Pcg64Mcg, range: &Range<f64>) -> f64 {
+    let fraction = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+    range.start * (range.end / range.start).powf(fraction)
+}
+
+/// A time span drawn log-uniformly from a range in milliseconds.
+fn span(rng: &mut Pcg64Mcg, range: &Range<f64>) -> Micros {
+    Micros((log_uniform(rng, range) * 1000.0) as u64)
+}
+
+/// A balancer with one class of writes, whose group drops duplicates for `window`, and a primary with two replicas.
+fn balancer_with_window(window: Micros, seed: u64) -> Balancer {
+    let idempotency = Idempotency::IdempotencyKey { scope: DeduplicationScope::Group, window };
+    let class = Class {
+        latency_objective: Micros::millis(500),
+        deadline: TIME_LEFT,
+        priority_weight: 1.0,
+        late_weight: 1.0,
+        idempotency,
+        consistency: Consistency::Write,
+    };
+    let settings = Settings {
+        classes: vec![class],
+        tenants: vec![],
+        over_quota_weight: 1.0,
+        weight_basis: Default::default(),
+        zone: ZoneId(0),
+        gateways: 1,
+        tick: Micros::millis(5),
+        watch_required: false,
+        replica_checks: ReplicaChecks::None,
+        session_tokens: SessionTokens::Remembered,
+        health_checks: false,
+        cancels: true,
+        peers: false,
+        hedging: false,
+        retry_after: true,
+        clients_mark_retries: false,
+        max_retry_after: Micros::millis(500),
+        max_attempts: 10,
+        health_check_price: 0.01,
+        cross_zone_price: 0.0,
+        handshake_price: 0.0,
+        drain_grace: Micros::millis(300),
+        removed_may_serve: false,
+        connection_idle_timeout: Micros::millis(15_000),
+        slow_start_initial: 0.2,
+        slow_start_window: Micros::millis(10_000),
+        overload_multiple: 2.0,
+        overload_window: Micros::millis(2000),
+    };
+    let mut balancer = Balancer::new(settings, seed);
+    let entry =
+        |id| Endpoint { member: MemberId(id), group: GroupId(1), primary: id == 1, ..Endpoint::default() };
+    balancer.update_endpoints(START, true, (1..=3).map(entry).collect());
+    balancer
+}
+
+/// What became of one write in virtual time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Course {
+    /// When the first attempt that was executed was written.
+    first: Option<Micros>,
+    /// When the last one was written.
+    last: Option<Micros>,
+    /// Number of attempts that were written.
+    written: u32,
+    /// When a repeat was refused, at the choice of a member or at the write.
+    refused: Option<Micros>,
+}
+
+/// Runs one write whose attempts all break without an answer, until its final answer. `stall` draws the time between
+/// reading the clock and writing.
+fn run_write(balancer: &mut Balancer, rng: &mut Pcg64Mcg, stall: impl Fn(&mut Pcg64Mcg) -> Micros) -> Course {
+    let (mut course, mut now) = (Course::default(), START);
+    let request = RoutingRequest {
+        class: ClassId(0),
+        group: GroupId(1),
+        session: SessionKey(7),
+        committed: None,
+        repeat: false,
+        time_left: TIME_LEFT,
+    };
+    let (id, mut decision) = balancer.pick(now, request);
+    loop {
+        match decision {
+            RoutingDecision::Send { .. } => {
+                now = now + span(rng, &CONNECT_MS);
+                let (progress, cause) = match balancer.begin_write(now, id) {
+                    Ok(()) => {
+                        now = now + stall(rng);
+                        course.first.get_or_insert(now);
+                        course.last = Some(now);
+                        course.written += 1;
+                        now = now + span(rng, &BREAK_MS);
+                        (AttemptProgress::FullyWritten, FailureCause::ConnectionLost)
+                    }
+                    Err(_) => {
+                        course.refused = Some(now);
+                        (AttemptProgress::NotConnected, FailureCause::NotAttempted)
+                    }
+                };
+                let failed = FailedAttempt { progress, cause };
+                decision = balancer.handle_outcome(now, id, AttemptOutcome::NoResponse(failed));
+            }
+            RoutingDecision::Queued => match balancer.poll_output(now) {
+                Some(Output::Decision(_, next)) => decision = next,
+                Some(_) => {}
+                None => now = now.max(balancer.next_deadline().expect("a timer")),
+            },
+            RoutingDecision::Reject { .. } | RoutingDecision::Fail => {
+                course.refused.get_or_insert(now);
+                return course;
+            }
+        }
+    }
+}
+
+/// Runs many writes and checks each against both sides of its window. Gives the number of repeats.
+fn check_courses(stall: impl Fn(&mut Pcg64Mcg) -> Micros + Copy) {
+    let (mut repeated, mut ended_by_window) = (0, 0);
+    for seed in SEEDS {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let window = span(&mut rng, &WINDOW_MS);
+        let course = run_write(&mut balancer_with_window(window, seed), &mut rng, stall);
+        let run = format!("seed {seed}, window {} ms: {course:?}", window.as_f64() / 1000.0);
+        let first = course.first.unwrap_or_else(|| panic!("{run}: the first attempt is always written"));
+        assert!(course.last <= Some(first + window), "{run}: written after the window");
+        // Either the request has used up its attempts, or what was refused was not well inside the window.
+        let refused = course.refused.expect("the request ended");
+        let is_well_inside = refused + MAX_STALL + MAX_STALL < first + window;
+        assert!(course.written >= 10 || !is_well_inside, "{run}: refused well inside the window");
+        repeated += u32::from(course.written > 1);
+        ended_by_window += u32::from(course.written < 10);
+    }
+    let least = ((SEEDS.end - SEEDS.start) as f64 * MIN_SHARE) as u32;
+    println!("{repeated} writes repeated, {ended_by_window} ended by their window");
+    assert!(repeated > least && ended_by_window > least, "too few of a kind");
+}
+
+/// Guards against review case 1: the window held when the host was chosen, and was over when its connection had been
+/// established.
+#[test]
+fn no_repeat_is_written_after_the_window_however_long_the_connect_takes() {
+    check_courses(|_| Micros(0));
+}
+
+/// Starts a gateway in front of this host whose class of writes has a window of this many milliseconds.
+fn gateway_with_window(host: &Host, window_ms: f64) -> Harness {
+    let mut harness = start_gateway(&[host], 1);
+    let config = harness.config_with("/settings/Classes/1/RepeatWindowMs", Some(json!(window_ms)));
+    harness.reload_config(&config);
+    while metric(harness.admin, "config_applied") < 1 {}
+    harness
+}
+
+/// Guards the same on loopback: on a connection that is established after the window no repeat is written, the client
+/// is told that its write may have run, and the connection serves the next request.
+#[test]
+fn nothing_is_repeated_on_a_connection_that_is_established_after_the_window() {
+    const WINDOW: Duration = Duration::from_millis(400);
+    let host = Host::new();
+    let harness = gateway_with_window(&host, WINDOW.as_millis() as f64);
+    let mut client = harness.client();
+    client.ask(&write("twice"));
+    let mut first = host.accept_ready();
+    assert!(first.next_statement().is_some_and(|text| text.contains("'twice'")));
+    let executed_at = Instant::now();
+    first.reset();
+    let mut second = host.accept_startup();
+    std::thread::sleep(WINDOW.saturating_sub(executed_at.elapsed()));
+    second.greet();
+    let statements = std::thread::spawn(move || answer_all(second));
+    assert_eq!(client.code(), "58000", "the write may have run");
+    client.ask(&write("next"));
+    assert_eq!(client.answer().len(), 4);
+    drop(client);
+    harness.end();
+    let statements = statements.join().expect("a host");
+    assert!(statements.len() == 1 && statements[0].contains("'next'"), "{statements:?}");
+}
+
+/// Serves all statements on a connection until its end, and gives them.
+fn answer_all(mut connection: HostConnection) -> Vec<String> {
+    let mut statements = Vec::new();
+    while let Some(statement) = connection.next_statement() {
+        connection.send(&answer("master", None));
+        statements.push(statement);
+    }
+    statements
+}
+
+/// Guards the other side: a repeat whose connection is established inside the window is written and served, although
+/// the first attempt waited longer than the window for its own connection.
+#[test]
+fn a_repeat_inside_the_window_is_written_though_the_first_connect_was_slow() {
+    const WINDOW: Duration = Duration::from_millis(3_000);
+    let host = Host::new();
+    let harness = gateway_with_window(&host, WINDOW.as_millis() as f64);
+    let mut client = harness.client();
+    client.ask(&write("once"));
+    let mut first = host.accept_startup();
+    std::thread::sleep(WINDOW);
+    first.greet();
+    assert!(first.next_statement().is_some());
+    first.reset();
+    let second = host.listener.try_clone().expect("a listener");
+    let statements = std::thread::spawn(move || answer_all(Host { listener: second }.accept_ready()));
+    assert_eq!(client.answer().len(), 4, "served");
+    drop(client);
+    harness.end();
+    let statements = statements.join().expect("a host");
+    assert!(statements.len() == 1 && statements[0].contains("'once'"), "{statements:?}");
+}
