Take a member that accepts a session soon after a reset for running, not for restarted

Cause: a reset and no answer for a second counts as a restart, and a slow start of 14 s follows. Before, the repeat was answered within that second; now the connection that came up for it carried nothing.

Change: a session that a member accepts within that second says that its process runs: the broken connection is forgotten. Ejection, failures and the unresponsive state wait for an answer as before, since hosts are known that greet and answer nothing.

--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Records that a member has accepted a session on a new connection.
+    pub fn member_accepted_session(&mut self, now: Micros, id: MemberId) {
+        if let Some(member) = self.members.get_mut(&id) {
+            member.outlier.accepted_session(now);
+        }
+    }
+
     /// Recomputes the number of a group's members in service and its primary, after a change of the endpoint
     /// list, of a member's role claim or of a member's administrative state.
     pub(super) fn recompute_group(&mut self, id: GroupId) {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -316,6 +316,11 @@
         self.take_decision(request)
     }
 
+    /// Records that a member has accepted the session on a new connection.
+    pub fn session_accepted(&mut self, now: Micros, member: MemberId) {
+        self.router.member_accepted_session(now, member);
+    }
+
     /// Checks whether the attempt in flight may still be written to its member, and records that it is sent at `now`:
     /// its connection may have taken long to establish.
     ///
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -83,6 +83,7 @@
         match event {
             HostEvent::Ready => {
                 host.is_ready = true;
+                self.balancer.session_accepted(self.now, member);
                 self.start_task(id);
             }
             HostEvent::StartupRejected(code) => self.handle_session_rejected(id, &code),
--- a/tests/repeat_window.rs
+++ b/tests/repeat_window.rs
@@ -7,8 +7,9 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use dunemount::attempt::{AttemptOutcome, AttemptProgress, FailedAttempt, FailureCause};
+use dunemount::attempt::{AttemptOutcome, AttemptProgress, FailedAttempt, FailureCause, ResponseStatus};
 use dunemount::balancer::{Balancer, Output, RoutingDecision, RoutingRequest};
+use dunemount::notice::WriteRefusal;
 use dunemount::*;
 use harness::scripted::{answer, start_gateway, Host, HostConnection};
 use harness::{metric, write, Harness};
@@ -90,6 +91,17 @@
     balancer
 }
 
+fn write_request() -> RoutingRequest {
+    RoutingRequest {
+        class: ClassId(0),
+        group: GroupId(1),
+        session: SessionKey(7),
+        committed: None,
+        repeat: false,
+        time_left: TIME_LEFT,
+    }
+}
+
 /// What became of one write in virtual time.
 #[derive(Clone, Copy, Debug, Default)]
 struct Course {
@@ -107,15 +119,7 @@
 /// reading the clock and writing.
 fn run_write(balancer: &mut Balancer, rng: &mut Pcg64Mcg, stall: impl Fn(&mut Pcg64Mcg) -> Micros) -> Course {
     let (mut course, mut now) = (Course::default(), START);
-    let request = RoutingRequest {
-        class: ClassId(0),
-        group: GroupId(1),
-        session: SessionKey(7),
-        committed: None,
-        repeat: false,
-        time_left: TIME_LEFT,
-    };
-    let (id, mut decision) = balancer.pick(now, request);
+    let (id, mut decision) = balancer.pick(now, write_request());
     loop {
         match decision {
             RoutingDecision::Send { .. } => {
@@ -246,3 +250,35 @@
     let statements = statements.join().expect("a host");
     assert!(statements.len() == 1 && statements[0].contains("'once'"), "{statements:?}");
 }
+
+/// Guards the service after a repeat was refused: the member has accepted a session soon after its connection was reset,
+/// so it was not restarted, and the next answer, however late, begins no slow start.
+#[test]
+fn a_member_that_accepts_a_session_soon_after_a_reset_begins_no_slow_start() {
+    let mut balancer = balancer_with_window(Micros::millis(1_200), 1);
+    let reset =
+        FailedAttempt { progress: AttemptProgress::FullyWritten, cause: FailureCause::ConnectionLost };
+    let refused =
+        FailedAttempt { progress: AttemptProgress::NotConnected, cause: FailureCause::NotAttempted };
+    let (id, decision) = balancer.pick(START, write_request());
+    assert!(matches!(decision, RoutingDecision::Send { member: MemberId(1), .. }), "{decision:?}");
+    assert_eq!(balancer.begin_write(START, id), Ok(()));
+    let now = START + Micros::millis(1_150);
+    let decision = balancer.handle_outcome(now, id, AttemptOutcome::NoResponse(reset));
+    assert!(matches!(decision, RoutingDecision::Send { member: MemberId(1), .. }), "{decision:?}");
+    let now = now + Micros::millis(228);
+    balancer.session_accepted(now, MemberId(1));
+    assert_eq!(balancer.begin_write(now, id), Err(WriteRefusal::OutsideRepeatWindow));
+    assert_eq!(balancer.handle_outcome(now, id, AttemptOutcome::NoResponse(refused)), RoutingDecision::Fail);
+    let mut now = now + Micros::millis(1_500);
+    for _ in 0..20 {
+        let (id, decision) = balancer.pick(now, write_request());
+        assert!(matches!(decision, RoutingDecision::Send { member: MemberId(1), .. }), "{decision:?}");
+        now = now + Micros::millis(100);
+        let position = Some(now);
+        let served = ResponseStatus::Served;
+        let outcome = AttemptOutcome::Response { status: served, role: Some(Role::Primary), position };
+        balancer.handle_outcome(now, id, outcome);
+        now = now + Micros::millis(30);
+    }
+}
