Keep the last 0.15 s of a deduplication window free, for a process that is held up

A repeat that was checked just inside its window and then held up was written outside it.

Change: `repeat_window_end` ends a window `max_stall` early, at the choice and at the write.

--- a/src/balance/member/outlier.rs
+++ b/src/balance/member/outlier.rs
@@ -79,8 +79,8 @@
         broken.is_some_and(|broken| broken.was_reset && now - broken.since > EJECTION_TIME)
     }
 
-    /// Records that the member has accepted a session. One that does so this soon after a connection broke has
-    /// not been restarted. Whether it answers requests is not known yet.
+    /// Records that the member has accepted a session. One that does so this soon after a connection broke
+    /// has not been restarted. Whether it answers requests is not known yet.
     pub fn accepted_session(&mut self, now: Micros) {
         self.broken_connection = self.broken_connection.filter(|broken| now - broken.since > EJECTION_TIME);
     }
--- a/src/balance/write_check.rs
+++ b/src/balance/write_check.rs
@@ -50,14 +50,16 @@
     }
 
     /// The time before which a request may be sent again although an earlier attempt may have been executed:
-    /// always if it is idempotent, never if duplicates are not dropped by the whole group.
+    /// always if it is idempotent, never if duplicates are not dropped by the whole group. A process that is
+    /// stalled after it has read its clock still writes inside the window.
     pub(super) fn repeat_window_end(&self, open: &OpenRequest) -> Micros {
         match self.settings.classes[open.request.class.0].idempotency {
             Idempotency::Idempotent => Micros(u64::MAX),
             Idempotency::NonIdempotent
             | Idempotency::IdempotencyKey { scope: DeduplicationScope::Zone, .. } => Micros(0),
             Idempotency::IdempotencyKey { window, .. } => {
-                open.executed_from.map_or(Micros(u64::MAX), |sent| sent + window)
+                let usable = window - self.max_stall();
+                open.executed_from.map_or(Micros(u64::MAX), |sent| sent + usable)
             }
         }
     }
