Write the rest of a repeat's statement only while its window lasts

What a caller could see: a write applied twice whose repeat was begun inside the window and completed after it.

Cause: the window was asked for when the first byte was written. A statement that the socket takes in part is completed as soon as the socket takes more, without a question; the host runs it from its last byte on.

Change: `begin_write` returns the time before which the last byte must be written; the connection keeps it, and `write` ends an attempt that has bytes left by then. The host never gets the last byte, so nothing has run.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -25,7 +25,8 @@
     TimedOut,
     /// The gateway sent nothing: no descriptors, no address, or the choice of the host was out of date.
     NotAttempted,
-    /// The gateway was delayed while it wrote the request: the host's data may be too old by now.
+    /// The gateway was delayed while it wrote the request: the host's data may be too old by now, or the rest must not
+    /// be written any more.
     WrittenTooLate,
 }
 
--- a/src/balance/write_check.rs
+++ b/src/balance/write_check.rs
@@ -9,15 +9,15 @@
 
 impl Router {
     /// Checks whether the attempt in flight may be written at `now`, and records that it is sent then.
+    /// Returns the time before which its last byte must be written.
     ///
     /// # Errors
     /// The attempt must not be written; the variant tells why.
-    pub fn begin_write(&mut self, now: Micros, id: RequestId) -> Result<(), WriteRefusal> {
+    pub fn begin_write(&mut self, now: Micros, id: RequestId) -> Result<Micros, WriteRefusal> {
         self.check_write(now, id)?;
-        if let Some(open) = self.open_requests.get_mut(&id) {
-            open.mark_sent(now);
-        }
-        Ok(())
+        let open = self.open_requests.get_mut(&id).ok_or(WriteRefusal::NotInFlight)?;
+        open.mark_sent(now);
+        Ok(self.write_deadline(&self.open_requests[&id]))
     }
 
     fn check_write(&self, now: Micros, id: RequestId) -> Result<(), WriteRefusal> {
@@ -29,12 +29,21 @@
         if !self.covers(now, id) {
             return Err(WriteRefusal::DataTooOld);
         }
-        if open.may_have_executed && now >= self.repeat_window_end(open) {
+        if now >= self.write_deadline(open) {
             return Err(WriteRefusal::OutsideRepeatWindow);
         }
         Ok(())
     }
 
+    /// The time before which the last byte of the attempt in flight must be written: the member executes it
+    /// from then on.
+    fn write_deadline(&self, open: &OpenRequest) -> Micros {
+        match open.may_have_executed {
+            true => self.repeat_window_end(open),
+            false => Micros(u64::MAX),
+        }
+    }
+
     /// Whether the member that a request was sent to covers the position that the request must see if its
     /// last byte is written now: the member is the primary, or its last known position is late enough.
     pub fn covers(&self, now: Micros, id: RequestId) -> bool {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -322,11 +322,11 @@
     }
 
     /// Checks whether the attempt in flight may still be written to its member, and records that it is sent at `now`:
-    /// its connection may have taken long to establish.
+    /// its connection may have taken long to establish. Returns the time before which its last byte must be written.
     ///
     /// # Errors
     /// The attempt must not be written; the caller reports it as failed.
-    pub fn begin_write(&mut self, now: Micros, request: RequestId) -> Result<(), WriteRefusal> {
+    pub fn begin_write(&mut self, now: Micros, request: RequestId) -> Result<Micros, WriteRefusal> {
         if !self.requests.contains_key(&request) {
             return Err(WriteRefusal::NotInFlight);
         }
--- a/src/net/event_loop/connection_io.rs
+++ b/src/net/event_loop/connection_io.rs
@@ -144,8 +144,11 @@
         }
     }
 
-    /// Writes the pending output of a connection.
+    /// Writes the pending output of a connection. An attempt whose last byte must not be written any more is ended.
     pub(super) fn write(&mut self, id: ConnectionId) {
+        if self.is_write_overdue(id) {
+            return self.handle_host_lost(id, FailureCause::WrittenTooLate);
+        }
         let Some(connection) = self.connections.get_mut(id) else { return };
         let out = match &mut connection.kind {
             ConnectionKind::Client(client) => &mut client.protocol.out,
--- a/src/net/event_loop/host_connection.rs
+++ b/src/net/event_loop/host_connection.rs
@@ -42,6 +42,8 @@
     pub(super) is_reading_paused: bool,
     /// When the present attempt times out.
     pub(super) attempt_deadline: Micros,
+    /// The time before which the last byte of the present attempt must be written.
+    pub(super) write_deadline: Micros,
     /// When bytes were last received.
     pub(super) last_received: Micros,
     pub(super) task: HostTask,
@@ -57,6 +59,7 @@
             is_attempt_counted: false,
             is_reading_paused: false,
             attempt_deadline: now,
+            write_deadline: now,
             last_received: now,
             task: HostTask::None,
         }
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -242,11 +242,13 @@
         if self.has_client_left(request_id) {
             return;
         }
-        if let Err(why) = self.balancer.begin_write(now, request_id) {
-            return self.refuse_write(now, id, request_id, why);
-        }
+        let write_deadline = match self.balancer.begin_write(now, request_id) {
+            Ok(write_deadline) => write_deadline,
+            Err(why) => return self.refuse_write(now, id, request_id, why),
+        };
         let Some(request) = self.requests.get(request_id) else { return };
         let Some(host) = self.connections.host(id) else { return };
+        host.write_deadline = write_deadline;
         let deadline = host.attempt_deadline.min(request.deadline);
         let text = request.statement.with_wait(deadline - now);
         self.counts.attempts += 1;
@@ -273,6 +275,15 @@
         }
     }
 
+    /// Whether a connection holds bytes of an attempt that must not be written any more.
+    pub(super) fn is_write_overdue(&mut self, id: ConnectionId) -> bool {
+        let Some(host) = self.connections.host(id) else { return false };
+        let is_incomplete = matches!(host.task, HostTask::Attempt(_))
+            && host.protocol.attempt_progress() == AttemptProgress::PartiallyWritten;
+        let write_deadline = host.write_deadline;
+        is_incomplete && self.clock.read() >= write_deadline
+    }
+
     /// Counts the attempt on a connection once its last byte is written. Ends it if so much time has passed since the
     /// choice of the host that the data may be too old.
     pub(super) fn handle_attempt_written(&mut self, id: ConnectionId) {
