Fail a write that waits in the queue once it may not be sent again, not at its deadline

What callers saw: a write whose attempt was lost and that waits for a usable host got its error at its deadline, although nothing could follow any more after its window.

Cause: `wait_until` let a write that may have run wait as long as its client, on the grounds that only an answer shows whether it ran. After the window no attempt and so no answer can come. The wait was decided when the request was queued.

Change: such a write waits until its window ends at the most.

--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -86,13 +86,13 @@
         self.open_requests.entry(id).and_modify(|open| open.queue_entry = Some(entry));
     }
 
-    /// Until when a request may wait. A write that may have been executed waits as long as its client does:
-    /// only an answer shows whether it was.
+    /// Until when a request may wait. A write that may have been executed waits as long as it may be sent
+    /// again: only an answer shows whether it was.
     pub(super) fn wait_until(&self, open: &OpenRequest) -> Micros {
         let class = &self.settings.classes[open.request.class.0];
         let write = class.consistency == Consistency::Write;
         if write && open.may_have_executed {
-            return open.give_up_at;
+            return open.give_up_at.min(self.repeat_window_end(open));
         }
         let group = self.groups.get(&open.request.group);
         let overload = group.map_or(0.0, |group| group.queue_drop_rate / OVERLOAD_DROP_RATE).min(1.0);
--- a/tests/repeat_window.rs
+++ b/tests/repeat_window.rs
@@ -373,6 +373,44 @@
     rounds.iter().map(&mut play).collect()
 }
 
+/// Guards clients against waiting for nothing: a write that waits for a usable host is failed once it may not be sent
+/// again, not at its deadline.
+#[test]
+fn a_write_that_waits_in_the_queue_fails_at_the_end_of_its_window() {
+    for window_ms in [160, 400, 1_200, 3_000, 20_000] {
+        let window = Micros::millis(window_ms);
+        let mut balancer = balancer_with_window(window, 1);
+        let lost =
+            FailedAttempt { progress: AttemptProgress::FullyWritten, cause: FailureCause::ConnectionLost };
+        let (id, mut decision) = balancer.pick(START, write_request());
+        assert!(balancer.begin_write(START, id).is_ok());
+        // All hosts are taken out of service, so that the write waits.
+        for member in 1..=3 {
+            balancer.set_administratively_down(START, MemberId(member), true);
+        }
+        let mut now = START + Micros::millis(1);
+        decision = match decision {
+            RoutingDecision::Send { .. } => {
+                balancer.handle_outcome(now, id, AttemptOutcome::NoResponse(lost))
+            }
+            other => panic!("{other:?}"),
+        };
+        while decision == RoutingDecision::Queued {
+            match balancer.poll_output(now) {
+                Some(Output::Decision(_, next)) => decision = next,
+                Some(_) => {}
+                None => now = now.max(balancer.next_deadline().expect("a timer")),
+            }
+        }
+        assert_eq!(decision, RoutingDecision::Fail, "it may have run");
+        assert!(
+            now <= START + window,
+            "window {window_ms} ms: failed {} ms after",
+            (now - START).as_f64() / 1e3
+        );
+    }
+}
+
 /// Asserts that a gateway process with these faults repeats a write whose connection is reset early, and writes nothing
 /// after the window where the reset comes after `late_reset`.
 fn assert_process_keeps_window(name: &str, faults: &'static str, late_reset: Duration) {
