Write no statement whose answer would come too late

What callers saw: a write whose connection was established just as its deadline passed got 58000 (it may have run), though nothing had to run; its host got a statement with no time left.

Cause: the deadline was asked for when the host was chosen. In an iteration the host's greeting is handled before the timers, so a process that was held up writes first and times the attempt out next.

Change: `begin_write` refuses an attempt after its request's deadline, or after the time at which it would be given up.

--- a/src/balance/write_check.rs
+++ b/src/balance/write_check.rs
@@ -32,6 +32,9 @@
         if now >= self.write_deadline(open) {
             return Err(WriteRefusal::OutsideRepeatWindow);
         }
+        if now >= open.deadline.min(open.give_up_at + self.sweep_period()) {
+            return Err(WriteRefusal::DeadlinePassed);
+        }
         Ok(())
     }
 
--- a/src/net/event_loop/decision_log.rs
+++ b/src/net/event_loop/decision_log.rs
@@ -200,6 +200,7 @@
         WriteRefusal::OutOfService => "OutOfService",
         WriteRefusal::DataTooOld => "DataTooOld",
         WriteRefusal::OutsideRepeatWindow => "OutsideRepeatWindow",
+        WriteRefusal::DeadlinePassed => "DeadlinePassed",
     }
 }
 
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -84,6 +84,8 @@
     DataTooOld,
     /// An earlier attempt may have been executed, and duplicates of it are not dropped any more.
     OutsideRepeatWindow,
+    /// An answer would be too late to be of use.
+    DeadlinePassed,
 }
 
 /// Why a request was given up before it was served. The log shows these names.
