Test in virtual time that no attempt is written after its deadline

Change: `an_attempt_is_not_written_after_its_deadline` asks the balancer directly, for reads and writes. It fails with the question taken out (`Ok` at the deadline) and passes with it.

--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -246,6 +246,22 @@
     assert_eq!(balancer.begin_write(START, request_id), finished, "the request is finished");
 }
 
+/// Guards hosts against work that nobody waits for: a connection that is established after the deadline, before the
+/// balancer's timers have fired, carries no attempt.
+#[test]
+fn an_attempt_is_not_written_after_its_deadline() {
+    for class in 0..4 {
+        let mut balancer = balancer(true);
+        prove_log_time(&mut balancer);
+        let now = START + Micros::millis(2);
+        let (request_id, decision) = balancer.pick(now, request(class, 1, TIME_LEFT));
+        assert!(matches!(decision, RoutingDecision::Send { .. }), "{decision:?}");
+        assert!(balancer.begin_write(now + Micros::millis(100), request_id).is_ok(), "class {class}");
+        let late = balancer.begin_write(now + TIME_LEFT, request_id);
+        assert_eq!(late, Err(WriteRefusal::DeadlinePassed), "class {class}");
+    }
+}
+
 /// Guards against decisions on a request whose client has disconnected: its attempt counts as cancelled at once.
 #[test]
 fn a_request_without_a_client_gets_no_decision() {
