Tests: a folder that no other test has, and no wait for a process without an end

A test of tests/fleet.rs waited for a child that had to be killed, without a bound; when its fault did not come, the whole run hung.

Change: `new_test_folder` numbers the folders of a process, for both files; `wait_for_end` waits 90 s at most, then the test prints the last log lines and fails with what it waited for. Neither changes what is asserted.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,11 +7,11 @@
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::time::{Duration, Instant};
 
-use harness::process::Faults;
+use harness::process::{new_test_folder, wait_for_end, Faults};
 use rustix::process::{kill_process, Pid, Signal};
 
 /// Longest wait for any next log line, also on a busy machine.
@@ -35,8 +35,7 @@
 
 impl Fleet {
     fn start_all(count: usize, test: &str) -> Fleet {
-        let directory = std::env::temp_dir().join(format!("dunemount-{test}-{}", std::process::id()));
-        std::fs::create_dir_all(&directory).expect("a folder");
+        let directory = new_test_folder(test);
         // All sockets stay bound until each process has been given its own ports.
         let sockets: Vec<UdpSocket> =
             (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a free port")).collect();
@@ -176,6 +175,18 @@
         String::from_utf8(command.output().expect("it runs").stdout).expect("text")
     }
 
+    /// Waits until a process has ended by itself because of `cause`. After a timeout, prints the log lines that no test
+    /// has read yet.
+    fn wait_for_end(&mut self, index: usize, cause: &str) -> ExitStatus {
+        let child = self.processes[index].as_mut().expect("a running process");
+        let Some(status) = wait_for_end(child) else {
+            self.lines.try_iter().for_each(|(index, line)| eprintln!("{index}: {line}"));
+            panic!("timed out waiting for the end of process {index}: {cause}");
+        };
+        self.processes[index] = None;
+        status
+    }
+
     fn kill(&mut self, index: usize) {
         if let Some(mut child) = self.processes[index].take() {
             let _ = child.kill();
@@ -275,8 +286,7 @@
         (holder, held) = fleet.holder_after(held);
     };
     fleet.holder_after(released_epoch);
-    let mut child = fleet.processes[holder].take().expect("a running process");
-    assert!(child.wait().expect("it ends").success());
+    assert!(fleet.wait_for_end(holder, "a graceful shutdown").success());
     fleet.end();
 }
 
@@ -394,8 +404,7 @@
         for _ in 0..2 {
             // The process is killed while the holder stores the renewal of its lease.
             fleet.faults[holder].set(fault);
-            let mut child = fleet.processes[holder].take().expect("a running process");
-            assert!(!child.wait().expect("killed").success(), "{fault}");
+            assert!(!fleet.wait_for_end(holder, fault).success(), "{fault}");
             fleet.faults[holder].set("");
             let (_, epoch) = fleet.other_holder_after(holder, last_epoch);
             fleet.start(holder);
--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -5,9 +5,10 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::OnceLock;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dunemount::pg::codec::{self, ReceiveBuffer};
 use rustix::process::{kill_process, Pid, Signal};
@@ -16,9 +17,33 @@
 
 use super::{settings, ClientConnection};
 
+/// Longest wait for a process to end by itself, also on a busy machine.
+const END_TIMEOUT: Duration = Duration::from_secs(90);
 /// Time between two polls of a condition.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Creates a folder that no other test uses, nor another call for the same test.
+pub fn new_test_folder(test: &str) -> PathBuf {
+    static FOLDERS: AtomicUsize = AtomicUsize::new(0);
+    let (process, number) = (std::process::id(), FOLDERS.fetch_add(1, Ordering::SeqCst));
+    let folder = std::env::temp_dir().join(format!("dunemount-{test}-{process}-{number}"));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// Waits until a process has ended by itself, and gives its exit status; `None` if it still runs after
+/// [`END_TIMEOUT`].
+pub fn wait_for_end(child: &mut Child) -> Option<ExitStatus> {
+    let end = Instant::now() + END_TIMEOUT;
+    while Instant::now() < end {
+        if let Some(status) = child.try_wait().expect("its own child") {
+            return Some(status);
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    None
+}
+
 /// A statement whose last byte was written to a host.
 #[derive(Clone, Debug)]
 pub struct StatementWrite {
--- a/tests/rollout_deployment/mod.rs
+++ b/tests/rollout_deployment/mod.rs
@@ -13,7 +13,7 @@
 use serde_json::{json, Value};
 
 use crate::harness;
-use crate::harness::process::Faults;
+use crate::harness::process::{new_test_folder, wait_for_end, Faults};
 
 /// Longest wait, also on a busy machine.
 const TIMEOUT: Duration = Duration::from_secs(90);
@@ -117,8 +117,7 @@
 
     /// The same, with gateways that know these hosts.
     pub fn with_hosts(test: &str, gateways: usize, known: Value) -> Deployment {
-        let folder = std::env::temp_dir().join(format!("dunemount-{test}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
+        let folder = new_test_folder(test);
         let own = own_address();
         // All ports stay bound until each process has been given its own.
         let datagrams: Vec<UdpSocket> = (0..CONTROL_SERVERS + gateways)
@@ -264,7 +263,13 @@
     /// Ends a process by a signal. Returns whether its exit status was success.
     pub fn end_process(&mut self, index: usize) -> bool {
         self.signal(index, Signal::TERM);
-        self.processes[index].child.take().expect("a running process").wait().expect("it ends").success()
+        let child = self.processes[index].child.as_mut().expect("a running process");
+        let Some(status) = wait_for_end(child) else {
+            self.print_logs();
+            panic!("timed out waiting for the end of process {index}");
+        };
+        self.processes[index].child = None;
+        status.success()
     }
 
     /// The lines that a process has logged so far.
@@ -272,16 +277,21 @@
         self.processes[index].log.lock().expect("no panic").clone()
     }
 
+    /// Prints the last log lines of all processes.
+    fn print_logs(&self) {
+        for (index, process) in self.processes.iter().enumerate() {
+            for line in process.log.lock().expect("no panic").iter().rev().take(12).rev() {
+                eprintln!("{index}: {line}");
+            }
+        }
+    }
+
     /// Waits until a condition holds.
     pub fn wait_until(&self, description: &str, condition: impl Fn(&Deployment) -> bool) {
         let began = Instant::now();
         while !condition(self) {
             if began.elapsed() > TIMEOUT {
-                for (index, process) in self.processes.iter().enumerate() {
-                    for line in process.log.lock().expect("no panic").iter().rev().take(12).rev() {
-                        eprintln!("{index}: {line}");
-                    }
-                }
+                self.print_logs();
                 eprintln!("{}", self.status());
                 panic!("timed out waiting for: {description}");
             }
