Look at a client's socket before an attempt also where another worker has the client

Cause: the worker that decides learned of the end by a message of the front worker, which is behind the host's greeting. `has_client_left` looked at the socket only for the worker's own clients.

Change: a request carries a weak reference to its client's socket; the worker that decides asks the system itself, before the choice of a connection and before the write. It keeps no socket open: what the front worker has closed is gone.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -51,7 +51,7 @@
 use self::connections::{ConnectionId, Connections};
 use self::discovery_watch::DiscoveryWatch;
 use self::host_connection::CloseReason;
-use self::mailboxes::{Owner, WorkerMessage, Workers};
+use self::mailboxes::{Owner, RemoteRequest, WorkerMessage, Workers};
 use self::peers::HotRestart;
 use self::timers::{Timer, Timers};
 use self::traffic_counts::TrafficCounts;
@@ -63,7 +63,7 @@
 use crate::classes::Classes;
 use crate::pg::statement::Statement;
 use crate::request::InFlightRequests;
-use crate::{Micros, RequestId};
+use crate::Micros;
 
 /// The loop counts as having slept if the wait for events took at least this long.
 const MIN_SLEEP: Micros = Micros::millis(1);
@@ -88,7 +88,7 @@
     workers: Arc<Workers>,
     received_messages: VecDeque<WorkerMessage>,
     /// Requests of other workers' clients that this worker decides.
-    remote_requests: BTreeMap<Owner, RequestId>,
+    remote_requests: BTreeMap<Owner, RemoteRequest>,
     clock: Clock,
     /// The time of this iteration, read after the wait for events.
     now: Micros,
--- a/src/net/event_loop/clients.rs
+++ b/src/net/event_loop/clients.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::TcpStream;
+use std::sync::Arc;
 
 use slog::warn;
 
@@ -100,7 +101,8 @@
     /// Registers a client that is already counted for this worker and reads at once, since its first bytes have often
     /// arrived already. A client that cannot be registered because of a shortage is kept and retried, since what it has
     /// sent must be answered.
-    pub(super) fn add_client(&mut self, socket: TcpStream, client: ClientConnection) {
+    pub(super) fn add_client(&mut self, socket: impl Into<Arc<TcpStream>>, client: ClientConnection) {
+        let socket = socket.into();
         // Without `nodelay` answers are only slower; `set_nonblocking` does not fail on this kind of socket.
         let _ = socket.set_nodelay(true);
         let _ = socket.set_nonblocking(true);
--- a/src/net/event_loop/connection_io.rs
+++ b/src/net/event_loop/connection_io.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
 
 use super::client_connection::{ClientConnection, RequestLocation};
 use super::connections::{Connection, ConnectionId, ConnectionKind, Interest, UnregisteredConnection};
@@ -31,12 +32,12 @@
     /// Adds a connection. One to a host is counted in the pool.
     pub(super) fn add_connection(
         &mut self,
-        socket: TcpStream,
+        socket: impl Into<Arc<TcpStream>>,
         kind: ConnectionKind,
         writable: bool,
     ) -> Result<ConnectionId, Box<UnregisteredConnection>> {
         let is_host = matches!(kind, ConnectionKind::Host(_));
-        let id = self.connections.insert(socket, kind, writable)?;
+        let id = self.connections.insert(socket.into(), kind, writable)?;
         if is_host {
             self.pool.on_opened();
         }
@@ -158,7 +159,7 @@
             ConnectionKind::HalfClosed { .. } => return,
         };
         let unwritten = out.len();
-        let flushed = out.flush(&mut connection.socket);
+        let flushed = out.flush(&mut &*connection.socket);
         if unwritten > 0 {
             self.handle_client_written(id, unwritten);
         }
@@ -216,7 +217,7 @@
             if matches!(&connection.kind, ConnectionKind::Host(host) if host.is_reading_paused) {
                 break;
             }
-            match connection.socket.read(&mut buffer) {
+            match (&*connection.socket).read(&mut buffer) {
                 Ok(0) => {
                     self.handle_received(id, &[], true);
                     break;
--- a/src/net/event_loop/connections.rs
+++ b/src/net/event_loop/connections.rs
@@ -49,14 +49,15 @@
 /// An open connection.
 pub(super) struct Connection {
     generation: u64,
-    pub(super) socket: TcpStream,
+    /// Other workers may look at the socket of a client whose request they decide, and hold no reference meanwhile.
+    pub(super) socket: Arc<TcpStream>,
     pub(super) interest: Interest,
     pub(super) kind: ConnectionKind,
 }
 
 /// A connection that could not be registered with the poller.
 pub(super) struct UnregisteredConnection {
-    pub(super) socket: TcpStream,
+    pub(super) socket: Arc<TcpStream>,
     pub(super) kind: ConnectionKind,
     pub(super) error: io::Error,
 }
@@ -79,7 +80,7 @@
     /// Adds a connection and has the poller watch it for reading, and with `writable` for writing as well.
     pub(super) fn insert(
         &mut self,
-        socket: TcpStream,
+        socket: Arc<TcpStream>,
         kind: ConnectionKind,
         writable: bool,
     ) -> Result<ConnectionId, Box<UnregisteredConnection>> {
--- a/src/net/event_loop/hot_restart.rs
+++ b/src/net/event_loop/hot_restart.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::os::fd::OwnedFd;
+use std::sync::Arc;
 
 use polling::{Event, PollMode};
 use slog::{info, warn};
@@ -332,7 +333,12 @@
             self.workers.remove_client(0);
             return true;
         };
-        let client = ClientHandover { socket: connection.socket, has_queried, state };
+        // No request of the client is in flight, so no other worker looks at its socket.
+        let Some(socket) = Arc::into_inner(connection.socket) else {
+            self.workers.remove_client(0);
+            return true;
+        };
+        let client = ClientHandover { socket, has_queried, state };
         if self.this_worker == 0 {
             self.send_client(client);
         } else {
--- a/src/net/event_loop/mailboxes.rs
+++ b/src/net/event_loop/mailboxes.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
 use dunemount_mailbox::{Mailbox, Wake};
 use polling::Poller;
@@ -20,7 +20,7 @@
 use crate::pg::codec::CancelKey;
 use crate::pg::statement::Statement;
 use crate::settings::{SiteSettings, Zones};
-use crate::{GroupId, Micros, SessionKey};
+use crate::{GroupId, Micros, RequestId, SessionKey};
 
 /// Largest number of requests in one worker's mailbox: some milliseconds of its work. A further request would have to
 /// wait too long.
@@ -66,11 +66,20 @@
 /// A request on its way to the worker that owns its group.
 pub(super) struct RequestMessage {
     pub(super) owner: Owner,
+    /// Its client's socket, by which the owning worker sees that the client has disconnected. It is gone once the front
+    /// worker has closed it.
+    pub(super) client_socket: Weak<TcpStream>,
     pub(super) statement: Box<Statement>,
     /// When its client stops waiting.
     pub(super) deadline: Micros,
 }
 
+/// A request of another worker's client that this worker decides.
+pub(super) struct RemoteRequest {
+    pub(super) id: RequestId,
+    pub(super) client_socket: Weak<TcpStream>,
+}
+
 /// A client on its way to the next process.
 pub(super) struct ClientHandover {
     pub(super) socket: TcpStream,
--- a/src/net/event_loop/queries.rs
+++ b/src/net/event_loop/queries.rs
@@ -1,8 +1,10 @@
 //! Queries of clients: each is parsed as a statement, sent to the worker that owns its group, and accepted there.
 
+use std::sync::Arc;
+
 use super::client_connection::RequestLocation;
 use super::connections::ConnectionId;
-use super::mailboxes::{FinalAnswer, Owner, RequestMessage};
+use super::mailboxes::{FinalAnswer, Owner, RemoteRequest, RequestMessage};
 use super::timers::Timer;
 use super::Gateway;
 use crate::balancer::RoutingRequest;
@@ -28,25 +30,21 @@
         let deadline = self.final_answers_by.map_or(deadline, |by| deadline.min(by));
         let owner = Owner { worker: self.this_worker, connection: client };
         let worker = self.workers.owning_worker(GroupId(statement.group));
+        let client_socket = self.connections.get(client).map(|client| Arc::downgrade(&client.socket));
+        let client_socket = client_socket.unwrap_or_default();
+        let request = RequestMessage { owner, client_socket, statement: Box::new(statement), deadline };
         if self.decides_directly(worker) {
-            self.accept_request(owner, statement, deadline);
+            self.accept_request(request);
         } else {
-            self.offer_to_owning_worker(worker, owner, statement, deadline);
+            self.offer_to_owning_worker(worker, request);
         }
     }
 
-    fn offer_to_owning_worker(
-        &mut self,
-        worker: usize,
-        owner: Owner,
-        statement: Statement,
-        deadline: Micros,
-    ) {
-        let class = statement.class.clone();
+    fn offer_to_owning_worker(&mut self, worker: usize, request: RequestMessage) {
+        let (owner, class) = (request.owner, request.statement.class.clone());
         if let Some(client) = self.connections.client(owner.connection) {
             (client.in_flight, client.has_queried) = (Some(RequestLocation::Worker(worker)), true);
         }
-        let request = RequestMessage { owner, statement: Box::new(statement), deadline };
         if self.offer_request(worker, request) {
             return;
         }
@@ -59,7 +57,8 @@
     }
 
     /// Accepts a request of a client of any worker, or answers with the reason why it cannot be routed.
-    pub(super) fn accept_request(&mut self, owner: Owner, statement: Statement, deadline: Micros) {
+    pub(super) fn accept_request(&mut self, request: RequestMessage) {
+        let RequestMessage { owner, client_socket, statement, deadline } = request;
         let class = match self.routable_class(&statement) {
             Ok(class) => class,
             Err(why) => {
@@ -83,13 +82,13 @@
         };
         let (request_id, decision) = self.balancer.pick(self.now, request);
         if owner.worker != self.this_worker {
-            self.remote_requests.insert(owner, request_id);
+            self.remote_requests.insert(owner, RemoteRequest { id: request_id, client_socket });
         } else if let Some(client) = self.connections.client(owner.connection) {
             client.has_queried = true;
             client.in_flight = Some(RequestLocation::Here(request_id));
         }
         let client_id = statement.id.clone();
-        self.requests.insert(request_id, &client_id, owner, statement, deadline);
+        self.requests.insert(request_id, &client_id, owner, *statement, deadline);
         self.set_timer(time_left, Timer::RequestDeadline(request_id));
         // Earlier outputs of the balancer come first: they may close connections that this request must not use.
         self.process_outputs();
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -137,7 +137,7 @@
             return false;
         };
         if worker != self.this_worker {
-            return false;
+            return self.has_remote_client_left(request_id, Owner { worker, connection });
         }
         let has_left = self.connections.get(connection).is_some_and(|client| has_hung_up(&client.socket));
         if has_left {
@@ -146,6 +146,16 @@
         has_left
     }
 
+    /// The same for a client of another worker, whose message that the client has disconnected may be on its way.
+    fn has_remote_client_left(&mut self, request_id: RequestId, owner: Owner) -> bool {
+        let Some(request) = self.remote_requests.get(&owner) else { return false };
+        let has_left = request.client_socket.upgrade().is_none_or(|socket| has_hung_up(&socket));
+        if has_left {
+            self.abandon_request(request_id, Abandonment::Disconnected);
+        }
+        has_left
+    }
+
     /// Sends an answer to the client of a request, at whichever worker it is.
     pub(super) fn send_answer(&mut self, owner: Owner, answer: FinalAnswer) {
         if owner.worker == self.this_worker {
--- a/src/net/event_loop/worker_messages.rs
+++ b/src/net/event_loop/worker_messages.rs
@@ -69,7 +69,7 @@
     }
 
     fn handle_request(&mut self, request: RequestMessage) {
-        self.accept_request(request.owner, *request.statement, request.deadline);
+        self.accept_request(request);
     }
 
     /// Relays a request to its owning worker, now that earlier messages of the other process have been applied.
@@ -84,7 +84,7 @@
     }
 
     fn handle_abandon(&mut self, owner: Owner, how: Abandonment) {
-        if let Some(request_id) = self.remote_requests.get(&owner).copied() {
+        if let Some(request_id) = self.remote_requests.get(&owner).map(|request| request.id) {
             self.abandon_request(request_id, how);
         }
     }
@@ -104,7 +104,7 @@
     }
 
     fn handle_resume_streaming(&mut self, owner: Owner) {
-        if let Some(request_id) = self.remote_requests.get(&owner).copied() {
+        if let Some(request_id) = self.remote_requests.get(&owner).map(|request| request.id) {
             self.resume_streaming(request_id);
         }
     }
--- a/tests/late_writes.rs
+++ b/tests/late_writes.rs
@@ -14,6 +14,10 @@
 /// may exceed every time limit.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 const SOCKET_SLACK: Duration = Duration::from_millis(50);
+/// Longest time for which the rules grant a process to be stopped; after 0.1 s no attempt may begin for a client that has
+/// disconnected.
+const MAX_STALL: Duration = Duration::from_millis(150);
+const ROUNDS: usize = 6;
 /// How long a client waits for its answer, as the statement says it.
 const WAIT: Duration = Duration::from_millis(400);
 const WAIT_FIELD: &str = "d=400";
@@ -80,3 +84,31 @@
         connection = Some(open);
     }
 }
+
+/// Guards hosts against work that nobody waits for where another worker has the client: the process is stopped while the
+/// connection is established and the client disconnects, and the worker that decides for the request finds both at once.
+#[test]
+fn a_request_whose_client_left_at_another_worker_is_not_forwarded() {
+    let (host, discovery) = (Host::new(), bind_loopback());
+    let address = discovery.local_addr().expect("bound");
+    let mut options = ProcessOptions::with_defaults("late-worker", 300, address);
+    options.cores = 2;
+    let process = options.start(&listing(&[host.address()]));
+    for round in 0..ROUNDS {
+        let mut client = process.client();
+        client.ask(&write("left"));
+        let mut connection = host.accept_startup();
+        process.signal(Signal::STOP);
+        connection.greet();
+        drop(client);
+        std::thread::sleep(MAX_STALL);
+        process.signal(Signal::CONT);
+        let mut other = process.client();
+        other.ask(&write("here"));
+        let statement = connection.next_statement();
+        assert!(statement.as_ref().is_some_and(|text| text.contains("'here'")), "{round}: {statement:?}");
+        connection.send(&answer("master", None));
+        assert_eq!(other.answer().len(), 4);
+        connection.reset();
+    }
+}
