--- a/tests/data_age.rs
+++ b/tests/data_age.rs
@@ -56,8 +56,7 @@
 
     /// Draws log-uniformly from this range.
     fn log_uniform(&mut self, range: &Range<f64>) -> f64 {
-        let fraction = (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
-        range.start * (range.end / range.start).powf(fraction)
+        harness::log_uniform(&mut self.0, range)
     }
 
     fn duration(&mut self, seconds: &Range<f64>) -> Duration {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -8,6 +8,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
@@ -21,6 +22,8 @@
 use dunemount::pg::codec::{self, Message, ReceiveBuffer};
 use dunemount::settings::Zones;
 use dunemount_rollout::version::Document;
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
 use serde_json::{json, Value};
 
 pub fn settings() -> Value {
@@ -426,6 +429,12 @@
     value.parse().expect("a number")
 }
 
+/// Draws log-uniformly from a range.
+pub fn log_uniform(rng: &mut Pcg64Mcg, range: &Range<f64>) -> f64 {
+    let fraction = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+    range.start * (range.end / range.start).powf(fraction)
+}
+
 /// A new request id, as clients choose one for each request.
 pub fn next_request_id() -> usize {
     static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
--- a/tests/repeat_window.rs
+++ b/tests/repeat_window.rs
@@ -16,7 +16,7 @@
 use harness::process::{Faults, ProcessOptions};
 use harness::scripted::{answer, start_gateway, Host, HostConnection};
 use harness::{bind_loopback, listing, metric, write, Harness};
-use rand_core::{RngCore, SeedableRng};
+use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
@@ -37,15 +37,9 @@
 /// Fraction of those requests that must be repeated at least once, and end at a window, for the test to show something.
 const MIN_SHARE: f64 = 0.1;
 
-/// A number drawn log-uniformly.
-fn log_uniform(rng: &mut Pcg64Mcg, range: &Range<f64>) -> f64 {
-    let fraction = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
-    range.start * (range.end / range.start).powf(fraction)
-}
-
 /// A time span drawn log-uniformly from a range in milliseconds.
 fn span(rng: &mut Pcg64Mcg, range: &Range<f64>) -> Micros {
-    Micros((log_uniform(rng, range) * 1000.0) as u64)
+    Micros((harness::log_uniform(rng, range) * 1000.0) as u64)
 }
 
 /// A balancer with one class of writes, whose group drops duplicates for `window`, and a primary with two replicas.
