Check a member's health after a reset that no further attempt follows

Cause: a repeat that came 24 ms before the end of its window is not sent any more, so no connection is opened and nothing is answered for over a second after the reset: the member passes for restarted and begins a slow start of 14 s.

Change: where an attempt was reset and no further one may follow, the member's health is checked, if the settings allow checks and none was started just before.

The new test fails without the call.

--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts: whether another one is allowed, and what is recorded when one is sent or fails.
 
+use super::choice::is_check_due;
 use super::housekeeping::MIN_HEALTH_CHECK_INTERVAL;
 use super::member::Member;
 use super::open_request::{Attempt, OpenRequest};
@@ -96,10 +97,21 @@
         let open = &self.open_requests[&outcome.request];
         if !self.may_send(now, open) || now + self.settings.tick >= open.deadline {
             self.give_up(now, outcome.request, GiveUp::NoRetry, actions);
+            self.check_after_reset(now, outcome, actions);
         } else {
             self.enqueue(outcome.request);
         }
     }
+
+    /// Checks the health of a member whose connection was reset, since no further attempt shows whether it
+    /// still runs. Without an answer soon it would count as restarted. Takes no token: there is at most one
+    /// check for each lost attempt.
+    fn check_after_reset(&mut self, now: Micros, outcome: &Outcome, actions: &mut Actions) {
+        let is_due = self.members.get(&outcome.member).is_some_and(|member| is_check_due(now, member));
+        if outcome.status == AttemptStatus::Reset && is_due && self.settings.health_checks {
+            self.start_health_check(now, outcome.member, actions);
+        }
+    }
 }
 
 /// How long a member's connections have been idle, if longer than [`MIN_HEALTH_CHECK_INTERVAL`] and still
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -291,7 +291,7 @@
 }
 
 /// Whether no health check of a member is in flight and the last one is long enough ago for another.
-fn is_check_due(now: Micros, member: &Member) -> bool {
+pub(super) fn is_check_due(now: Micros, member: &Member) -> bool {
     let check = &member.health_check;
     !check.is_in_flight() && now - check.last_started_at() >= MIN_HEALTH_CHECK_INTERVAL
 }
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -673,6 +673,23 @@
     }
 }
 
+/// Guards a primary that is well against a slow start after a single reset: where no further attempt follows, a health
+/// check shows that it still runs.
+#[test]
+fn a_reset_that_no_attempt_follows_is_followed_by_a_health_check() {
+    for (health_checks, checked) in [(true, vec![PRIMARY]), (false, vec![])] {
+        let mut harness = Harness::new(Settings { health_checks, ..settings() });
+        let (id, _) = harness.request(NON_IDEMPOTENT, 1);
+        harness.now = harness.now + Micros::millis(400);
+        let actions = harness.finish_attempt(id, 0, PRIMARY, AttemptStatus::Reset, None);
+        let check = |action: &Action| match action {
+            Action::HealthCheck { member } => Some(*member),
+            _ => None,
+        };
+        assert_eq!(actions.iter().filter_map(check).collect::<Vec<_>>(), checked, "{actions:?}");
+    }
+}
+
 #[test]
 fn a_non_idempotent_write_that_never_ran_is_retried() {
     let mut harness = Harness::new(settings());
