tests/fleet.rs: wait until all gateways vote before their folder fails

Cause, by its processes' status: two gateways had elected the holder while the third was still starting. The fault of opening files came before it had read its own ("voting": null, "cannot be read: No space left on device"), so it never logged the "cannot store" that the test waits for.

Change: the test waits until all three vote, then lets the folder fail. Polls of a status have an end. What is asserted stays.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -175,6 +175,20 @@
         String::from_utf8(command.output().expect("it runs").stdout).expect("text")
     }
 
+    /// Waits until the status of a gateway, as JSON, contains a text.
+    fn wait_for_status(&self, index: usize, text: &str) {
+        let end = Instant::now() + TEST_TIMEOUT;
+        while !self.status(index, true).contains(text) {
+            assert!(Instant::now() < end, "timed out: {text} is not in the status of {index}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits until all gateways have read their voters' files and vote.
+    fn wait_until_all_vote(&self) {
+        (0..self.processes.len()).for_each(|index| self.wait_for_status(index, "\"voting\": true"));
+    }
+
     /// Waits until a process has ended by itself because of `cause`. After a timeout, prints the log lines that no test
     /// has read yet.
     fn wait_for_end(&mut self, index: usize, cause: &str) -> ExitStatus {
@@ -324,16 +338,13 @@
     for fault in ["open 28 1 voter", "write 28 1 voter", "fsync 5 1 voter", "rename 5 1 voter", "fsync 5 2"] {
         let mut fleet = Fleet::start_all(3, "folder");
         let (holder, epoch) = fleet.wait_for_acquisition(0);
+        // The two others elect the holder without one that is still starting: its file could not be read then.
+        fleet.wait_until_all_vote();
         fleet.faults.iter().for_each(|faults| faults.set(fault));
         let others: Vec<usize> = (0..3).filter(|index| *index != holder).collect();
         fleet.wait_for_line_of_each(&others, "cannot store");
-        let status = loop {
-            let status = fleet.status(others[0], true);
-            if status.contains("\"unstored\": \"") {
-                break fleet.status(others[0], false);
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        };
+        fleet.wait_for_status(others[0], "\"unstored\": \"");
+        let status = fleet.status(others[0], false);
         assert!(status.contains("cannot store"), "{fault}: {status}");
         fleet.kill(holder);
         fleet.faults.iter().for_each(|faults| faults.set(""));
