Put a known failure on record: a statement written after its cancel while the process was stopped

A cancel is a connection of its own; while the process is stopped it waits in the listener's queue, and the host's greeting is handled first.

No product code changes.

--- a/tests/harness/scripted.rs
+++ b/tests/harness/scripted.rs
@@ -104,7 +104,12 @@
 
 /// Connects a new client, reads the greeting and gives the connection with its cancel key.
 pub fn client_with_key(harness: &Harness) -> (ClientConnection, CancelKey) {
-    let mut socket = TcpStream::connect(harness.address).expect("accepted");
+    connect_with_key(harness.address)
+}
+
+/// The same for a gateway at this address.
+pub fn connect_with_key(address: SocketAddr) -> (ClientConnection, CancelKey) {
+    let mut socket = TcpStream::connect(address).expect("accepted");
     let mut startup = Vec::new();
     codec::write_startup_packet(&mut startup, "app", "shop");
     socket.write_all(&startup).expect("written");
--- a/tests/late_writes.rs
+++ b/tests/late_writes.rs
@@ -3,10 +3,13 @@
 
 mod harness;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use dunemount::pg::codec;
 use harness::process::{Faults, Process, ProcessOptions};
-use harness::scripted::{answer, Host};
+use harness::scripted::{answer, connect_with_key, Host};
 use harness::{bind_loopback, listing, read, write};
 use rustix::process::Signal;
 
@@ -112,3 +115,31 @@
         connection.reset();
     }
 }
+
+/// Guards the same after a cancel: the cancel request waits in the listener's queue while the process is stopped, and
+/// the host's greeting is there as well.
+#[test]
+fn a_request_that_is_cancelled_while_the_process_is_stopped_is_not_forwarded() {
+    let host = Host::new();
+    let (process, _faults) = start_process("late-cancel", &host);
+    for round in 0..ROUNDS {
+        let (mut client, key) = connect_with_key(process.address);
+        client.ask(&write("cancelled"));
+        let mut connection = host.accept_startup();
+        process.signal(Signal::STOP);
+        connection.greet();
+        let mut cancel = TcpStream::connect(process.address).expect("accepted by the system");
+        let mut request = Vec::new();
+        codec::write_cancel_request(&mut request, key);
+        cancel.write_all(&request).expect("written");
+        std::thread::sleep(MAX_STALL);
+        process.signal(Signal::CONT);
+        let mut other = process.client();
+        other.ask(&write("here"));
+        let statement = connection.next_statement();
+        assert!(statement.as_ref().is_some_and(|text| text.contains("'here'")), "{round}: {statement:?}");
+        connection.send(&answer("master", None));
+        assert_eq!(other.answer().len(), 4);
+        connection.reset();
+    }
+}
