--- a/review/stand2.rs
+++ b/review/stand2.rs
@@ -276,15 +276,14 @@
 
 fn serve(socket: TcpStream, behaviour: &Arc<Behaviour>) -> io::Result<()> {
     socket.set_nodelay(true)?;
-    let mut input = BufReader::new(socket.try_clone()?);
+    let mut connection = HostConnection { socket };
     let mut length = [0; 4];
-    input.read_exact(&mut length)?;
+    connection.socket.read_exact(&mut length)?;
     let mut rest = vec![0; u32::from_be_bytes(length).saturating_sub(4) as usize];
-    input.read_exact(&mut rest)?;
-    let mut connection = HostConnection { socket };
+    connection.socket.read_exact(&mut rest)?;
     connection.socket.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
     loop {
-        let (tag, mut body) = read_message(&mut input)?;
+        let (tag, mut body) = read_message(&mut connection.socket)?;
         if tag != b'Q' {
             return Ok(());
         }
@@ -360,7 +359,6 @@
 /// A client's connection to a gateway.
 pub struct Client {
     pub socket: TcpStream,
-    input: BufReader<TcpStream>,
 }
 
 impl Client {
@@ -368,9 +366,9 @@
         let socket = TcpStream::connect(address)?;
         socket.set_nodelay(true)?;
         socket.set_read_timeout(Some(Duration::from_secs(10)))?;
-        let mut client = Client { input: BufReader::new(socket.try_clone()?), socket };
+        let mut client = Client { socket };
         client.socket.write_all(&startup_packet())?;
-        while read_message(&mut client.input)?.0 != b'Z' {}
+        while read_message(&mut client.socket)?.0 != b'Z' {}
         Ok(client)
     }
     pub fn ask(&mut self, statement: &Statement) -> Answer {
@@ -380,7 +378,7 @@
             return Answer::None(e.to_string());
         }
         loop {
-            match read_message(&mut self.input) {
+            match read_message(&mut self.socket) {
                 Ok((b'Z', _)) => return answer,
                 Ok((b'D', body)) => answer = Answer::Served(body.get(6..).unwrap_or_default().to_vec()),
                 Ok((b'E', body)) => {
