--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -89,6 +89,7 @@
                                 served.fetch_add(1, Ordering::SeqCst);
                                 let value = String::from_utf8_lossy(&value).into_owned();
                                 let own = made.lock().unwrap().get(&id).cloned();
+                                record.line(format!("{id} asked for {key}: served '{value}'"));
                                 if own.as_ref() != Some(&value) {
                                     foreign.fetch_add(1, Ordering::SeqCst);
                                     record.line(format!(
