--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -62,7 +62,10 @@
                 deliver(connection, &writes, &random)
             })
         };
-        let start = |name: &str, is_primary| Host::start(name, is_primary, behaviour(name, is_primary));
+        // The hosts are in another data centre than the gateway.
+        let start = |name: &str, is_primary| {
+            Host::start(name, is_primary, behaviour(name, is_primary)).map(|host| Host { zone: "jakarta-2", ..host })
+        };
         let hosts: Vec<Host> = [("host-a", true), ("host-bb", false), ("host-ccc", false)]
             .into_iter()
             .map(|(name, is_primary)| start(name, is_primary))
--- a/review/stand2.rs
+++ b/review/stand2.rs
@@ -247,6 +247,8 @@
     pub name: String,
     pub address: SocketAddr,
     pub is_primary: bool,
+    /// Its zone in discovery's list; that of the gateway is `here`.
+    pub zone: &'static str,
 }
 
 impl Host {
@@ -261,15 +263,15 @@
                 });
             }
         });
-        Ok(Host { name: name.to_string(), address, is_primary })
+        Ok(Host { name: name.to_string(), address, is_primary, zone: "here" })
     }
 
     /// Its entry in discovery's list.
     pub fn entry(&self) -> String {
         let part = if self.is_primary { "master" } else { "replica" };
         format!(
-            r#"{{"uid":"{}","endpoint":"{}","az":"here","model":"std","pod_group":1,"state":"Ready","capacity_hint":1.0,"boot_ms":0,"part":"{part}"}}"#,
-            self.name, self.address
+            r#"{{"uid":"{}","endpoint":"{}","az":"{}","model":"std","pod_group":1,"state":"Ready","capacity_hint":1.0,"boot_ms":0,"part":"{part}"}}"#,
+            self.name, self.address, self.zone
         )
     }
 }
@@ -606,8 +608,13 @@
 #[derive(Default)]
 pub struct Data {
     commits: Mutex<HashMap<String, Vec<(u64, String)>>>,
+    /// The commit of the first write with each idempotency key.
+    keys: Mutex<HashMap<String, u64>>,
 }
 
+/// How long a group drops the repeats of a key.
+const REPEATS_DROPPED_MS: u64 = 3_000;
+
 impl Data {
     /// Commits a value, and returns the commit's position: its time, rounded up.
     pub fn commit(&self, key: &str, value: &str) -> u64 {
@@ -616,6 +623,23 @@
         commits.entry(key.to_string()).or_default().push((at, value.to_string()));
         at
     }
+    /// The same for a write with an idempotency key, whose repeats are dropped.
+    pub fn commit_once(&self, statement: &Statement) -> u64 {
+        let mut keys = self.keys.lock().unwrap();
+        let first = keys.get(statement.field("k")).copied();
+        if let Some(first) = first.filter(|first| unix_ms() < first + REPEATS_DROPPED_MS) {
+            return first;
+        }
+        let at = self.commit(statement.quoted(0), statement.quoted(1));
+        keys.insert(statement.field("k").to_string(), at);
+        at
+    }
+    /// Whether a value that was read is older than one that was written: its commit came before, or there is none.
+    pub fn is_older(&self, key: &str, found: &str, written: &str) -> bool {
+        let commits = self.commits.lock().unwrap();
+        let place = |value: &str| commits.get(key)?.iter().rposition(|(_, committed)| committed == value);
+        place(found) < place(written)
+    }
     /// The value of a key as of a position.
     pub fn read(&self, key: &str, position_ms: u64) -> String {
         let commits = self.commits.lock().unwrap();
@@ -646,7 +670,7 @@
         sleep_ms(work_ms);
         let (value, tag, position) = if statement.is_write() {
             let value = statement.quoted(1).to_string();
-            let commit = data.commit(key, &value);
+            let commit = data.commit_once(statement);
             // The commit's time is rounded up: it has passed when the answer goes out.
             sleep_ms(2);
             (value, "INSERT 0 1", commit)
