Review: the cases choose ports that the kernel does not give to connections

Change: the stand-ins choose free ports below the kernel's usual range for connections, beginning at one that depends on the process.

--- a/review/stand2.rs
+++ b/review/stand2.rs
@@ -397,13 +397,27 @@
 
 // ---------------------------------------------------------------------------------------------- processes
 
-/// A port of the loopback interface that is free at present.
+static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
+
+/// A port that is free at present. It is one that the kernel doesn't give to connections by default, so that none takes it
+/// before the process that it is meant for; the first depends on this process, so that two cases don't choose the same.
+fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> io::Result<SocketAddr> {
+    for _ in 0..1000 {
+        let next = u64::from(std::process::id()) * 61 + NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from(([127, 0, 0, 1], 12_000 + (next % 20_000) as u16));
+        if is_free(address) {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::AddrInUse, "no free port"))
+}
+
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    free_port(|address| TcpListener::bind(address).is_ok())
 }
 
 pub fn free_datagram_address() -> io::Result<SocketAddr> {
-    UdpSocket::bind("127.0.0.1:0")?.local_addr()
+    free_port(|address| UdpSocket::bind(address).is_ok())
 }
 
 /// The command of a process in the deploy file.
