Log whose answer is left unread, and how old the believed role of a read's host is

Two fields answer it: 'attempt written' has as_primary and role_ms_ago, 'connection to a host closed' has host and answer_unread. No behaviour changes.

--- a/src/balance/positions.rs
+++ b/src/balance/positions.rs
@@ -50,13 +50,17 @@
     /// The basis of the choice of the member to which a request was sent last.
     pub fn read_basis(&self, now: Micros, id: RequestId) -> Option<ReadBasis> {
         let open = self.open_requests.get(&id)?;
-        let member = self.members.get(&open.in_flight.last()?.1)?;
+        let member_id = open.in_flight.last()?.1;
+        let member = self.members.get(&member_id)?;
         let group = open.request.group;
+        let claimed_at = Some(member.role.claimed_at()).filter(|at| *at > Micros(0));
         Some(ReadBasis {
             needed: self.needed(now, open),
             position: member.log.position(),
             age: now - member.log.updated_at(),
             source: member.log.source(),
+            is_primary: self.primary(group) == Some(member_id),
+            role_age: claimed_at.map(|at| now - at),
             log_time: self.log_now(now, group),
             evidence: self.groups.get(&group).and_then(|group| group.evidence),
         })
--- a/src/net/event_loop/decision_log.rs
+++ b/src/net/event_loop/decision_log.rs
@@ -5,7 +5,7 @@
 
 use slog::{debug, info, Drain};
 
-use super::connections::ConnectionId;
+use super::connections::{ConnectionId, ConnectionKind};
 use super::host_connection::CloseReason;
 use super::Gateway;
 use crate::attempt::{AttemptOutcome, AttemptProgress, FailureCause, ResponseStatus};
@@ -48,12 +48,17 @@
             return;
         }
         let basis = self.balancer.read_basis(self.now, request_id);
-        let Some(ReadBasis { needed, position, age, source, log_time, evidence }) = basis else { return };
+        let Some(ReadBasis { needed, position, age, source, is_primary, role_age, log_time, evidence }) =
+            basis
+        else {
+            return;
+        };
         let dated_by =
             evidence.map(|evidence| (self.directory.name(evidence.member), LoggedStatus(evidence.status)));
         debug!(self.log, "attempt written"; "id" => self.client_id(request_id), "host" => self.directory.name(member),
             "needed_ms" => self.unix_ms(needed), "position_ms" => self.unix_ms(position), "age_ms" => age.0 / 1000,
-            "source" => source_name(source), "log_time_ms" => self.unix_ms(log_time), "dated_by" => ?dated_by,
+"source" => source_name(source), "as_primary" => is_primary,
+            "role_ms_ago" => role_age.map(|age| age.as_f64() / 1000.0), "log_time_ms" => self.unix_ms(log_time), "dated_by" => ?dated_by,
             "dated_ms_ago" => evidence.map(|evidence| self.ms_ago(evidence.received)));
     }
 
@@ -95,7 +100,13 @@
 
     /// Logs that this gateway closes a connection to a host.
     pub(super) fn log_host_closed(&self, id: ConnectionId, why: CloseReason) {
-        debug!(self.log, "connection to a host closed"; "connection" => id.index, "why" => close_reason_name(why));
+        let Some(ConnectionKind::Host(host)) = self.connections.get(id).map(|connection| &connection.kind)
+        else {
+            return;
+        };
+        let is_answer_unread = host.protocol.attempt_progress() == AttemptProgress::FullyWritten;
+        debug!(self.log, "connection to a host closed"; "connection" => id.index, "why" => close_reason_name(why),
+            "host" => self.directory.name(host.member), "answer_unread" => is_answer_unread);
     }
 
     fn client_id(&self, request_id: RequestId) -> &str {
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -56,6 +56,10 @@
     pub age: Micros,
     /// The source of that position.
     pub source: PositionSource,
+    /// The member is believed to be the group's primary.
+    pub is_primary: bool,
+    /// How long ago the member last stated its role; `None` if it never did.
+    pub role_age: Option<Micros>,
     /// The upper bound of the present log time, if it is known.
     pub log_time: Option<Micros>,
     /// The answer of this group from which the log time was last derived, if there was one.
