Read the answers of abandoned attempts, and do not rely on a role that may be outdated

Cause: release_connection closed a connection whose answer was not awaited any more, and an answer under way was lost with the role that it states.

Change: such a connection is shut for writing and read to the end of its answer, nobody is served from it, and what the answer tells reaches the balancer as a late answer: older claims and positions replace no newer ones, and load, latency and failures are not counted. The same for attempts and health checks that time out. Before another attempt of the same request is written the connection is closed, since an earlier attempt on an open connection would make it a second copy.

Where an answer cannot be read (a bound, a broken connection, a further attempt, a client that reads its streamed value too slowly) its host is not relied on as the primary for bounded and strong reads until it has stated its role in an answer that was written later. A waiting read causes a health check of it, where those are allowed.

--- a/src/api.rs
+++ b/src/api.rs
@@ -432,6 +432,13 @@
         /// What the member reported.
         report: HealthReport,
     },
+    /// An answer was read whose attempt or health check had been abandoned.
+    LateAnswer {
+        /// The member.
+        member: MemberId,
+        /// What it tells.
+        answer: LateAnswer,
+    },
     /// Another gateway's message.
     Peer {
         /// The gateway that sent it.
@@ -441,6 +448,17 @@
     },
 }
 
+/// What an answer tells that was read after its attempt or health check had been abandoned.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LateAnswer {
+    /// When the request was sent.
+    pub sent: Micros,
+    /// The member's role, if the answer states it.
+    pub role: Option<Role>,
+    /// The member's log position, or the commit of a write, if the answer states it.
+    pub position: Option<Micros>,
+}
+
 /// An output of the router, for its caller to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -47,6 +47,7 @@
 mod snapshot;
 mod snapshot_conversion;
 mod snapshot_format;
+mod unread_answers;
 mod write_check;
 
 use capacity::limit_share;
@@ -197,6 +198,7 @@
             Event::HealthChecked { member, status, report } => {
                 self.health_checked(now, member, status, report, actions);
             }
+            Event::LateAnswer { member, answer } => self.late_answer_read(now, member, answer, actions),
         }
         actions.extend(self.notices.drain(..).map(Action::Notice));
     }
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -41,7 +41,7 @@
     settings: &'a Settings,
     open: &'a OpenRequest,
     cost: f64,
-    /// The group's primary, which is no candidate.
+    /// The group's primary, if its role can be relied on; it is no candidate.
     primary: Option<MemberId>,
     /// The position that the read must see.
     needed: Option<Micros>,
@@ -127,7 +127,7 @@
             settings: &self.settings,
             open,
             cost: self.latencies.cost(open.request.class),
-            primary: self.primary(window.group),
+            primary: self.primary_for_class(now, window.group, open.request.class),
             needed: self.needed(now, open),
             latest_log_time: self.log_now(now, window.group),
             awaits_commit: self.awaits_commit(open),
@@ -149,7 +149,12 @@
         }
         self.weighted_scratch = weighted;
         match check {
-            ReplicaCheck::None => replica.or(primary),
+            ReplicaCheck::None => {
+                if replica.or(primary).is_none() {
+                    self.check_unconfirmed_primary(now, window.group, actions);
+                }
+                replica.or(primary)
+            }
             ReplicaCheck::InFlight => None,
             ReplicaCheck::Due(member) => {
                 self.start_health_check(now, member, actions);
--- a/src/balance/member.rs
+++ b/src/balance/member.rs
@@ -12,6 +12,7 @@
 mod role_claim;
 mod serialized;
 mod slow_start;
+mod unread_answers;
 
 use health_check::HealthCheck;
 use load::Load;
@@ -19,6 +20,7 @@
 use outlier::OutlierDetection;
 use role_claim::RoleClaim;
 use slow_start::SlowStart;
+use unread_answers::UnreadAnswers;
 
 /// Minimum weight of a failing member in a draw: the few requests that it still gets show its recovery.
 const MIN_WEIGHT: f64 = 0.01;
@@ -43,6 +45,7 @@
     pub outlier: OutlierDetection,
     pub slow_start: SlowStart,
     pub health_check: HealthCheck,
+    pub unread_answers: UnreadAnswers,
     /// Running mean of the latency of a request divided by the mean latency of its class.
     latency_ratio: f64,
     /// Running mean of the fraction of requests that fail.
@@ -64,6 +67,7 @@
             outlier: OutlierDetection::default(),
             slow_start: SlowStart::default(),
             health_check: HealthCheck::default(),
+            unread_answers: UnreadAnswers::default(),
             latency_ratio: 1.0,
             failure_rate: 0.0,
             weight: endpoint.weight.max(MIN_WEIGHT),
@@ -146,6 +150,7 @@
             role: self.role.after_restart(),
             load: self.load.after_restart(limit),
             health_check: self.health_check.after_restart(),
+            unread_answers: std::mem::take(&mut self.unread_answers),
             slow_start,
             ..Member::new(self.endpoint, Role::Replica, limit)
         };
--- a/src/balance/member/serialized.rs
+++ b/src/balance/member/serialized.rs
@@ -6,6 +6,7 @@
 use super::outlier::{BrokenConnection, OutlierDetection};
 use super::role_claim::RoleClaim;
 use super::slow_start::SlowStart;
+use super::unread_answers::UnreadAnswers;
 use super::Member;
 use crate::balance::progress::PrimaryProgress;
 use crate::balance::snapshot_format::MemberRecord;
@@ -86,6 +87,7 @@
                 tokens: record.slow_start_tokens,
             },
             health_check: HealthCheck { last_started_at: record.health_check_started_at, in_flight: false },
+            unread_answers: UnreadAnswers::default(),
             latency_ratio: record.latency_ratio,
             failure_rate: record.failure_rate,
             weight: record.weight,
--- /dev/null
+++ b/src/balance/member/unread_answers.rs
@@ -0,0 +1,41 @@
+//! Whether a member may have stated another role in an answer that was not read.
+
+use crate::api::Micros;
+
+/// Time after the write of an answer from which on what it tells counts as known.
+const KNOWN_AFTER: Micros = Micros::millis(100);
+
+/// The answers of a member that were read or left unread, as far as the member's role depends on them.
+#[derive(Default)]
+pub struct UnreadAnswers {
+    /// The latest answer that states the role was written at this time or later.
+    stated_at: Micros,
+    /// Answers that will not be read may have been written until then.
+    unread_until: Micros,
+    /// Number of connections whose answer is not read at present.
+    paused: u32,
+}
+
+impl UnreadAnswers {
+    /// Records an answer with a role that was written at `at` or later.
+    pub fn role_stated(&mut self, at: Micros) {
+        self.stated_at = self.stated_at.max(at);
+    }
+
+    /// Records that an answer will not be read, which may be written until `until`.
+    pub fn left_unread(&mut self, until: Micros) {
+        self.unread_until = self.unread_until.max(until);
+    }
+
+    /// Records that reading an answer was paused, or that it was resumed or ended.
+    pub fn set_paused(&mut self, is_paused: bool) {
+        self.paused = if is_paused { self.paused + 1 } else { self.paused.saturating_sub(1) };
+    }
+
+    /// Whether the last known role may be relied on: no later answer that counts as known was left unread.
+    pub fn is_role_current(&self, now: Micros) -> bool {
+        let counts_as_known = now - KNOWN_AFTER;
+        let unread_until = if self.paused > 0 { counts_as_known } else { self.unread_until };
+        self.stated_at >= unread_until.min(counts_as_known)
+    }
+}
--- /dev/null
+++ b/src/balance/unread_answers.rs
@@ -0,0 +1,87 @@
+//! Answers that are read after their attempt was abandoned, and answers that are not read at all.
+//!
+//! A member that was the primary may state in an answer that it is a replica now. If that answer is left
+//! unread, reads no longer rely on the member as the primary until it has stated its role again.
+
+use super::housekeeping::MIN_HEALTH_CHECK_INTERVAL;
+use super::member::Member;
+use super::{Actions, Router};
+use crate::api::*;
+use crate::notice::{LogTimeEvidence, PositionKind, PositionSource};
+
+impl Router {
+    /// Records that a member has stated its role in an answer that it wrote at `at` or later.
+    pub fn role_stated(&mut self, id: MemberId, at: Micros) {
+        if let Some(member) = self.members.get_mut(&id) {
+            member.unread_answers.role_stated(at);
+        }
+    }
+
+    /// Records that an answer of a member will not be read, which it may write until `until`.
+    pub fn answer_left_unread(&mut self, id: MemberId, until: Micros) {
+        if let Some(member) = self.members.get_mut(&id) {
+            member.unread_answers.left_unread(until);
+        }
+    }
+
+    /// Records that reading an answer of a member was paused, or that it was resumed or ended.
+    pub fn set_answer_paused(&mut self, id: MemberId, is_paused: bool) {
+        if let Some(member) = self.members.get_mut(&id) {
+            member.unread_answers.set_paused(is_paused);
+        }
+    }
+
+    /// Processes what an answer tells whose attempt has been abandoned. It counts neither for the member's
+    /// load and latency nor for its failures.
+    pub(super) fn late_answer_read(
+        &mut self,
+        now: Micros,
+        id: MemberId,
+        answer: LateAnswer,
+        actions: &mut Actions,
+    ) {
+        let Some(group) = self.members.get(&id).map(Member::group) else { return };
+        let LateAnswer { sent, role, position } = answer;
+        let status = AttemptStatus::Cancelled;
+        if let (Some(Role::Primary), Some(position)) = (role, position) {
+            // It may be the commit of an earlier write, which proves less than a position.
+            let kind = PositionKind::Reported;
+            let evidence = LogTimeEvidence { member: id, status, position, kind, sent, received: now };
+            self.observe_primary(now, evidence);
+        }
+        // Without positions, claims are ordered by time. An old claim to be the primary must not replace a
+        // newer one to be a replica.
+        let claimed_at = if role == Some(Role::Primary) { sent } else { now };
+        self.observe_member(now, id, role, claimed_at, position, PositionSource::Answer(status));
+        self.send_waiting(now, group, actions);
+    }
+
+    /// The group's primary, if it is known and usable, and may be relied on for a read of this class.
+    pub(super) fn primary_for_class(&self, now: Micros, group: GroupId, class: ClassId) -> Option<MemberId> {
+        let primary = self.primary(group)?;
+        let is_reliable = match self.settings.classes[class.0].consistency {
+            // Each commit that this gateway knows was made at the member that last claimed to be the primary.
+            Consistency::Session if self.settings.session_tokens != SessionTokens::Carried => true,
+            Consistency::Write | Consistency::Eventual => true,
+            Consistency::Session | Consistency::BoundedStaleness(_) | Consistency::Strong => {
+                self.members.get(&primary)?.unread_answers.is_role_current(now)
+            }
+        };
+        is_reliable.then_some(primary)
+    }
+
+    /// Checks the health of a group's primary if its role cannot be relied on, so that reads that wait for it
+    /// can be sent.
+    pub(super) fn check_unconfirmed_primary(&mut self, now: Micros, group: GroupId, actions: &mut Actions) {
+        let Some(id) = self.primary(group) else { return };
+        if self.members[&id].unread_answers.is_role_current(now) {
+            return;
+        }
+        let check = &self.members[&id].health_check;
+        let is_due = !check.is_in_flight() && now - check.last_started_at() >= MIN_HEALTH_CHECK_INTERVAL;
+        if is_due && self.settings.health_checks && self.health_check_tokens >= 1.0 {
+            self.health_check_tokens -= 1.0;
+            self.start_health_check(now, id, actions);
+        }
+    }
+}
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -370,6 +370,27 @@
         self.drive(now, Event::HealthChecked { member, status: outcome.status(), report });
     }
 
+    /// Processes what an answer tells that was read after its attempt or health check had been abandoned.
+    pub fn late_answer_read(&mut self, now: Micros, member: MemberId, answer: LateAnswer) {
+        self.drive(now, Event::LateAnswer { member, answer });
+    }
+
+    /// Records that a member has stated its role in an answer that it wrote at `at` or later.
+    pub fn role_stated(&mut self, member: MemberId, at: Micros) {
+        self.router.role_stated(member, at);
+    }
+
+    /// Records that an answer of a member will not be read, which it may write until `until`: it is not relied on as
+    /// the primary for reads until it has stated its role again.
+    pub fn answer_left_unread(&mut self, member: MemberId, until: Micros) {
+        self.router.answer_left_unread(member, until);
+    }
+
+    /// Records that reading an answer of a member was paused, or that it was resumed or ended.
+    pub fn set_answer_paused(&mut self, member: MemberId, is_paused: bool) {
+        self.router.set_answer_paused(member, is_paused);
+    }
+
     /// Returns the next output, in order. If there is none, fires the timers that are due first.
     pub fn poll_output(&mut self, now: Micros) -> Option<Output> {
         if self.outputs.is_empty() {
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -14,6 +14,7 @@
 use slog::{error, info, Drain, Logger};
 
 // Modules with state, which do not use the gateway.
+mod abandoned_attempts;
 mod admin_session;
 mod client_admission;
 mod client_connection;
@@ -35,6 +36,7 @@
 mod discovery_watch;
 mod hosts;
 mod hot_restart;
+mod late_answers;
 mod memory_relief;
 mod queries;
 mod reload;
@@ -47,6 +49,7 @@
 
 pub use self::config::{Config, ReadConfig, Signals};
 
+use self::abandoned_attempts::AbandonedAttempts;
 use self::admin::AdminInterface;
 use self::client_admission::ClientAdmission;
 use self::connections::{ConnectionId, Connections};
@@ -93,6 +96,9 @@
     clock: Clock,
     /// The time of this iteration, read after the wait for events.
     now: Micros,
+    /// When the present and the previous wait for events began.
+    waited_from: Micros,
+    previous_wait_from: Micros,
     poller: Arc<Poller>,
     connections: Connections,
     timers: Timers,
@@ -104,6 +110,7 @@
     iteration: u64,
     read_buffer: Vec<u8>,
     pool: Pool<ConnectionId>,
+    abandoned: AbandonedAttempts,
     requests: InFlightRequests<ConnectionId, Statement, Owner>,
     balancer: Balancer,
     classes: Classes,
@@ -191,6 +198,7 @@
 
     fn run_iteration(&mut self, events: &mut Vec<Event>) -> io::Result<()> {
         let asleep_since = self.clock.read();
+        self.previous_wait_from = std::mem::replace(&mut self.waited_from, asleep_since);
         self.wait_for_events(events, asleep_since)?;
         self.now = self.clock.read();
         self.iteration += 1;
--- a/src/net/event_loop/connection_io.rs
+++ b/src/net/event_loop/connection_io.rs
@@ -7,6 +7,7 @@
 use super::client_connection::{ClientConnection, RequestLocation};
 use super::connections::{Connection, ConnectionId, ConnectionKind, Interest, UnregisteredConnection};
 use super::discovery_watch::CallError;
+use super::host_connection::HostTask;
 use super::mailboxes::{Abandonment, Owner, WorkerMessage};
 use super::sockets::has_hung_up;
 use super::timers::Timer;
@@ -46,10 +47,14 @@
 
     /// Removes a connection from the table and from the counts of its kind.
     pub(super) fn remove_connection(&mut self, id: ConnectionId) -> Option<Connection> {
+        self.report_unread_answer(id);
         let connection = self.connections.remove(id)?;
         match &connection.kind {
             ConnectionKind::Client(_) => self.workers.remove_client(self.this_worker),
-            ConnectionKind::Host(host) => self.pool.on_closed(host.member, id),
+            ConnectionKind::Host(host) => {
+                self.pool.on_closed(host.member, id);
+                self.abandoned.on_closed(id);
+            }
             ConnectionKind::HalfClosed { .. } | ConnectionKind::Discovery(_) | ConnectionKind::Admin(_) => {}
         }
         self.resume_accepting();
@@ -263,8 +268,8 @@
     }
 
     /// Handles received bytes or the end of a connection.
-    fn handle_received(&mut self, id: ConnectionId, bytes: &[u8], has_ended: bool) {
-        let now = self.now;
+    pub(super) fn handle_received(&mut self, id: ConnectionId, bytes: &[u8], has_ended: bool) {
+        let (now, read_up_to) = (self.now, self.previous_wait_from);
         let Some(connection) = self.connections.get_mut(id) else { return };
         match &mut connection.kind {
             ConnectionKind::Client(client) if !has_ended => {
@@ -275,8 +280,20 @@
             }
             ConnectionKind::Host(host) if !has_ended => {
                 host.receive(bytes, now);
+                host.read_up_to = read_up_to;
+                if host.task == HostTask::Abandoned {
+                    host.bytes_left = host.bytes_left.saturating_sub(bytes.len());
+                    if host.bytes_left == 0 {
+                        return self.handle_host_lost(id, FailureCause::MalformedResponse);
+                    }
+                }
                 self.process_host(id);
             }
+            ConnectionKind::Host(host) => {
+                // The host has ended the connection in order: all that it has written was read.
+                host.has_ended = true;
+                self.handle_connection_lost(id);
+            }
             ConnectionKind::Discovery(_) => self.handle_discovery_bytes(id, bytes, has_ended),
             ConnectionKind::Admin(_) => self.handle_admin_bytes(id, bytes, has_ended),
             ConnectionKind::HalfClosed { bytes_left } if !has_ended && bytes.len() < *bytes_left => {
--- a/src/net/event_loop/decision_log.rs
+++ b/src/net/event_loop/decision_log.rs
@@ -12,7 +12,7 @@
 use crate::notice::{
     role_name, AttemptTiming, GiveUp, LogTimeEvidence, Notice, PositionSource, ReadBasis, WriteRefusal,
 };
-use crate::{AttemptStatus, GroupId, MemberId, Micros, RequestId};
+use crate::{AttemptStatus, GroupId, LateAnswer, MemberId, Micros, RequestId};
 
 impl Gateway {
     /// Logs a notice of the balancer.
@@ -109,6 +109,13 @@
             "host" => self.directory.name(host.member), "answer_unread" => is_answer_unread);
     }
 
+    /// Logs what an answer tells that was read after its attempt or health check had been abandoned.
+    pub(super) fn log_late_answer(&self, member: MemberId, answer: &LateAnswer) {
+        debug!(self.log, "answer of an abandoned attempt read"; "host" => self.directory.name(member),
+            "role" => role_name(answer.role), "position_ms" => self.unix_ms(answer.position),
+            "sent_ms_ago" => self.ms_ago(answer.sent));
+    }
+
     fn client_id(&self, request_id: RequestId) -> &str {
         self.requests.get(request_id).map_or("?", |request| request.statement.id.as_str())
     }
--- a/src/net/event_loop/host_connection.rs
+++ b/src/net/event_loop/host_connection.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::attempt::FailureCause;
+use crate::attempt::{AttemptProgress, FailureCause};
 use crate::memory::{HeldBytes, Holder, MemoryBudget};
 use crate::net::pool::MIN_REST;
 use crate::pg::host::HostProtocol;
@@ -13,6 +13,8 @@
 const MAX_REST: Micros = Micros::millis(1_000);
 /// The rest after an answer that came in pieces, as a multiple of the longest gap between two of them.
 const GAPS_PER_REST: f64 = 2.0;
+/// How much longer time limits are on sockets.
+const SOCKET_SLACK: Micros = Micros::millis(50);
 
 /// The present use of a connection to a host.
 #[derive(Clone, Copy, PartialEq)]
@@ -20,6 +22,18 @@
     None,
     Attempt(RequestId),
     HealthCheck,
+    /// Its attempt or health check has been abandoned, and its answer is still read.
+    Abandoned,
+}
+
+/// A query that was written to a host and whose answer has not been read.
+#[derive(Clone, Copy)]
+pub(super) struct SentQuery {
+    pub(super) sent_at: Micros,
+    /// Until when the host expects that its answer is awaited.
+    pub(super) told_deadline: Micros,
+    /// The request; none for a health check.
+    pub(super) request: Option<RequestId>,
 }
 
 /// Why this gateway closes a connection to a host.
@@ -63,6 +77,16 @@
     /// When it may carry a further statement, after its last answer.
     pub(super) rested_at: Micros,
     pub(super) task: HostTask,
+    /// The query in flight, until its answer or the end of the connection has been read.
+    pub(super) query: Option<SentQuery>,
+    /// Reading the present answer was paused.
+    pub(super) was_paused: bool,
+    /// All that arrived before this time had been read before the latest bytes.
+    pub(super) read_up_to: Micros,
+    /// The host has ended the connection in order, and everything before the end was read.
+    pub(super) has_ended: bool,
+    /// Number of bytes that are still read of an abandoned attempt's answer.
+    pub(super) bytes_left: usize,
     held: HeldBytes,
 }
 
@@ -82,6 +106,11 @@
             longest_gap: Micros(0),
             rested_at: now,
             task: HostTask::None,
+            query: None,
+            was_paused: false,
+            read_up_to: Micros(0),
+            has_ended: false,
+            bytes_left: 0,
             held: memory.entry(Holder::Hosts),
         }
     }
@@ -91,6 +120,31 @@
         self.held.set(self.protocol.allocated());
     }
 
+    /// Records the query that is about to be written.
+    pub(super) fn begin_query(&mut self, query: SentQuery) {
+        self.query = Some(query);
+        self.was_paused = false;
+    }
+
+    /// Whether its answer is not read at present.
+    pub(super) fn is_paused(&self) -> bool {
+        self.is_reading_paused || self.is_memory_paused
+    }
+
+    /// The answer that has just been read was written at this time or later.
+    pub(super) fn answer_written_after(&self) -> Micros {
+        let sent_at = self.query.map_or(Micros(0), |query| query.sent_at);
+        let is_prompt = !self.was_paused && !self.protocol.was_streamed();
+        sent_at.max(if is_prompt { self.read_up_to } else { Micros(0) })
+    }
+
+    /// If the connection were closed at `now`, the host might write an answer that is not read until this time.
+    pub(super) fn unread_until(&self, now: Micros) -> Option<Micros> {
+        let is_written = self.protocol.attempt_progress() == AttemptProgress::FullyWritten;
+        let query = self.query.filter(|_| is_written && !self.has_ended)?;
+        Some(query.told_deadline.max(now) + SOCKET_SLACK)
+    }
+
     /// Handles bytes that are received at `now`.
     pub(super) fn receive(&mut self, bytes: &[u8], now: Micros) {
         if self.protocol.has_partial_response() && !self.is_reading_paused && !self.is_memory_paused {
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -16,7 +16,7 @@
 use crate::{MemberId, Micros};
 
 /// How long a health check may take.
-const HEALTH_CHECK_TIMEOUT: Micros = Micros::millis(250);
+pub(super) const HEALTH_CHECK_TIMEOUT: Micros = Micros::millis(250);
 
 impl Gateway {
     /// Begins to connect to a member, and sets the timer by which the session must be accepted.
@@ -38,6 +38,10 @@
 
     fn close_oldest_idle(&mut self) -> Result<(), FailureCause> {
         let Some(idle) = self.pool.oldest() else {
+            if let Some(abandoned) = self.abandoned.oldest() {
+                self.close_abandoned(abandoned);
+                return Ok(());
+            }
             warn!(self.log, "no descriptors left for hosts"; "open" => self.pool.len());
             return Err(FailureCause::NotAttempted);
         };
@@ -91,17 +95,26 @@
             }
             HostEvent::StartupRejected(code) => self.handle_session_rejected(id, &code),
             HostEvent::StreamingStarted => match task {
+                HostTask::Abandoned => {}
                 HostTask::Attempt(request_id) => self.start_streaming(request_id),
                 // A load report is too short to be streamed.
                 _ => self.handle_host_lost(id, FailureCause::MalformedResponse),
             },
+            HostEvent::Response(response) if task == HostTask::Abandoned => {
+                self.handle_late_answer(id, response);
+            }
             HostEvent::Response(response) => {
+                let written_after = host.answer_written_after();
+                host.query = None;
                 host.begin_rest();
                 self.release_connection(id);
                 match task {
-                    HostTask::Attempt(request_id) => self.handle_response(request_id, member, response),
-                    HostTask::HealthCheck => self.handle_health_response(member, response),
-                    HostTask::None => {}
+                    HostTask::Attempt(request_id) => {
+                        self.note_role_stated(member, response.role, written_after);
+                        self.handle_response(request_id, member, response);
+                    }
+                    HostTask::HealthCheck => self.handle_health_response(member, response, written_after),
+                    HostTask::None | HostTask::Abandoned => {}
                 }
             }
             HostEvent::ProtocolViolation => {
@@ -130,8 +143,8 @@
                 let failed = FailedAttempt { progress: AttemptProgress::NotConnected, cause };
                 self.handle_attempt_failed(request_id, member, failed);
             }
-            HostTask::HealthCheck => self.handle_health_response(member, response),
-            HostTask::None => {}
+            HostTask::HealthCheck => self.handle_health_response(member, response, Micros(0)),
+            HostTask::None | HostTask::Abandoned => {}
         }
     }
 
@@ -147,19 +160,31 @@
     pub(super) fn handle_host_lost(&mut self, id: ConnectionId, cause: FailureCause) {
         let Some(host) = self.connections.host(id) else { return };
         let (member, task) = (host.member, std::mem::replace(&mut host.task, HostTask::None));
-        let (progress, is_ready) = (host.protocol.attempt_progress(), host.is_ready);
-        let response = host.protocol.handle_end();
-        if cause != FailureCause::ConnectionLost {
-            self.log_host_closed(id, CloseReason::Failed(cause));
-        }
-        self.close(id);
+        let (progress, is_ready, query) = (host.protocol.attempt_progress(), host.is_ready, host.query);
+        let is_given_up = matches!(cause, FailureCause::TimedOut | FailureCause::WrittenTooLate);
+        let response = if is_given_up && !host.protocol.has_completed_response() {
+            self.abandon_connection(id);
+            None
+        } else {
+            let response = host.protocol.handle_end();
+            if cause != FailureCause::ConnectionLost {
+                self.log_host_closed(id, CloseReason::Failed(cause));
+            }
+            self.close(id);
+            response
+        };
         let failed = FailedAttempt { progress, cause };
         match (task, response) {
             // The request for which it was opened has ended, but the balancer must know that connecting has failed.
             (HostTask::None, _) if !is_ready && cause == FailureCause::ConnectionLost => {
                 self.health_checked(member, AttemptOutcome::NoResponse(failed));
             }
-            (HostTask::None, _) => {}
+            (HostTask::None | HostTask::Abandoned, None) | (HostTask::None, Some(_)) => {}
+            (HostTask::Abandoned, Some(response)) => {
+                if let Some(query) = query {
+                    self.late_answer_read(member, query, response, query.sent_at);
+                }
+            }
             (HostTask::Attempt(request_id), Some(response)) => {
                 self.handle_response(request_id, member, response);
             }
@@ -167,7 +192,9 @@
                 self.requests.end_attempt(request_id);
                 self.handle_attempt_failed(request_id, member, failed);
             }
-            (HostTask::HealthCheck, Some(response)) => self.handle_health_response(member, response),
+            (HostTask::HealthCheck, Some(response)) => {
+                self.handle_health_response(member, response, Micros(0));
+            }
             (HostTask::HealthCheck, None) => self.health_checked(member, AttemptOutcome::NoResponse(failed)),
         }
     }
@@ -189,8 +216,9 @@
         }
     }
 
-    fn handle_health_response(&mut self, member: MemberId, response: HostResponse) {
+    fn handle_health_response(&mut self, member: MemberId, response: HostResponse, written_after: Micros) {
         let (role, position) = load_report::parse(&response.value.unwrap_or_default());
+        self.note_role_stated(member, role, written_after);
         let position = self.to_position(position);
         self.health_checked(member, AttemptOutcome::Response { status: response.status, role, position });
     }
--- a/src/net/event_loop/hot_restart.rs
+++ b/src/net/event_loop/hot_restart.rs
@@ -173,7 +173,7 @@
         self.pool.share(processes);
         self.workers.memory.share(processes);
         while !self.pool.has_capacity() {
-            let Some(idle) = self.pool.oldest() else { break };
+            let Some(idle) = self.pool.oldest().or(self.abandoned.oldest()) else { break };
             self.close(idle);
         }
     }
--- a/src/net/event_loop/memory_relief.rs
+++ b/src/net/event_loop/memory_relief.rs
@@ -71,9 +71,9 @@
         let is_paused = match &mut connection.kind {
             ConnectionKind::Client(client) => client.protocol.unparsed_input() > SMALL_HOLDING,
             ConnectionKind::Host(host) => {
-                host.is_memory_paused =
-                    do_clients_read_slowly && host.protocol.response_bytes() > SMALL_HOLDING;
-                host.is_memory_paused
+                let is_paused = do_clients_read_slowly && host.protocol.response_bytes() > SMALL_HOLDING;
+                self.change_pause(id, |host| host.is_memory_paused = is_paused);
+                is_paused
             }
             _ => false,
         };
@@ -104,7 +104,8 @@
         let ids: Vec<ConnectionId> = self.connections.iter().map(|(id, _)| id).collect();
         for id in ids {
             if let Some(host) = self.connections.host(id).filter(|host| host.is_memory_paused) {
-                (host.is_memory_paused, host.last_received) = (false, now);
+                host.last_received = now;
+                self.change_pause(id, |host| host.is_memory_paused = false);
             }
             self.update_interest(id);
         }
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -2,7 +2,8 @@
 
 use super::client_connection::RequestLocation;
 use super::connections::ConnectionId;
-use super::host_connection::{CloseReason, HostTask};
+use super::host_connection::{CloseReason, HostTask, SentQuery};
+use super::hosts::HEALTH_CHECK_TIMEOUT;
 use super::mailboxes::{Abandonment, Commit, FinalAnswer, Owner, WorkerMessage};
 use super::sockets::has_hung_up;
 use super::timers::Timer;
@@ -245,7 +246,7 @@
     pub(super) fn start_task(&mut self, id: ConnectionId) {
         let Some(host) = self.connections.host(id).filter(|host| host.is_ready) else { return };
         match host.task {
-            HostTask::None => self.release_connection(id),
+            HostTask::None | HostTask::Abandoned => self.release_connection(id),
             HostTask::HealthCheck => self.write_health_check(id),
             HostTask::Attempt(request_id) => self.write_attempt(id, request_id),
         }
@@ -258,10 +259,18 @@
             self.release_connection(id);
             return self.balancer.health_checked(now, member, AttemptOutcome::NoResponse(NOT_ATTEMPTED));
         }
+        if let Some(host) = self.connections.host(id) {
+            host.begin_query(SentQuery {
+                sent_at: now,
+                told_deadline: now + HEALTH_CHECK_TIMEOUT,
+                request: None,
+            });
+        }
         self.write_query(id, HEALTH_CHECK_QUERY);
     }
 
     fn write_attempt(&mut self, id: ConnectionId, request_id: RequestId) {
+        self.close_abandoned_attempts(request_id);
         // Not the iteration's time: the time left that is written into the statement, and the limit on the age of its
         // data, count from the write.
         let now = self.clock.read();
@@ -277,6 +286,7 @@
         host.write_deadline = write_deadline;
         let deadline = host.attempt_deadline.min(request.deadline);
         let text = request.statement.with_wait(deadline - now);
+        host.begin_query(SentQuery { sent_at: now, told_deadline: deadline, request: Some(request_id) });
         self.counts.attempts += 1;
         self.write_query(id, &text);
     }
@@ -333,8 +343,8 @@
     }
 
     /// Ends the task of a connection. An idle connection returns to the pool; if the host gets no new requests, it is
-    /// closed instead, so that the host need not wait for it. A connection whose query is in flight is closed. One that
-    /// is still being opened is kept, and returns to the pool once it is ready.
+    /// closed instead, so that the host need not wait for it. A connection whose query is in flight is abandoned. One
+    /// that is still being opened is kept, and returns to the pool once it is ready.
     pub(super) fn release_connection(&mut self, id: ConnectionId) {
         let now = self.now;
         let Some(host) = self.connections.host(id) else { return };
@@ -344,14 +354,15 @@
         let rested_at = host.rested_at;
         if is_idle && self.balancer.is_routable(member) {
             self.pool.put(now, member, id, rested_at);
-        } else if is_ready {
-            let why = if is_idle { CloseReason::NotRoutable } else { CloseReason::ResponseNotAwaited };
-            self.log_host_closed(id, why);
+        } else if is_idle {
+            self.log_host_closed(id, CloseReason::NotRoutable);
             self.close(id);
+        } else if is_ready {
+            self.abandon_connection(id);
         }
     }
 
-    /// Ends a request's attempt. If its query was written, the connection is closed. A connection that is still being
+    /// Ends a request's attempt. If its query was written, nobody is served from the connection any more. A connection that is still being
     /// opened has carried nothing and may serve another request.
     pub(super) fn cancel_attempt(&mut self, request_id: RequestId) {
         if let Some(host) = self.requests.end_attempt(request_id) {
--- a/src/net/event_loop/start.rs
+++ b/src/net/event_loop/start.rs
@@ -10,6 +10,7 @@
 use polling::{Event, PollMode, Poller};
 use slog::{o, Logger};
 
+use super::abandoned_attempts::AbandonedAttempts;
 use super::admin::AdminInterface;
 use super::client_admission::{ClientAdmission, ClientLimits};
 use super::config::{Config, Signals};
@@ -210,6 +211,9 @@
             iteration: 0,
             read_buffer: vec![0; READ_BUFFER_BYTES],
             pool: Pool::new(limits.hosts, settings.connection_idle_timeout),
+            abandoned: AbandonedAttempts::default(),
+            waited_from: Micros(0),
+            previous_wait_from: Micros(0),
             requests: InFlightRequests::default(),
             balancer: Balancer::new(settings.clone(), config.seed.wrapping_add(worker as u64)),
             classes: initial_classes(site),
--- a/src/net/event_loop/streaming.rs
+++ b/src/net/event_loop/streaming.rs
@@ -18,7 +18,7 @@
     /// Forwards the bytes of a streamed response that have been received.
     pub(super) fn forward_stream(&mut self, id: ConnectionId) {
         let Some(host) = self.connections.host(id) else { return };
-        let HostTask::Attempt(request_id) = host.task else { return };
+        let HostTask::Attempt(request_id) = host.task else { return self.discard_streamed(id) };
         let bytes = host.protocol.take_streamed();
         let Some(request) = self.requests.get(request_id).filter(|request| request.is_streaming()) else {
             return;
@@ -38,14 +38,7 @@
             true
         };
         if is_paused {
-            self.pause_reading(id);
-        }
-    }
-
-    fn pause_reading(&mut self, id: ConnectionId) {
-        if let Some(host) = self.connections.host(id) {
-            host.is_reading_paused = true;
-            self.update_interest(id);
+            self.set_reading_paused(id, true);
         }
     }
 
@@ -78,8 +71,8 @@
             return;
         };
         if let Some(host) = self.connections.host(id).filter(|host| host.is_reading_paused) {
-            (host.is_reading_paused, host.last_received) = (false, now);
-            self.update_interest(id);
+            host.last_received = now;
+            self.set_reading_paused(id, false);
         }
     }
 
--- a/src/net/event_loop/sweep.rs
+++ b/src/net/event_loop/sweep.rs
@@ -32,6 +32,7 @@
             Timer::AttemptTimeout(request_id, id) => self.handle_attempt_timeout(request_id, id),
             Timer::RequestDeadline(request_id) => self.handle_request_deadline(request_id),
             Timer::HealthCheckTimeout(id) => self.handle_health_check_timeout(id),
+            Timer::LateAnswerTimeout(id) => self.close_abandoned(id),
             Timer::DiscoveryTimeout(id) => self.handle_discovery_timeout(id),
             Timer::DiscoveryRetry => self.call_discovery(),
             Timer::ResumeAccepting => {
@@ -96,6 +97,7 @@
             requests: self.requests.len(),
             clients: self.connections.client_count(),
             hosts: self.pool.len(),
+            abandoned: self.abandoned.len(),
         };
         self.counts.on_sweep(&self.log, &open);
         self.set_timer(SWEEP_INTERVAL, Timer::Sweep);
@@ -113,6 +115,9 @@
             Timer::HealthCheckTimeout(id) => {
                 connections.host(*id).is_some_and(|host| host.task == HostTask::HealthCheck)
             }
+            Timer::LateAnswerTimeout(id) => {
+                connections.host(*id).is_some_and(|host| host.task == HostTask::Abandoned)
+            }
             Timer::UpdateInterest(id) | Timer::UnreadCheck(id) | Timer::HalfClosedTimeout(id) => {
                 connections.get(*id).is_some()
             }
@@ -133,6 +138,5 @@
 /// Whether a response has begun on a connection and no more bytes of it arrive.
 fn is_stalled(host: &HostConnection, now: Micros) -> bool {
     let stall = if host.protocol.is_streaming() { STREAM_STALL } else { RESPONSE_STALL };
-    let is_paused = host.is_reading_paused || host.is_memory_paused;
-    host.protocol.has_partial_response() && !is_paused && now - host.last_received >= stall
+    host.protocol.has_partial_response() && !host.is_paused() && now - host.last_received >= stall
 }
--- a/src/net/event_loop/timers.rs
+++ b/src/net/event_loop/timers.rs
@@ -17,6 +17,8 @@
     RequestDeadline(RequestId),
     /// The health check has timed out.
     HealthCheckTimeout(ConnectionId),
+    /// The answer of the abandoned attempt or health check has not come in time.
+    LateAnswerTimeout(ConnectionId),
     /// The call to discovery has timed out.
     DiscoveryTimeout(ConnectionId),
     /// Calls discovery again.
--- a/src/net/event_loop/traffic_counts.rs
+++ b/src/net/event_loop/traffic_counts.rs
@@ -20,6 +20,10 @@
     pub(super) health_checks: u64,
     pub(super) malformed: u64,
     pub(super) reclaimed: u64,
+    /// Answers that were read after their attempt or health check had been abandoned.
+    pub(super) late_answers: u64,
+    /// Answers that were left unread.
+    pub(super) unread_answers: u64,
     sweeps: u64,
 }
 
@@ -28,6 +32,8 @@
     pub(super) requests: usize,
     pub(super) clients: usize,
     pub(super) hosts: usize,
+    /// Those of the connections to hosts whose attempt has been abandoned.
+    pub(super) abandoned: usize,
 }
 
 impl TrafficCounts {
@@ -42,6 +48,6 @@
             "refused" => counts.rejected, "failed" => counts.failed, "left" => counts.abandoned,
             "cancelled" => counts.cancelled, "attempts" => counts.attempts, "broken" => counts.failed_attempts,
             "connects" => counts.connects, "probes" => counts.health_checks, "spoilt" => counts.malformed,
-            "open" => open.requests, "clients" => open.clients, "hosts" => open.hosts);
+            "late_answers" => counts.late_answers, "unread_answers" => counts.unread_answers, "open" => open.requests, "clients" => open.clients, "hosts" => open.hosts, "abandoned" => open.abandoned);
     }
 }
--- a/src/pg/host.rs
+++ b/src/pg/host.rs
@@ -234,6 +234,11 @@
         self.input.len() + self.response.rows.len()
     }
 
+    /// Whether the outcome of the query was received; its status parameters and ReadyForQuery may be missing.
+    pub fn has_completed_response(&self) -> bool {
+        self.state == State::Busy(ResponseProgress::Completed)
+    }
+
     /// Whether part of a response was received and the rest of it is missing.
     pub fn has_partial_response(&self) -> bool {
         match self.state {
--- /dev/null
+++ b/tests/unread_answers.rs
@@ -0,0 +1,371 @@
+//! What a host tells in an answer that nobody waits for any more, with the gateway as a separate process: a primary that
+//! has handed over its role says so in an answer that is under way as its attempt ends. 0.45 s later a bounded read must
+//! not be served from its old data.
+//!
+//! The answer is under way in the worst moment: the host writes it when the end of the gateway's sending arrives, or, for
+//! an end that the test brings about itself, just before, and then it travels for [`NETWORK`].
+
+mod harness;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dunemount::pg::codec;
+use harness::process::{Process, ProcessOptions};
+use harness::scripted::{answer_with, cancel, connect_with_key, Host, HostConnection};
+use harness::{bind_loopback, listing, next_request_id, settings, ClientConnection};
+use serde_json::json;
+
+/// Staleness bound of bounded reads.
+const BOUND_MS: f64 = 200.0;
+/// How far the replicas lag, in milliseconds.
+const LAG_MS: u64 = 2_000;
+/// Time that an answer travels.
+const NETWORK: Duration = Duration::from_micros(780);
+/// Age of the old primary's data when the first read comes: older than the bound.
+const BEFORE_FIRST_READ: Duration = Duration::from_millis(300);
+/// Time between the first answer and the next bounded read.
+const BEFORE_NEXT_READ: Duration = Duration::from_millis(450);
+/// Size of a value whose answer is written whole although its client reads nothing.
+const LONG_VALUE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Number of clients that leave at once: more than answers are read of one host.
+const ABANDONED: usize = 10;
+
+/// How the old primary answers the next request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Behavior {
+    /// At once.
+    Prompt,
+    /// The answer is written when the test hears of it, and travels for [`NETWORK`].
+    UnderWay,
+    /// The answer is written once the end of the gateway's sending has arrived.
+    AtEndOfSending,
+    /// The same, and the connection is reset before the answer is complete.
+    CutOff,
+    /// Requests at once, health checks once the end of the gateway's sending has arrived.
+    LateReports,
+    /// A long value, at once.
+    LongValue,
+}
+
+struct State {
+    /// When the primary handed over its role, in milliseconds since 1970.
+    handed_over: Option<u64>,
+    /// The behaviour of the old primary towards requests and health checks after that.
+    behavior: Behavior,
+}
+
+/// A group of a primary and two replicas. All stand still once the primary has handed over its role.
+struct Group {
+    endpoints: Vec<SocketAddr>,
+    state: Arc<Mutex<State>>,
+    /// Receives a message whenever the old primary has written an answer as a replica.
+    answers: Receiver<()>,
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+impl Group {
+    fn start() -> Group {
+        let state = Arc::new(Mutex::new(State { handed_over: None, behavior: Behavior::Prompt }));
+        let (sender, answers) = channel();
+        let endpoints = (0..3).map(|index| start_host(index == 0, &state, &sender)).collect();
+        Group { endpoints, state, answers }
+    }
+
+    fn hand_over(&self) {
+        self.state.lock().expect("whole").handed_over = Some(unix_ms());
+    }
+
+    fn set_behavior(&self, behavior: Behavior) {
+        self.state.lock().expect("whole").behavior = behavior;
+    }
+
+    /// Waits until the old primary has written an answer as a replica.
+    fn wait_for_answer(&self) {
+        self.answers.recv_timeout(Duration::from_secs(60)).expect("an answer as a replica");
+    }
+}
+
+fn start_host(was_primary: bool, state: &Arc<Mutex<State>>, answers: &Sender<()>) -> SocketAddr {
+    let host = Host::new();
+    let address = host.address();
+    let (state, answers) = (state.clone(), answers.clone());
+    std::thread::spawn(move || loop {
+        let connection = host.accept_ready();
+        let (state, answers) = (state.clone(), answers.clone());
+        std::thread::spawn(move || serve(connection, was_primary, &state, &answers));
+    });
+    address
+}
+
+/// Serves a connection of the gateway until its sending has ended.
+fn serve(mut connection: HostConnection, was_primary: bool, state: &Mutex<State>, answers: &Sender<()>) {
+    while let Some(statement) = connection.next_statement() {
+        let (handed_over, behavior) = {
+            let state = state.lock().expect("whole");
+            (state.handed_over, state.behavior)
+        };
+        let is_primary = was_primary && handed_over.is_none();
+        let end_of_log = handed_over.unwrap_or_else(unix_ms);
+        let position = if was_primary { end_of_log } else { end_of_log - LAG_MS };
+        let behavior = if was_primary && !is_primary { behavior } else { Behavior::Prompt };
+        let answer = answer_to(&statement, is_primary, position, behavior);
+        let is_late_report = behavior == Behavior::LateReports && statement.starts_with("SHOW");
+        if is_late_report || matches!(behavior, Behavior::AtEndOfSending | Behavior::CutOff) {
+            assert!(connection.next_statement().is_none(), "one statement a connection");
+        }
+        if was_primary && !is_primary {
+            // The receiver is gone once the test has ended.
+            let _ = answers.send(());
+        }
+        match behavior {
+            Behavior::UnderWay => std::thread::sleep(NETWORK),
+            Behavior::CutOff => return connection.reset(),
+            _ => {}
+        }
+        if std::io::Write::write_all(&mut connection.socket, &answer).is_err() {
+            return;
+        }
+    }
+}
+
+fn answer_to(statement: &str, is_primary: bool, position: u64, behavior: Behavior) -> Vec<u8> {
+    let role = if is_primary { "master" } else { "replica" };
+    if statement.starts_with("SHOW") {
+        let report = format!("x0={:.3},x1={}", position as f64 / 1_000.0, u8::from(is_primary));
+        return answer_with(report.as_bytes(), role, None);
+    }
+    if statement.starts_with("INSERT") && !is_primary {
+        let mut out = Vec::new();
+        codec::write_error_response(&mut out, "ERROR", "25006", "no primary", None);
+        codec::write_parameter_status(&mut out, "part", role);
+        codec::write_parameter_status(&mut out, "caught_up_to", &position.to_string());
+        codec::write_ready_for_query(&mut out);
+        return out;
+    }
+    let value = if behavior == Behavior::LongValue { vec![b'x'; LONG_VALUE_BYTES] } else { b"ok".to_vec() };
+    answer_with(&value, role, Some(position))
+}
+
+/// What differs between the runs.
+#[derive(Clone, Copy)]
+struct Run {
+    name: &'static str,
+    cores: usize,
+    /// The gateway may check the health of hosts.
+    has_health_checks: bool,
+    /// Deadline of bounded reads, and their time limit for one attempt follows from it.
+    deadline_ms: f64,
+}
+
+impl Run {
+    fn new(name: &'static str) -> Run {
+        Run { name, cores: 1, has_health_checks: false, deadline_ms: 10_000.0 }
+    }
+}
+
+/// A gateway in front of a group.
+struct Play {
+    group: Group,
+    process: Process,
+    _discovery: TcpListener,
+}
+
+impl Play {
+    /// Starts the gateway and sends requests until it knows the log's time. Then the primary hands over its role, and its
+    /// data become too old.
+    fn start(run: Run) -> Play {
+        let (group, discovery) = (Group::start(), bind_loopback());
+        let mut settings = settings();
+        settings["Specifics"]["NeedsByClass"] = json!(["recent", "update", "latest", "update"]);
+        settings["Specifics"]["LagAllowedMs"] = json!([BOUND_MS, 0.0, 0.0, 0.0]);
+        settings["Permissions"]["Probing"] = json!(run.has_health_checks);
+        settings["Clients"] = json!({ "MarksRetry": true });
+        for class in [0, 2] {
+            settings["Classes"][class]["AimMs"] = json!(run.deadline_ms);
+            settings["Classes"][class]["DeadlineMs"] = json!(run.deadline_ms);
+        }
+        let name = format!("unread-{}", run.name);
+        let options = ProcessOptions {
+            settings,
+            cores: run.cores,
+            ..ProcessOptions::with_defaults(&name, 300, discovery.local_addr().expect("bound"))
+        };
+        let process = options.start(&listing(&group.endpoints));
+        let play = Play { group, process, _discovery: discovery };
+        let mut client = play.process.client();
+        for step in 0..12 {
+            client.ask(&if step % 4 == 0 { write() } else { bounded_read(10_000) });
+            client.answer();
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        client.ask(&bounded_read(10_000));
+        assert_eq!(client.answer().len(), 4, "the primary serves bounded reads");
+        play.group.hand_over();
+        std::thread::sleep(BEFORE_FIRST_READ);
+        play
+    }
+
+    /// Asserts that a bounded read, some time after the old primary has told its role, is not served: no member has data
+    /// that are recent enough.
+    fn assert_next_read_is_not_served(&self) {
+        if self.group.state.lock().expect("whole").behavior != Behavior::LateReports {
+            self.group.set_behavior(Behavior::Prompt);
+        }
+        std::thread::sleep(BEFORE_NEXT_READ);
+        let mut client = self.process.client();
+        client.ask(&bounded_read(400));
+        let answer = client.answer();
+        let is_served = answer.iter().any(|frame| frame.tag == b'D');
+        assert!(!is_served, "served from old data by a host that had told its role\n{}", self.process.log());
+    }
+}
+
+fn bounded_read(wait_ms: u32) -> String {
+    let id = next_request_id();
+    format!("SELECT doc FROM items WHERE id = 'k' /* id={id},c=look,d={wait_ms},cluster=1 */")
+}
+
+fn strong_read(wait_ms: u32) -> String {
+    bounded_read(wait_ms).replace("c=look", "c=own")
+}
+
+fn write() -> String {
+    let (id, key) = (next_request_id(), next_request_id());
+    format!("INSERT INTO items (id, doc) VALUES ('w', '\\x9f') RETURNING doc /* id={id},c=store,d=10000,k={key},cluster=1 */")
+}
+
+/// Guards bounded reads after a client has closed its connection while the answer to it was under way (review/3).
+#[test]
+fn an_answer_under_way_as_its_client_leaves_is_read() {
+    for cores in [1, 2] {
+        let play = Play::start(Run { cores, ..Run::new("leaves") });
+        play.group.set_behavior(Behavior::UnderWay);
+        let mut client = play.process.client();
+        client.ask(&bounded_read(10_000));
+        play.group.wait_for_answer();
+        drop(client);
+        play.assert_next_read_is_not_served();
+    }
+}
+
+/// Guards the same after a client has cancelled its request.
+#[test]
+fn an_answer_under_way_as_its_client_cancels_is_read() {
+    for cores in [1, 2] {
+        let play = Play::start(Run { cores, ..Run::new("cancels") });
+        play.group.set_behavior(Behavior::AtEndOfSending);
+        let (mut client, key) = connect_with_key(play.process.address);
+        client.ask(&bounded_read(10_000));
+        std::thread::sleep(Duration::from_millis(50));
+        cancel(play.process.address, key);
+        assert_eq!(client.code(), "57014");
+        play.group.wait_for_answer();
+        play.assert_next_read_is_not_served();
+    }
+}
+
+/// Guards the same where the client leaves long before the answer, so that the host sees the end of the sending first.
+#[test]
+fn an_answer_that_is_written_after_its_client_has_left_is_read() {
+    let play = Play::start(Run::new("left"));
+    play.group.set_behavior(Behavior::AtEndOfSending);
+    let mut client = play.process.client();
+    client.ask(&bounded_read(10_000));
+    std::thread::sleep(Duration::from_millis(50));
+    drop(client);
+    play.group.wait_for_answer();
+    play.assert_next_read_is_not_served();
+}
+
+/// Guards the same at the deadline of the request, and at the time limit of the attempt before it.
+#[test]
+fn an_answer_under_way_as_its_time_is_over_is_read() {
+    for statement in [bounded_read(300), strong_read(300)] {
+        let play = Play::start(Run { deadline_ms: 300.0, ..Run::new("time") });
+        play.group.set_behavior(Behavior::AtEndOfSending);
+        let mut client = play.process.client();
+        client.ask(&statement);
+        play.group.wait_for_answer();
+        play.assert_next_read_is_not_served();
+    }
+}
+
+/// Guards the same where the answer cannot be read: the connection breaks as the attempt ends. The old primary is not
+/// relied on until it has stated its role again.
+#[test]
+fn a_primary_whose_answer_was_lost_is_not_relied_on() {
+    let play = Play::start(Run::new("cut"));
+    play.group.set_behavior(Behavior::CutOff);
+    let mut client = play.process.client();
+    client.ask(&bounded_read(10_000));
+    std::thread::sleep(Duration::from_millis(50));
+    drop(client);
+    play.group.wait_for_answer();
+    play.assert_next_read_is_not_served();
+}
+
+/// Guards the same where more answers are abandoned than are read: none of them may be forgotten.
+#[test]
+fn many_clients_that_leave_at_once_hide_no_answer() {
+    let play = Play::start(Run::new("many"));
+    play.group.set_behavior(Behavior::AtEndOfSending);
+    let mut clients: Vec<ClientConnection> = (0..ABANDONED).map(|_| play.process.client()).collect();
+    clients.iter_mut().for_each(|client| client.ask(&strong_read(10_000)));
+    std::thread::sleep(Duration::from_millis(100));
+    drop(clients);
+    play.group.wait_for_answer();
+    play.assert_next_read_is_not_served();
+}
+
+/// Guards the same for health checks that time out: what a late report tells counts.
+#[test]
+fn a_report_under_way_as_its_health_check_times_out_is_read() {
+    let play = Play::start(Run { has_health_checks: true, ..Run::new("check") });
+    play.group.set_behavior(Behavior::LateReports);
+    play.group.wait_for_answer();
+    play.assert_next_read_is_not_served();
+}
+
+/// Guards the same for a streamed answer whose end is not read, since its client reads nothing.
+#[test]
+fn a_primary_whose_answer_is_not_read_for_a_slow_client_is_not_relied_on() {
+    for cores in [1, 2] {
+        let play = Play::start(Run { cores, ..Run::new("slow") });
+        play.group.set_behavior(Behavior::LongValue);
+        let mut client = play.process.client();
+        client.ask(&bounded_read(10_000));
+        play.group.wait_for_answer();
+        play.assert_next_read_is_not_served();
+        drop(client);
+    }
+}
+
+/// Guards availability: after a lost answer the primary is relied on again once it has stated its role, in the answer to a
+/// health check that a read causes or, where there are none, to a write.
+#[test]
+fn a_primary_that_states_its_role_again_serves_reads() {
+    for has_health_checks in [false, true] {
+        let play = Play::start(Run { has_health_checks, ..Run::new("again") });
+        play.group.set_behavior(Behavior::CutOff);
+        let mut leaving = play.process.client();
+        leaving.ask(&bounded_read(10_000));
+        play.group.wait_for_answer();
+        drop(leaving);
+        play.group.state.lock().expect("whole").handed_over = None;
+        play.group.set_behavior(Behavior::Prompt);
+        let mut client = play.process.client();
+        if !has_health_checks {
+            client.ask(&write());
+            client.answer();
+        }
+        client.ask(&bounded_read(10_000));
+        assert_eq!(client.answer().len(), 4, "{}", play.process.log());
+    }
+}
