Share the roles that hosts state between the two processes of a hot restart

Callers saw, in a play: a bounded read served by the next process from the old primary's data, 0.45 s after the previous process had read that the host is a replica; the same after a previous process that was killed with the answer unread.

What either process reads later stayed with it.

When the other process ends, it may have left answers unread: primaries are relied on for bounded and strong reads once they have stated their role again.

New forms have new fixtures (handover-estate-v2, handover-roles-v1, handover-accepts-roles-v1); v0 and v1 are still read, and v1 is written back byte by byte.

--- a/src/api.rs
+++ b/src/api.rs
@@ -439,6 +439,13 @@
         /// What it tells.
         answer: LateAnswer,
     },
+    /// A member has stated its role to another process of this gateway.
+    RoleStatedElsewhere {
+        /// The member.
+        member: MemberId,
+        /// Its role.
+        stated: StatedRole,
+    },
     /// Another gateway's message.
     Peer {
         /// The gateway that sent it.
@@ -448,6 +455,17 @@
     },
 }
 
+/// A role that a member has stated in an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StatedRole {
+    /// The role.
+    pub role: Role,
+    /// When the answer was read.
+    pub at: Micros,
+    /// The log position in the answer, if it had one.
+    pub position: Option<Micros>,
+}
+
 /// What an answer tells that was read after its attempt or health check had been abandoned.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LateAnswer {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -198,6 +198,9 @@
             Event::HealthChecked { member, status, report } => {
                 self.health_checked(now, member, status, report, actions);
             }
+            Event::RoleStatedElsewhere { member, stated } => {
+                self.role_stated_elsewhere(now, member, stated, actions);
+            }
             Event::LateAnswer { member, answer } => self.late_answer_read(now, member, answer, actions),
         }
         actions.extend(self.notices.drain(..).map(Action::Notice));
--- a/src/balance/member/role_claim.rs
+++ b/src/balance/member/role_claim.rs
@@ -28,6 +28,11 @@
         self.claimed_at
     }
 
+    /// The log position that was reported with the claim, if there was one.
+    pub fn position(&self) -> Option<Micros> {
+        self.position
+    }
+
     /// Records a claim if it is later than the last one, and returns whether it is.
     pub fn observe(&mut self, role: Role, at: Micros, position: Option<Micros>) -> bool {
         let later = self.is_later(role, at, position);
--- a/src/balance/unread_answers.rs
+++ b/src/balance/unread_answers.rs
@@ -56,6 +56,37 @@
         self.send_waiting(now, group, actions);
     }
 
+    /// All members.
+    pub fn members(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.members.keys().copied()
+    }
+
+    /// The role that a member has stated last; `None` if it has stated none.
+    pub fn stated_role(&self, id: MemberId) -> Option<StatedRole> {
+        let claim = &self.members.get(&id)?.role;
+        let (role, at, position) = (claim.role(), claim.claimed_at(), claim.position());
+        (at > Micros(0)).then_some(StatedRole { role, at, position })
+    }
+
+    /// Processes the role that a member has stated to another process of this gateway.
+    pub(super) fn role_stated_elsewhere(
+        &mut self,
+        now: Micros,
+        id: MemberId,
+        stated: StatedRole,
+        actions: &mut Actions,
+    ) {
+        let Some(group) = self.members.get(&id).map(Member::group) else { return };
+        let StatedRole { role, at, position } = stated;
+        self.observe_member(now, id, Some(role), at, position, PositionSource::Report);
+        self.send_waiting(now, group, actions);
+    }
+
+    /// Records that another process of this gateway has ended at `now`, which may have left answers unread.
+    pub fn peer_ended(&mut self, now: Micros) {
+        self.members.values_mut().for_each(|member| member.unread_answers.left_unread(now));
+    }
+
     /// The group's primary, if it is known and usable, and may be relied on for a read of this class.
     pub(super) fn primary_for_class(&self, now: Micros, group: GroupId, class: ClassId) -> Option<MemberId> {
         let primary = self.primary(group)?;
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -386,6 +386,26 @@
         self.router.answer_left_unread(member, until);
     }
 
+    /// All members.
+    pub fn members(&self) -> Vec<MemberId> {
+        self.router.members().collect()
+    }
+
+    /// The role that a member has stated last; `None` if it has stated none.
+    pub fn stated_role(&self, member: MemberId) -> Option<StatedRole> {
+        self.router.stated_role(member)
+    }
+
+    /// Processes the role that a member has stated to another process of this gateway.
+    pub fn role_stated_elsewhere(&mut self, now: Micros, member: MemberId, stated: StatedRole) {
+        self.drive(now, Event::RoleStatedElsewhere { member, stated });
+    }
+
+    /// Records that another process of this gateway has ended at `now`, which may have left answers unread.
+    pub fn peer_ended(&mut self, now: Micros) {
+        self.router.peer_ended(now);
+    }
+
     /// Records that reading an answer of a member was paused, or that it was resumed or ended.
     pub fn set_answer_paused(&mut self, member: MemberId, is_paused: bool) {
         self.router.set_answer_paused(member, is_paused);
--- a/src/hot_restart/message.rs
+++ b/src/hot_restart/message.rs
@@ -49,6 +49,23 @@
     /// the socket.
     #[serde(rename = "cancels", default)]
     pub accepts_cancel: bool,
+    /// Whether the sender understands [`Message::AcceptsRoles`] and [`Message::Roles`]; a process of an earlier version
+    /// does not, and would close the socket.
+    #[serde(rename = "roles", default, skip_serializing_if = "std::ops::Not::not")]
+    pub accepts_roles: bool,
+}
+
+/// The role that a host has stated in an answer to one of the processes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HostRole {
+    /// The host's name.
+    pub host: String,
+    /// It stated that it is the primary, otherwise that it is a replica.
+    pub is_primary: bool,
+    /// When its answer was read, on the clock of [`GatewaySnapshot::clock_reading`].
+    pub at: Micros,
+    /// The log position in that answer, if it had one.
+    pub position: Option<Micros>,
 }
 
 /// A message between two processes; some are sent with a descriptor.
@@ -80,6 +97,11 @@
     /// Requests that a client's query is cancelled, if the client is the receiver's. Sent to a previous process only if
     /// its snapshot has [`GatewaySnapshot::accepts_cancel`].
     Cancel(CancelKey),
+    /// The sender, which is the next process, understands [`Message::Roles`]. Sent only if the previous process's
+    /// snapshot has [`GatewaySnapshot::accepts_roles`].
+    AcceptsRoles,
+    /// Roles that hosts have stated to the sender.
+    Roles(Vec<HostRole>),
     /// Reports the number of clients that the sender still has.
     #[serde(rename = "Holding")]
     RemainingClients {
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -41,6 +41,7 @@
 mod queries;
 mod reload;
 mod requests;
+mod shared_roles;
 mod shutdown;
 mod start;
 mod streaming;
@@ -305,7 +306,10 @@
                     self.close(host);
                 }
             }
-            Output::Notice(notice) => self.log_notice(notice),
+            Output::Notice(notice) => {
+                self.share_primary_change(&notice);
+                self.log_notice(notice);
+            }
         }
         true
     }
--- a/src/net/event_loop/hot_restart.rs
+++ b/src/net/event_loop/hot_restart.rs
@@ -104,6 +104,7 @@
             in_flight: merged.in_flight,
             open_clients: self.workers.client_count(),
             accepts_cancel: true,
+            accepts_roles: true,
         }
     }
 
@@ -124,8 +125,15 @@
         let event = Event::readable(FIRST_PEER + index);
         self.poller.add_with_mode(&socket, event, PollMode::Level).ok()?;
         let held = self.workers.memory.entry(Holder::Handover);
-        let peer =
-            Peer { socket, is_successor, held_clients, supports_cancel, is_write_watched: false, held };
+        let peer = Peer {
+            socket,
+            is_successor,
+            held_clients,
+            supports_cancel,
+            supports_roles: false,
+            is_write_watched: false,
+            held,
+        };
         Some(self.hot_restart.peers.insert(peer))
     }
 
@@ -156,6 +164,10 @@
         self.workers.set_has_peer(true);
         if let Some(peer) = self.add_peer(socket, false, snapshot.open_clients, snapshot.accepts_cancel) {
             self.send_to_peer(peer, &Message::Ready, None);
+            if snapshot.accepts_roles {
+                self.handle_peer_accepts_roles(peer);
+                self.send_to_peer(peer, &Message::AcceptsRoles, None);
+            }
         }
         self.divide_host_connections();
     }
@@ -183,7 +195,7 @@
         self.hot_restart.descriptors_of_peers().min(self.admission.limits.clients / 2)
     }
 
-    fn send_to_peer(&mut self, index: usize, message: &Message, descriptor: Option<OwnedFd>) {
+    pub(super) fn send_to_peer(&mut self, index: usize, message: &Message, descriptor: Option<OwnedFd>) {
         let Some(peer) = self.hot_restart.peers.get_mut(index) else { return };
         let sent = peer.socket.send(message, descriptor);
         self.handle_peer_sent(index, sent);
@@ -232,6 +244,7 @@
         let _ = self.poller.delete(&peer.socket);
         info!(self.log, "hot restart: the other process is gone"; "followed" => peer.is_successor, "why" => %why);
         self.update_has_peer();
+        self.forget_roles_of_peer();
         if self.hot_restart.successor == Some(index) {
             self.hot_restart.successor = None;
             self.workers.set_has_successor(false);
@@ -283,6 +296,8 @@
                     self.workers.send_to_others(self.this_worker, || WorkerMessage::Cancel(key));
                 }
             }
+            Message::AcceptsRoles => self.handle_peer_accepts_roles(index),
+            Message::Roles(roles) => self.handle_peer_roles(roles),
             Message::Snapshot(_) => warn!(self.log, "hot restart: ignored an unexpected state snapshot"),
         }
     }
--- a/src/net/event_loop/mailboxes.rs
+++ b/src/net/event_loop/mailboxes.rs
@@ -15,6 +15,7 @@
 use super::connections::ConnectionId;
 use crate::admin::metrics::Metrics;
 use crate::balancer;
+use crate::hot_restart::message::HostRole;
 use crate::memory::{HeldBytes, MemoryBudget};
 use crate::net::discovery::EndpointList;
 use crate::pg::client::ProtocolHandover;
@@ -136,6 +137,14 @@
     PublishCommit { commit: Commit, answer: Option<(Owner, FinalAnswer)> },
     /// To an owning worker: a commit that the other process has reported.
     RecordCommit(Commit),
+    /// To the first worker: roles that hosts have stated, for the other process.
+    ShareRoles(Vec<HostRole>),
+    /// To all: share the roles of all hosts with the other process.
+    ShareAllRoles,
+    /// To all: roles that hosts have stated to the other process.
+    RecordRoles(Vec<HostRole>),
+    /// To all: the other process has ended.
+    PeerEnded,
     /// To all: send a snapshot for the next process.
     CollectSnapshot,
     /// To the first worker: one worker's snapshot.
--- a/src/net/event_loop/peers.rs
+++ b/src/net/event_loop/peers.rs
@@ -23,6 +23,8 @@
     pub(super) held_clients: usize,
     /// It supports cancel messages.
     pub(super) supports_cancel: bool,
+    /// It supports messages about the roles of hosts.
+    pub(super) supports_roles: bool,
     /// The poller watches its socket for writing.
     pub(super) is_write_watched: bool,
     /// The bytes that wait in its socket's queue.
@@ -91,6 +93,12 @@
         supporting.map(|(index, _)| index).collect()
     }
 
+    /// The indices of the peers that support messages about the roles of hosts.
+    pub(super) fn peers_with_roles(&self) -> Vec<usize> {
+        let supporting = self.peers.iter().filter(|(_, peer)| peer.supports_roles);
+        supporting.map(|(index, _)| index).collect()
+    }
+
     /// Whether messages to another process are still unsent.
     pub(super) fn has_unsent(&self) -> bool {
         self.peers.iter().any(|(_, peer)| peer.socket.has_pending_output())
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -16,7 +16,7 @@
 use dunemount::balancer::Balancer;
 use dunemount::config::ActiveConfig;
 use dunemount::hot_restart::handover_socket::{self, HandoverSocket};
-use dunemount::hot_restart::message::{GatewaySnapshot, Message};
+use dunemount::hot_restart::message::{GatewaySnapshot, HostRole, Message};
 use dunemount::net::clock::{Clock, Reading};
 use dunemount::net::discovery::Directory;
 use dunemount::pg::client::{ClientProtocol, ClientRequest};
@@ -82,14 +82,15 @@
         in_flight: vec![("r-1".to_string(), Micros(86_401_000_000))],
         open_clients: 17,
         accepts_cancel: true,
+        accepts_roles: true,
     }
 }
 
 /// Guards the format of the snapshot that one process hands over to the next, which may be of another version.
 #[test]
 fn the_handover_snapshot_keeps_its_format() {
-    assert_message("handover-estate-v1.json", &Message::Snapshot(Box::new(snapshot())));
-    let Message::Snapshot(read) = message("handover-estate-v1.json") else { panic!("another message") };
+    assert_message("handover-estate-v2.json", &Message::Snapshot(Box::new(snapshot())));
+    let Message::Snapshot(read) = message("handover-estate-v2.json") else { panic!("another message") };
     assert_eq!(read.position_reference, 1_764_000_000_000_000);
     let reading = read.clock_reading.expect("a reading");
     assert_eq!((reading.clock, reading.unix), (Micros(86_400_000_123), 1_764_086_400_000_124));
@@ -103,10 +104,37 @@
     assert_eq!(read.class_ids.get("store"), Some(&ClassId(3)));
     assert_eq!(read.administratively_down.iter().map(String::as_str).collect::<Vec<_>>(), ["db-1", "db-7"]);
     assert_eq!(read.in_flight, [("r-1".to_string(), Micros(86_401_000_000))]);
-    assert_eq!((read.open_clients, read.accepts_cancel), (17, true));
+    assert_eq!((read.open_clients, read.accepts_cancel, read.accepts_roles), (17, true, true));
+    assert_message("handover-estate-v2.json", &Message::Snapshot(read));
+}
+
+/// Guards a hot restart from an earlier version, whose snapshot lacks `accepts_roles` alone.
+#[test]
+fn a_snapshot_without_roles_keeps_its_bytes() {
+    let Message::Snapshot(read) = message("handover-estate-v1.json") else { panic!("another message") };
+    assert!(read.clock_reading.is_some() && read.accepts_cancel && !read.accepts_roles);
     assert_message("handover-estate-v1.json", &Message::Snapshot(read));
 }
 
+/// Guards the messages about the roles of hosts.
+#[test]
+fn messages_about_roles_keep_their_bytes() {
+    assert_message("handover-accepts-roles-v1.json", &Message::AcceptsRoles);
+    assert!(matches!(message("handover-accepts-roles-v1.json"), Message::AcceptsRoles));
+    let role = |host: &str, is_primary, at, position| HostRole {
+        host: host.to_string(),
+        is_primary,
+        at: Micros(at),
+        position,
+    };
+    let roles = vec![
+        role("s-7", true, 86_400_777_000, Some(Micros(86_400_776_000))),
+        role("s-8", false, 86_400_777_001, None),
+    ];
+    assert_message("handover-roles-v1.json", &Message::Roles(roles.clone()));
+    assert!(matches!(message("handover-roles-v1.json"), Message::Roles(read) if read == roles));
+}
+
 /// Guards a hot restart from an earlier version, whose snapshot has neither a clock reading nor `accepts_cancel`.
 #[test]
 fn the_handover_snapshot_of_an_earlier_version_is_read() {
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -8,14 +8,16 @@
 mod harness;
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use dunemount::pg::codec;
-use harness::process::{Process, ProcessOptions};
+use harness::process::{Process, ProcessOptions, POLL_INTERVAL};
 use harness::scripted::{answer_with, cancel, connect_with_key, Host, HostConnection};
 use harness::{bind_loopback, listing, next_request_id, settings, ClientConnection};
+use rustix::process::Signal;
 use serde_json::json;
 
 /// Staleness bound of bounded reads.
@@ -47,6 +49,8 @@
     CutOff,
     /// Requests at once, health checks once the end of the gateway's sending has arrived.
     LateReports,
+    /// The answer is written once the test sets another behaviour.
+    Held,
     /// A long value, at once.
     LongValue,
 }
@@ -120,6 +124,9 @@
         if is_late_report || matches!(behavior, Behavior::AtEndOfSending | Behavior::CutOff) {
             assert!(connection.next_statement().is_none(), "one statement a connection");
         }
+        while behavior == Behavior::Held && state.lock().expect("whole").behavior == Behavior::Held {
+            std::thread::sleep(POLL_INTERVAL);
+        }
         if was_primary && !is_primary {
             // The receiver is gone once the test has ended.
             let _ = answers.send(());
@@ -173,6 +180,7 @@
 /// A gateway in front of a group.
 struct Play {
     group: Group,
+    options: ProcessOptions,
     process: Process,
     _discovery: TcpListener,
 }
@@ -198,7 +206,7 @@
             ..ProcessOptions::with_defaults(&name, 300, discovery.local_addr().expect("bound"))
         };
         let process = options.start(&listing(&group.endpoints));
-        let play = Play { group, process, _discovery: discovery };
+        let play = Play { group, options, process, _discovery: discovery };
         let mut client = play.process.client();
         for step in 0..12 {
             client.ask(&if step % 4 == 0 { write() } else { bounded_read(10_000) });
@@ -212,6 +220,19 @@
         play
     }
 
+    /// Starts the next process of the gateway beside the present one, and gives the previous one.
+    fn start_next_process(&mut self) -> Process {
+        let listener = bind_loopback();
+        let admin = listener.local_addr().expect("bound");
+        drop(listener);
+        let next = self.options.spawn_at(self.process.address, admin, &listing(&self.group.endpoints));
+        let mut previous = std::mem::replace(&mut self.process, next);
+        assert!(self.process.wait_until_listening());
+        // Both processes use one folder; the new process removes it.
+        previous.folder = PathBuf::new();
+        previous
+    }
+
     /// Asserts that a bounded read, some time after the old primary has told its role, is not served: no member has data
     /// that are recent enough.
     fn assert_next_read_is_not_served(&self) {
@@ -347,6 +368,41 @@
     }
 }
 
+/// Guards bounded reads at the next process of a hot restart after the previous one has read what the host tells.
+#[test]
+fn what_the_previous_process_reads_is_known_to_the_next_one() {
+    for cores in [1, 2] {
+        let mut play = Play::start(Run { cores, ..Run::new("restart") });
+        play.group.set_behavior(Behavior::Held);
+        let mut client = play.process.client();
+        client.ask(&bounded_read(10_000));
+        std::thread::sleep(Duration::from_millis(50));
+        let _previous = play.start_next_process();
+        play.group.set_behavior(Behavior::Prompt);
+        assert_eq!(client.answer().len(), 4, "served by the previous process");
+        play.assert_next_read_is_not_served();
+    }
+}
+
+/// Guards the same where the previous process is killed and the answer to it is lost.
+#[test]
+fn what_a_killed_process_has_left_unread_is_not_relied_on() {
+    for cores in [1, 2] {
+        let mut play = Play::start(Run { cores, ..Run::new("killed") });
+        play.group.set_behavior(Behavior::Held);
+        let mut client = play.process.client();
+        client.ask(&bounded_read(10_000));
+        std::thread::sleep(Duration::from_millis(50));
+        let mut previous = play.start_next_process();
+        previous.signal(Signal::STOP);
+        play.group.set_behavior(Behavior::Prompt);
+        play.group.wait_for_answer();
+        previous.signal(Signal::KILL);
+        previous.child.wait().expect("its own child");
+        play.assert_next_read_is_not_served();
+    }
+}
+
 /// Guards availability: after a lost answer the primary is relied on again once it has stated its role, in the answer to a
 /// health check that a read causes or, where there are none, to a write.
 #[test]
