Keep what a host has told of its role while it is out of the endpoint list

Seen in a play of tests/unread_answers: a primary hands over its role, drains, says in an answer that it is a replica, and returns to the list, which shows the roles as they were at the start. The next bounded read is served from its old data.

Cause: housekeeping removes a member that drains and carries nothing, with the role that it stated; when it is listed again, the list's role counts. Evidence: 'primary changed, after: none', then 'endpoint list applied, rev: 6' and 'primary found, host: s-0'.

Change: a removed member that was a replica by its own word, or has an answer left unread, is a replica when it is listed again, until it states otherwise; the same where its answer arrives after the removal. One number for each such host, which the directory of hosts holds as well.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -72,6 +72,9 @@
     rng: Pcg64Mcg,
     members: IndexMap<MemberId, Member, FxBuildHasher>,
     groups: IndexMap<GroupId, Group, FxBuildHasher>,
+    /// Removed members that were replicas by their own word, or may have been: a list that names one of them
+    /// as the primary is out of date. At most one entry for each host that was ever listed.
+    former_replicas: BTreeSet<MemberId>,
     /// Members that operators have taken out of service, whether listed or not.
     administratively_down: BTreeSet<MemberId>,
     open_requests: BTreeMap<RequestId, OpenRequest>,
@@ -119,6 +122,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             members: IndexMap::default(),
             groups: IndexMap::default(),
+            former_replicas: BTreeSet::new(),
             administratively_down: BTreeSet::new(),
             open_requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
--- a/src/balance/housekeeping.rs
+++ b/src/balance/housekeeping.rs
@@ -207,7 +207,7 @@
         due: &mut Vec<HealthCheckCandidate>,
     ) -> Option<Micros> {
         let served_decay = self.served_decay(elapsed);
-        let Router { settings, members, served_span, limit_share, latencies, .. } = self;
+        let Router { settings, members, former_replicas, served_span, limit_share, latencies, .. } = self;
         let (_, group) = self.groups.get_index_mut(index)?;
         group.refreshed_at = now;
         group.served_cost *= served_decay;
@@ -227,6 +227,9 @@
             let in_service = member.is_in_service();
             // Members that are gone for good are removed; otherwise replaced members pile up over years.
             if !member.is_retained() && (!in_service || member.outlier.is_lost()) {
+                if member.may_be_replica(now) {
+                    former_replicas.insert(*id);
+                }
                 members.swap_remove(id);
                 lost_in_service += f64::from(u8::from(in_service));
                 return false;
--- a/src/balance/member.rs
+++ b/src/balance/member.rs
@@ -99,6 +99,12 @@
         self.is_in_service() && !self.outlier.is_ejected()
     }
 
+    /// Whether it has stated to be a replica, or may have done so in an answer that was not read.
+    pub fn may_be_replica(&self, now: Micros) -> bool {
+        let has_stated_replica = self.role.role() == Role::Replica && self.role.claimed_at() > Micros(0);
+        has_stated_replica || !self.unread_answers.is_role_current(now)
+    }
+
     /// Whether it must not be removed: it has attempts in flight or is listed as ready.
     pub fn is_retained(&self) -> bool {
         self.load.is_in_use() || self.endpoint.state == EndpointState::Ready
--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -56,7 +56,8 @@
     /// left, if it was in another one.
     fn assign_to_group(&mut self, endpoint: &Endpoint) -> Option<GroupId> {
         let (id, limit) = (endpoint.member, self.initial_limit());
-        let role = if endpoint.primary { Role::Primary } else { Role::Replica };
+        let was_replica = self.former_replicas.remove(&id);
+        let role = if endpoint.primary && !was_replica { Role::Primary } else { Role::Replica };
         let member = self.members.entry(id).or_insert_with(|| Member::new(*endpoint, role, limit));
         let before = Some(member.group()).filter(|before| *before != endpoint.group);
         if let Some(before) = before {
--- a/src/balance/unread_answers.rs
+++ b/src/balance/unread_answers.rs
@@ -19,8 +19,9 @@
 
     /// Records that an answer of a member will not be read, which it may write until `until`.
     pub fn answer_left_unread(&mut self, id: MemberId, until: Micros) {
-        if let Some(member) = self.members.get_mut(&id) {
-            member.unread_answers.left_unread(until);
+        match self.members.get_mut(&id) {
+            Some(member) => member.unread_answers.left_unread(until),
+            None => drop(self.former_replicas.insert(id)),
         }
     }
 
@@ -40,8 +41,14 @@
         answer: LateAnswer,
         actions: &mut Actions,
     ) {
-        let Some(group) = self.members.get(&id).map(Member::group) else { return };
         let LateAnswer { sent, role, position } = answer;
+        let Some(group) = self.members.get(&id).map(Member::group) else {
+            // It was removed meanwhile.
+            if role == Some(Role::Replica) {
+                self.former_replicas.insert(id);
+            }
+            return;
+        };
         let status = AttemptStatus::Cancelled;
         if let (Some(Role::Primary), Some(position)) = (role, position) {
             // It may be the commit of an earlier write, which proves less than a position.
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -7,7 +7,7 @@
 
 mod harness;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
@@ -15,8 +15,8 @@
 
 use dunemount::pg::codec;
 use harness::process::{Process, ProcessOptions, POLL_INTERVAL};
-use harness::scripted::{answer_with, cancel, connect_with_key, Host, HostConnection};
-use harness::{bind_loopback, listing, next_request_id, settings, ClientConnection};
+use harness::scripted::{accept_discovery_call, answer_with, cancel, connect_with_key, Host, HostConnection};
+use harness::{answer_discovery, bind_loopback, listing, next_request_id, settings, ClientConnection};
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -156,7 +156,9 @@
         codec::write_ready_for_query(&mut out);
         return out;
     }
-    let value = if behavior == Behavior::LongValue { vec![b'x'; LONG_VALUE_BYTES] } else { b"ok".to_vec() };
+    // No two answers are equal, even while the log stands still.
+    let short = next_request_id().to_string().into_bytes();
+    let value = if behavior == Behavior::LongValue { vec![b'x'; LONG_VALUE_BYTES] } else { short };
     answer_with(&value, role, Some(position))
 }
 
@@ -182,7 +184,7 @@
     group: Group,
     options: ProcessOptions,
     process: Process,
-    _discovery: TcpListener,
+    discovery: TcpListener,
 }
 
 impl Play {
@@ -199,6 +201,8 @@
             settings["Classes"][class]["AimMs"] = json!(run.deadline_ms);
             settings["Classes"][class]["DeadlineMs"] = json!(run.deadline_ms);
         }
+        settings["Classes"][3] = json!({"Name": "once", "AimMs": 200.0, "DeadlineMs": 10_000.0, "Value": 2.0,
+            "Effect": "idempotency_key", "Group": "all", "RepeatWindowMs": 9_000.0});
         let name = format!("unread-{}", run.name);
         let options = ProcessOptions {
             settings,
@@ -206,7 +210,7 @@
             ..ProcessOptions::with_defaults(&name, 300, discovery.local_addr().expect("bound"))
         };
         let process = options.start(&listing(&group.endpoints));
-        let play = Play { group, options, process, _discovery: discovery };
+        let play = Play { group, options, process, discovery };
         let mut client = play.process.client();
         for step in 0..12 {
             client.ask(&if step % 4 == 0 { write() } else { bounded_read(10_000) });
@@ -368,6 +372,41 @@
     }
 }
 
+/// Guards the same where a further attempt of the request follows the one that timed out.
+#[test]
+fn an_answer_under_way_as_another_attempt_begins_is_not_forgotten() {
+    let play = Play::start(Run::new("further"));
+    play.group.set_behavior(Behavior::AtEndOfSending);
+    let mut client = play.process.client();
+    client.ask(&write().replace("c=store", "c=once"));
+    play.group.wait_for_answer();
+    drop(client);
+    play.assert_next_read_is_not_served();
+}
+
+/// Guards the same where the host drains while its answer is under way, and returns.
+#[test]
+fn an_answer_under_way_from_a_draining_host_is_read() {
+    let play = Play::start(Run::new("drains"));
+    play.group.set_behavior(Behavior::AtEndOfSending);
+    let mut client = play.process.client();
+    client.ask(&bounded_read(10_000));
+    std::thread::sleep(Duration::from_millis(50));
+    let mut list = listing(&play.group.endpoints);
+    for (revision, state) in [(5, "Terminating"), (6, "Ready")] {
+        (list["rev"], list["targets"][0]["state"]) = (json!(revision), json!(state));
+        let watched = format!("index={}&", revision - 1);
+        let (mut call, _) = accept_discovery_call_with(&play.discovery, &watched);
+        answer_discovery(&mut call, &list);
+        if state == "Terminating" {
+            accept_discovery_call_with(&play.discovery, "index=5&");
+            client.socket.shutdown(Shutdown::Both).expect("a socket");
+            play.group.wait_for_answer();
+        }
+    }
+    play.assert_next_read_is_not_served();
+}
+
 /// Guards bounded reads at the next process of a hot restart after the previous one has read what the host tells.
 #[test]
 fn what_the_previous_process_reads_is_known_to_the_next_one() {
@@ -425,3 +464,13 @@
         assert_eq!(client.answer().len(), 4, "{}", play.process.log());
     }
 }
+
+/// Accepts calls to discovery up to one whose text contains this, and gives its socket and text.
+fn accept_discovery_call_with(discovery: &TcpListener, wanted: &str) -> (TcpStream, String) {
+    loop {
+        let (socket, text) = accept_discovery_call(discovery);
+        if text.contains(wanted) {
+            return (socket, text);
+        }
+    }
+}
