Tests: stopped means stopped, and the port of a closed discovery stays reserved

Two tests failed once beside a second run of the whole suite, and were traced.

a_request_whose_client_left_at_another_worker_is_not_forwarded: the statement that a stopped process must not write carried d=29996, so it was written 4 ms after it had come: the stop signal had not reached that worker's thread when the host's greeting was sent. The harness now returns from SIGSTOP once all threads have stopped.

idle_clients_leave_descriptors_for_discovery_and_hosts: 'Address already in use': the test gave its port back to the system and bound it again later. It stays reserved now, without a listener, as before.

No check or bound has changed.

--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -149,7 +149,7 @@
 
 /// Reserves a port of loopback: while it is bound, without a listener, the system assigns it to no other process,
 /// however long the gateway takes to listen there. Sockets that reuse addresses can still be bound to it.
-fn reserve_port() -> Socket {
+pub fn reserve_port() -> Socket {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).expect("a socket");
     socket.set_reuse_address(true).expect("an option");
     rustix::net::sockopt::set_socket_reuseport(&socket, true).expect("an option");
@@ -286,8 +286,22 @@
         }
     }
 
+    /// Sends a signal to the process. Returns after a stop signal once all of its threads have stopped.
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).expect("its own child");
+        while signal == Signal::STOP && !self.has_stopped() {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Whether all threads of the process have stopped or ended.
+    fn has_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        tasks.into_iter().flatten().flatten().all(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            let state = stat.rsplit_once(") ").and_then(|(_, fields)| fields.chars().next());
+            state.is_none_or(|state| matches!(state, 'T' | 't' | 'Z' | 'X'))
+        })
     }
 
     /// Connects a client and waits for the greeting; reconnects if the gateway closes the connection first, for example
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -10,7 +10,7 @@
 
 use dunemount::hot_restart::handover_socket;
 use dunemount::pg::codec;
-use harness::process::{Process, POLL_INTERVAL};
+use harness::process::{reserve_port, Process, POLL_INTERVAL};
 use harness::scripted::{accept_discovery_call, answer, let_connections_rest, Host};
 use harness::{answer_discovery, bind_loopback, listens, listing, metric, read, ClientConnection};
 use rustix::process::Signal;
@@ -34,9 +34,8 @@
 /// its list is applied, the gateway can connect to the new host, and a new client is accepted and served.
 #[test]
 fn idle_clients_leave_descriptors_for_discovery_and_hosts() {
-    let (old, new, closed_discovery) = (Host::new(), Host::new(), bind_loopback());
-    let discovery_address = closed_discovery.local_addr().expect("bound");
-    drop(closed_discovery);
+    let (old, new, reserved) = (Host::new(), Host::new(), reserve_port());
+    let discovery_address = reserved.local_addr().expect("bound").as_socket().expect("an address");
     let gateway = Process::start("filled", 80, discovery_address, listing(&[old.address()]));
     let first = gateway.client();
     // More clients than descriptors: some are accepted, some wait in the listener's queue.
