Show the bytes held for abandoned attempts at the admin interface

GET /ops/memory has a line gw.memory.abandoned_attempts; the bytes were in hosts before. The sum and its limit are the same. 'traffic' already tells the number of such connections (abandoned), of answers read late (late_answers) and of those left unread (unread_answers).

--- a/src/memory.rs
+++ b/src/memory.rs
@@ -16,6 +16,8 @@
     ClientOutput,
     /// Responses of hosts that are not complete, and bytes still to be written to hosts.
     Hosts,
+    /// The same of attempts that have been abandoned, whose answers are still read.
+    AbandonedAttempts,
     /// Answers and chunks on their way between workers.
     Mailboxes,
     /// Messages for the other process of a hot restart.
@@ -24,11 +26,12 @@
 
 impl Holder {
     /// All of them, with the names of their metrics.
-    pub const NAMES: [(Holder, &'static str); 6] = [
+    pub const NAMES: [(Holder, &'static str); 7] = [
         (Holder::ClientInput, "client_input"),
         (Holder::Statements, "statements"),
         (Holder::ClientOutput, "client_output"),
         (Holder::Hosts, "hosts"),
+        (Holder::AbandonedAttempts, "abandoned_attempts"),
         (Holder::Mailboxes, "mailboxes"),
         (Holder::Handover, "handover"),
     ];
--- a/src/net/event_loop/host_connection.rs
+++ b/src/net/event_loop/host_connection.rs
@@ -126,6 +126,14 @@
         self.was_paused = false;
     }
 
+    /// Ends its task: from now on its answer is read for what it tells of the host alone.
+    pub(super) fn abandon(&mut self, byte_limit: usize, memory: &Arc<MemoryBudget>) {
+        self.task = HostTask::Abandoned;
+        self.bytes_left = byte_limit;
+        self.held = memory.entry(Holder::AbandonedAttempts);
+        self.update_holdings();
+    }
+
     /// Whether its answer is not read at present.
     pub(super) fn is_paused(&self) -> bool {
         self.is_reading_paused || self.is_memory_paused
--- a/src/net/event_loop/late_answers.rs
+++ b/src/net/event_loop/late_answers.rs
@@ -6,20 +6,20 @@
 use std::net::Shutdown;
 
 use super::connections::{ConnectionId, ConnectionKind};
-use super::host_connection::{CloseReason, HostTask, SentQuery};
+use super::host_connection::{CloseReason, HostConnection, HostTask, SentQuery};
 use super::timers::Timer;
 use super::Gateway;
 use crate::attempt::AttemptProgress;
 use crate::pg::host::HostResponse;
 use crate::pg::load_report;
-use crate::{LateAnswer, MemberId, Micros, Role};
+use crate::{LateAnswer, MemberId, Micros, RequestId, Role};
 
 /// Shortest and longest time for which the answer of an abandoned attempt is awaited; in between, until the time that
 /// its statement told the host.
 const MIN_LATE_ANSWER_WAIT: Micros = Micros::millis(100);
 const MAX_LATE_ANSWER_WAIT: Micros = Micros::millis(1_000);
 /// Most bytes that are read of the answer of an abandoned attempt.
-pub(super) const MAX_LATE_ANSWER_BYTES: usize = 256 * 1024;
+const MAX_LATE_ANSWER_BYTES: usize = 256 * 1024;
 /// Size and number of the reads before such a connection is closed.
 const LAST_READ_BYTES: usize = 8 * 1024;
 const MAX_LAST_READS: usize = 16;
@@ -40,8 +40,7 @@
             self.log_host_closed(id, CloseReason::ResponseNotAwaited);
             return self.close(id);
         };
-        host.task = HostTask::Abandoned;
-        host.bytes_left = MAX_LATE_ANSWER_BYTES;
+        host.abandon(MAX_LATE_ANSWER_BYTES, &self.workers.memory);
         let wait = (told_deadline - now).max(MIN_LATE_ANSWER_WAIT).min(MAX_LATE_ANSWER_WAIT);
         self.abandoned.add(id, member, request);
         self.set_reading_paused(id, false);
@@ -58,7 +57,7 @@
 
     /// Closes the connections that carried abandoned attempts of a request, before another attempt is written: while
     /// they are open, that would be a second copy.
-    pub(super) fn close_abandoned_attempts(&mut self, request_id: crate::RequestId) {
+    pub(super) fn close_abandoned_attempts(&mut self, request_id: RequestId) {
         for id in self.abandoned.of_request(request_id) {
             self.close_abandoned(id);
         }
@@ -146,11 +145,7 @@
     }
 
     /// Changes why a host is not read, and reports to the balancer whether its answer is left unread meanwhile.
-    pub(super) fn change_pause(
-        &mut self,
-        id: ConnectionId,
-        change: impl FnOnce(&mut super::host_connection::HostConnection),
-    ) {
+    pub(super) fn change_pause(&mut self, id: ConnectionId, change: impl FnOnce(&mut HostConnection)) {
         let Some(host) = self.connections.host(id) else { return };
         let was_paused = host.is_paused();
         change(host);
