--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -442,6 +442,22 @@
     }
 }
 
+/// Guards the same where the previous process ends in good order before the host answers.
+#[test]
+fn what_an_ended_process_has_left_unread_is_not_relied_on() {
+    let mut play = Play::start(Run::new("ended"));
+    play.group.set_behavior(Behavior::Held);
+    let mut client = play.process.client();
+    client.ask(&bounded_read(10_000));
+    std::thread::sleep(Duration::from_millis(50));
+    let mut previous = play.start_next_process();
+    previous.signal(Signal::TERM);
+    previous.child.wait().expect("its own child");
+    play.group.set_behavior(Behavior::Prompt);
+    play.group.wait_for_answer();
+    play.assert_next_read_is_not_served();
+}
+
 /// Guards availability: after a lost answer the primary is relied on again once it has stated its role, in the answer to a
 /// health check that a read causes or, where there are none, to a write.
 #[test]
