--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -169,13 +169,15 @@
     cores: usize,
     /// The gateway may check the health of hosts.
     has_health_checks: bool,
+    /// The old primary's behaviour from its hand-over on.
+    behavior: Behavior,
     /// Deadline of bounded reads, and their time limit for one attempt follows from it.
     deadline_ms: f64,
 }
 
 impl Run {
     fn new(name: &'static str) -> Run {
-        Run { name, cores: 1, has_health_checks: false, deadline_ms: 10_000.0 }
+        Run { name, cores: 1, has_health_checks: false, behavior: Behavior::Prompt, deadline_ms: 10_000.0 }
     }
 }
 
@@ -219,6 +221,7 @@
         }
         client.ask(&bounded_read(10_000));
         assert_eq!(client.answer().len(), 4, "the primary serves bounded reads");
+        play.group.set_behavior(run.behavior);
         play.group.hand_over();
         std::thread::sleep(BEFORE_FIRST_READ);
         play
@@ -352,8 +355,8 @@
 /// Guards the same for health checks that time out: what a late report tells counts.
 #[test]
 fn a_report_under_way_as_its_health_check_times_out_is_read() {
-    let play = Play::start(Run { has_health_checks: true, ..Run::new("check") });
-    play.group.set_behavior(Behavior::LateReports);
+    let behavior = Behavior::LateReports;
+    let play = Play::start(Run { has_health_checks: true, behavior, ..Run::new("check") });
     play.group.wait_for_answer();
     play.assert_next_read_is_not_served();
 }
