--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -375,9 +375,9 @@
     }
 }
 
-/// Guards the same where a further attempt of the request follows the one that timed out.
+/// Guards the same for a write that may be sent again, and whose answer tells that the host is no primary.
 #[test]
-fn an_answer_under_way_as_another_attempt_begins_is_not_forgotten() {
+fn a_write_under_way_as_its_time_is_over_is_not_forgotten() {
     let play = Play::start(Run::new("further"));
     play.group.set_behavior(Behavior::AtEndOfSending);
     let mut client = play.process.client();
