A health report states the role as of its position, not as of its answer

Callers saw a bounded read served from data over 200 ms old, by a host that had handed over its role: after its answer to an abandoned read was lost, a health check brought a report from before the hand-over, and the gateway took it for the host's role at the time of the check.

Cause: hosts refresh their reports from time to time, and the role that clears an unread answer was dated by when the report was read. The claim itself was dated by the report's position already.

Change: the role of a report, also of one that is read late, counts from the position beside it, and at the latest from when the report was written.

With it come plays of ways that were decided by reading so far: a host removed from the list, put down by hand, ejected, and an attempt after a lost answer.

--- a/src/balance/unread_answers.rs
+++ b/src/balance/unread_answers.rs
@@ -17,6 +17,15 @@
         }
     }
 
+    /// Records that a member has stated its role in a report that it wrote at `written_at` or later. Members
+    /// refresh their reports from time to time, so that the role is as old as the position beside it.
+    pub fn role_reported(&mut self, now: Micros, id: MemberId, position: Option<Micros>, written_at: Micros) {
+        let Some(group) = self.members.get(&id).map(Member::group) else { return };
+        let local = |position| self.offset(group).map(|offset| offset.local_earliest(now, position));
+        let refreshed_at = position.and_then(local).unwrap_or_default();
+        self.role_stated(id, refreshed_at.min(written_at));
+    }
+
     /// Records that an answer of a member will not be read, which it may write until `until`.
     pub fn answer_left_unread(&mut self, id: MemberId, until: Micros) {
         match self.members.get_mut(&id) {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -380,6 +380,18 @@
         self.router.role_stated(member, at);
     }
 
+    /// Records that a member has stated its role in a health report that it wrote at `written_at` or later, beside this
+    /// position.
+    pub fn role_reported(
+        &mut self,
+        now: Micros,
+        member: MemberId,
+        position: Option<Micros>,
+        written_at: Micros,
+    ) {
+        self.router.role_reported(now, member, position, written_at);
+    }
+
     /// Records that an answer of a member will not be read, which it may write until `until`: it is not relied on as
     /// the primary for reads until it has stated its role again.
     pub fn answer_left_unread(&mut self, member: MemberId, until: Micros) {
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -218,8 +218,8 @@
 
     fn handle_health_response(&mut self, member: MemberId, response: HostResponse, written_after: Micros) {
         let (role, position) = load_report::parse(&response.value.unwrap_or_default());
-        self.note_role_stated(member, role, written_after);
         let position = self.to_position(position);
+        self.note_role_reported(member, role, position, written_after);
         self.health_checked(member, AttemptOutcome::Response { status: response.status, role, position });
     }
 
--- a/src/net/event_loop/late_answers.rs
+++ b/src/net/event_loop/late_answers.rs
@@ -112,7 +112,10 @@
         let answer = LateAnswer { sent: query.sent_at, role, position: self.to_position(position) };
         self.counts.late_answers += 1;
         self.log_late_answer(member, &answer);
-        self.note_role_stated(member, role, written_after);
+        match query.request {
+            Some(_) => self.note_role_stated(member, role, written_after),
+            None => self.note_role_reported(member, role, answer.position, written_after),
+        }
         self.balancer.late_answer_read(self.now, member, answer);
     }
 
@@ -123,6 +126,19 @@
         }
     }
 
+    /// Records that a host has stated its role in a health report that it wrote at `written_after` or later.
+    pub(super) fn note_role_reported(
+        &mut self,
+        member: MemberId,
+        role: Option<Role>,
+        position: Option<Micros>,
+        written_after: Micros,
+    ) {
+        if role.is_some() {
+            self.balancer.role_reported(self.now, member, position, written_after);
+        }
+    }
+
     /// Reports the answer of a connection that is being closed to the balancer if it is left unread.
     pub(super) fn report_unread_answer(&mut self, id: ConnectionId) {
         let now = self.now;
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -16,7 +16,10 @@
 use dunemount::pg::codec;
 use harness::process::{Process, ProcessOptions, POLL_INTERVAL};
 use harness::scripted::{accept_discovery_call, answer_with, cancel, connect_with_key, Host, HostConnection};
-use harness::{answer_discovery, bind_loopback, listing, next_request_id, settings, ClientConnection};
+use harness::{
+    answer_discovery, bind_loopback, listing, metric, next_request_id, set_host_state, settings,
+    ClientConnection,
+};
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -30,9 +33,15 @@
 const BEFORE_FIRST_READ: Duration = Duration::from_millis(300);
 /// Time between the first answer and the next bounded read.
 const BEFORE_NEXT_READ: Duration = Duration::from_millis(450);
+/// How long that read's client waits, in milliseconds: long enough for it to be queued.
+const NEXT_READ_WAIT_MS: u32 = 5_000;
 /// Size of a value whose answer is written whole although its client reads nothing.
 const LONG_VALUE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Age of a report at the hand-over, in milliseconds.
+const OLD_REPORT_MS: u64 = 50;
+/// Longer than a host stays ejected after its first failures.
+const AFTER_EJECTION_MS: u32 = 4_000;
 /// Number of clients that leave at once: more than answers are read of one host.
 const ABANDONED: usize = 10;
 
@@ -53,6 +62,10 @@
     Held,
     /// A long value, at once.
     LongValue,
+    /// The connection is reset in place of an answer.
+    Reset,
+    /// The same as [`Behavior::AtEndOfSending`], and new connections are reset before a session is accepted.
+    NoSessions,
 }
 
 struct State {
@@ -60,6 +73,8 @@
     handed_over: Option<u64>,
     /// The behaviour of the old primary towards requests and health checks after that.
     behavior: Behavior,
+    /// Health checks of the old primary get a report from before its hand-over.
+    has_old_reports: bool,
 }
 
 /// A group of a primary and two replicas. All stand still once the primary has handed over its role.
@@ -76,7 +91,11 @@
 
 impl Group {
     fn start() -> Group {
-        let state = Arc::new(Mutex::new(State { handed_over: None, behavior: Behavior::Prompt }));
+        let state = Arc::new(Mutex::new(State {
+            handed_over: None,
+            behavior: Behavior::Prompt,
+            has_old_reports: false,
+        }));
         let (sender, answers) = channel();
         let endpoints = (0..3).map(|index| start_host(index == 0, &state, &sender)).collect();
         Group { endpoints, state, answers }
@@ -101,7 +120,12 @@
     let address = host.address();
     let (state, answers) = (state.clone(), answers.clone());
     std::thread::spawn(move || loop {
-        let connection = host.accept_ready();
+        let mut connection = host.accept_startup();
+        if was_primary && state.lock().expect("whole").behavior == Behavior::NoSessions {
+            connection.reset();
+            continue;
+        }
+        connection.greet();
         let (state, answers) = (state.clone(), answers.clone());
         std::thread::spawn(move || serve(connection, was_primary, &state, &answers));
     });
@@ -111,17 +135,26 @@
 /// Serves a connection of the gateway until its sending has ended.
 fn serve(mut connection: HostConnection, was_primary: bool, state: &Mutex<State>, answers: &Sender<()>) {
     while let Some(statement) = connection.next_statement() {
-        let (handed_over, behavior) = {
+        let (handed_over, behavior, has_old_reports) = {
             let state = state.lock().expect("whole");
-            (state.handed_over, state.behavior)
+            (state.handed_over, state.behavior, state.has_old_reports)
         };
         let is_primary = was_primary && handed_over.is_none();
         let end_of_log = handed_over.unwrap_or_else(unix_ms);
         let position = if was_primary { end_of_log } else { end_of_log - LAG_MS };
         let behavior = if was_primary && !is_primary { behavior } else { Behavior::Prompt };
+        let is_check = statement.starts_with("SHOW");
+        let is_old_report = is_check && was_primary && !is_primary && has_old_reports;
+        if is_old_report {
+            let report = answer_to(&statement, true, position - OLD_REPORT_MS, behavior);
+            connection.send(&report);
+            continue;
+        }
         let answer = answer_to(&statement, is_primary, position, behavior);
-        let is_late_report = behavior == Behavior::LateReports && statement.starts_with("SHOW");
-        if is_late_report || matches!(behavior, Behavior::AtEndOfSending | Behavior::CutOff) {
+        let is_late_report = behavior == Behavior::LateReports && is_check;
+        let is_late_answer =
+            matches!(behavior, Behavior::AtEndOfSending | Behavior::CutOff | Behavior::NoSessions);
+        if is_late_report || is_late_answer {
             assert!(connection.next_statement().is_none(), "one statement a connection");
         }
         while behavior == Behavior::Held && state.lock().expect("whole").behavior == Behavior::Held {
@@ -133,7 +166,7 @@
         }
         match behavior {
             Behavior::UnderWay => std::thread::sleep(NETWORK),
-            Behavior::CutOff => return connection.reset(),
+            Behavior::CutOff | Behavior::Reset => return connection.reset(),
             _ => {}
         }
         if std::io::Write::write_all(&mut connection.socket, &answer).is_err() {
@@ -169,6 +202,8 @@
     cores: usize,
     /// The gateway may check the health of hosts.
     has_health_checks: bool,
+    /// The old primary's reports are from before its hand-over.
+    has_old_reports: bool,
     /// The old primary's behaviour from its hand-over on.
     behavior: Behavior,
     /// Deadline of bounded reads, and their time limit for one attempt follows from it.
@@ -177,7 +212,14 @@
 
 impl Run {
     fn new(name: &'static str) -> Run {
-        Run { name, cores: 1, has_health_checks: false, behavior: Behavior::Prompt, deadline_ms: 10_000.0 }
+        Run {
+            name,
+            cores: 1,
+            has_health_checks: false,
+            has_old_reports: false,
+            behavior: Behavior::Prompt,
+            deadline_ms: 10_000.0,
+        }
     }
 }
 
@@ -222,6 +264,7 @@
         client.ask(&bounded_read(10_000));
         assert_eq!(client.answer().len(), 4, "the primary serves bounded reads");
         play.group.set_behavior(run.behavior);
+        play.group.state.lock().expect("whole").has_old_reports = run.has_old_reports;
         play.group.hand_over();
         std::thread::sleep(BEFORE_FIRST_READ);
         play
@@ -247,12 +290,39 @@
             self.group.set_behavior(Behavior::Prompt);
         }
         std::thread::sleep(BEFORE_NEXT_READ);
+        self.assert_not_served(&bounded_read(NEXT_READ_WAIT_MS));
+    }
+
+    /// Asserts that a read is not served.
+    fn assert_not_served(&self, statement: &str) {
         let mut client = self.process.client();
-        client.ask(&bounded_read(400));
-        let answer = client.answer();
-        let is_served = answer.iter().any(|frame| frame.tag == b'D');
+        client.ask(statement);
+        let is_served = is_served(&mut client);
         assert!(!is_served, "served from old data by a host that had told its role\n{}", self.process.log());
     }
+
+    /// Abandons a bounded read at the old primary whose answer is lost.
+    fn lose_an_answer(&self) {
+        let behavior = self.group.state.lock().expect("whole").behavior;
+        self.group.set_behavior(Behavior::CutOff);
+        let mut client = self.process.client();
+        client.ask(&bounded_read(10_000));
+        std::thread::sleep(Duration::from_millis(50));
+        drop(client);
+        self.group.wait_for_answer();
+        self.group.set_behavior(behavior);
+    }
+
+    /// Answers the calls to discovery that watch for something newer than this revision with this list.
+    fn answer_watch(&self, revision: u64, list: &serde_json::Value) {
+        let (mut call, _) = accept_discovery_call_with(&self.discovery, &format!("index={revision}&"));
+        answer_discovery(&mut call, list);
+    }
+}
+
+/// Whether the next answer contains a row; false also where the connection ends.
+fn is_served(client: &mut ClientConnection) -> bool {
+    client.answer().iter().any(|frame| frame.tag == b'D')
 }
 
 fn bounded_read(wait_ms: u32) -> String {
@@ -390,23 +460,90 @@
 /// Guards the same where the host drains while its answer is under way, and returns.
 #[test]
 fn an_answer_under_way_from_a_draining_host_is_read() {
-    let play = Play::start(Run::new("drains"));
+    assert_known_after_return("drains", |list| list["targets"][0]["state"] = json!("Terminating"));
+}
+
+/// Guards the same where the host is no longer listed while its answer is under way, and returns.
+#[test]
+fn an_answer_under_way_from_a_removed_host_is_read() {
+    assert_known_after_return("removed", |list| {
+        list["targets"].as_array_mut().expect("targets").remove(0);
+    });
+}
+
+/// Asserts that an answer is read which is under way while the list takes the old primary out of service, and that what
+/// it tells is known once the host is listed again.
+fn assert_known_after_return(name: &'static str, take_out: impl Fn(&mut serde_json::Value)) {
+    let play = Play::start(Run::new(name));
     play.group.set_behavior(Behavior::AtEndOfSending);
     let mut client = play.process.client();
     client.ask(&bounded_read(10_000));
     std::thread::sleep(Duration::from_millis(50));
     let mut list = listing(&play.group.endpoints);
-    for (revision, state) in [(5, "Terminating"), (6, "Ready")] {
-        (list["rev"], list["targets"][0]["state"]) = (json!(revision), json!(state));
-        let watched = format!("index={}&", revision - 1);
-        let (mut call, _) = accept_discovery_call_with(&play.discovery, &watched);
-        answer_discovery(&mut call, &list);
-        if state == "Terminating" {
-            accept_discovery_call_with(&play.discovery, "index=5&");
-            client.socket.shutdown(Shutdown::Both).expect("a socket");
-            play.group.wait_for_answer();
-        }
+    list["rev"] = json!(5);
+    let mut without = list.clone();
+    take_out(&mut without);
+    play.answer_watch(4, &without);
+    accept_discovery_call_with(&play.discovery, "index=5&");
+    client.socket.shutdown(Shutdown::Both).expect("a socket");
+    play.group.wait_for_answer();
+    list["rev"] = json!(6);
+    play.answer_watch(5, &list);
+    play.assert_next_read_is_not_served();
+}
+
+/// Guards the same where an operator puts the host down while its answer is under way, and up again.
+#[test]
+fn an_answer_under_way_from_a_host_that_is_put_down_is_read() {
+    let play = Play::start(Run::new("down"));
+    play.group.set_behavior(Behavior::AtEndOfSending);
+    let mut client = play.process.client();
+    client.ask(&bounded_read(10_000));
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(set_host_state(play.process.admin, "down", "s-0"));
+    drop(client);
+    play.group.wait_for_answer();
+    assert!(set_host_state(play.process.admin, "up", "s-0"));
+    play.assert_next_read_is_not_served();
+}
+
+/// Guards the same where the host is ejected while its answer is under way, since it accepts no sessions.
+#[test]
+fn an_answer_under_way_from_an_ejected_host_is_read() {
+    let play = Play::start(Run::new("ejected"));
+    play.group.set_behavior(Behavior::NoSessions);
+    let mut leaving = play.process.client();
+    leaving.ask(&bounded_read(10_000));
+    std::thread::sleep(Duration::from_millis(50));
+    let mut failing = play.process.client();
+    while metric(play.process.admin, "pool_ejected") == 0 {
+        failing.ask(&bounded_read(400));
+        assert!(!is_served(&mut failing));
     }
+    drop(leaving);
+    play.group.wait_for_answer();
+    play.group.set_behavior(Behavior::Prompt);
+    std::thread::sleep(BEFORE_NEXT_READ);
+    play.assert_not_served(&bounded_read(AFTER_EJECTION_MS));
+}
+
+/// Guards the same where the connection breaks while the client waits, so that another attempt may follow.
+#[test]
+fn an_attempt_after_a_lost_answer_does_not_rely_on_the_old_primary() {
+    let play = Play::start(Run::new("attempt"));
+    play.group.set_behavior(Behavior::Reset);
+    let mut client = play.process.client();
+    client.ask(&bounded_read(400));
+    play.group.wait_for_answer();
+    assert!(!is_served(&mut client), "{}", play.process.log());
+    play.assert_next_read_is_not_served();
+}
+
+/// Guards the same against a report that is older than the answer that was lost.
+#[test]
+fn a_report_from_before_the_lost_answer_confirms_nothing() {
+    let play = Play::start(Run { has_health_checks: true, has_old_reports: true, ..Run::new("report") });
+    play.lose_an_answer();
     play.assert_next_read_is_not_served();
 }
 
