The answer to a read confirms the primary's role where no health check can

Callers saw every bounded and strong read rejected, for good: after an answer of the primary was lost, or the previous process of a hot restart had ended, its role is relied on only once it has stated it again.

Change: where no health check may be started, one read at a time is sent to the unconfirmed primary. It is served if the answer says that its host is the primary, or has a position that the read may see; otherwise the answer counts as one of a replica that is too old, and the read is queued again. An answer that would be streamed is given up: its role comes only at its end.

Evidence: a_read_confirms_the_primary_where_there_are_no_health_checks fails without the change in 2 of 2 runs, on it passes. nobody_is_served_from_an_answer_that_confirms_no_role guards the other side; it passes without the change too, since such a read was not sent at all.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -28,6 +28,8 @@
     /// The gateway was delayed while it wrote the request: the host's data may be too old by now, or the rest must not
     /// be written any more.
     WrittenTooLate,
+    /// The answer was to confirm the host's role, and it is too long to be looked at before it is served.
+    RoleNotConfirmed,
 }
 
 /// An attempt that ended without a response.
@@ -49,16 +51,17 @@
         if self.may_have_run() {
             return match self.cause {
                 FailureCause::TimedOut => AttemptStatus::Timeout,
-                FailureCause::WrittenTooLate => AttemptStatus::Withdrawn,
+                FailureCause::WrittenTooLate | FailureCause::RoleNotConfirmed => AttemptStatus::Withdrawn,
                 FailureCause::MalformedResponse => AttemptStatus::Malformed,
                 FailureCause::ConnectionLost | FailureCause::NotAttempted => AttemptStatus::Reset,
             };
         }
         match self.cause {
             FailureCause::ConnectionLost | FailureCause::MalformedResponse => AttemptStatus::ConnectFailed,
-            FailureCause::TimedOut | FailureCause::NotAttempted | FailureCause::WrittenTooLate => {
-                AttemptStatus::NotSent
-            }
+            FailureCause::TimedOut
+            | FailureCause::NotAttempted
+            | FailureCause::WrittenTooLate
+            | FailureCause::RoleNotConfirmed => AttemptStatus::NotSent,
         }
     }
 }
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -127,7 +127,7 @@
             settings: &self.settings,
             open,
             cost: self.latencies.cost(open.request.class),
-            primary: self.primary_for_class(now, window.group, open.request.class),
+            primary: self.primary_for(now, &open.request),
             needed: self.needed(now, open),
             latest_log_time: self.log_now(now, window.group),
             awaits_commit: self.awaits_commit(open),
@@ -150,10 +150,7 @@
         self.weighted_scratch = weighted;
         match check {
             ReplicaCheck::None => {
-                if replica.or(primary).is_none() {
-                    self.check_unconfirmed_primary(now, window.group, actions);
-                }
-                replica.or(primary)
+                replica.or(primary).or_else(|| self.confirm_primary(now, id, window.group, actions))
             }
             ReplicaCheck::InFlight => None,
             ReplicaCheck::Due(member) => {
--- a/src/balance/member/unread_answers.rs
+++ b/src/balance/member/unread_answers.rs
@@ -1,6 +1,6 @@
 //! Whether a member may have stated another role in an answer that was not read.
 
-use crate::api::Micros;
+use crate::api::{Micros, RequestId};
 
 /// Time after the write of an answer from which on what it tells counts as known.
 const KNOWN_AFTER: Micros = Micros::millis(100);
@@ -14,6 +14,8 @@
     unread_until: Micros,
     /// Number of connections whose answer is not read at present.
     paused: u32,
+    /// The last read whose answer was to confirm the role.
+    confirming_read: Option<RequestId>,
 }
 
 impl UnreadAnswers {
@@ -38,4 +40,19 @@
         let unread_until = if self.paused > 0 { counts_as_known } else { self.unread_until };
         self.stated_at >= unread_until.min(counts_as_known)
     }
+
+    /// Records that the answer to a read is to confirm the role.
+    pub fn confirm_by(&mut self, read: RequestId) {
+        self.confirming_read = Some(read);
+    }
+
+    /// The last read whose answer was to confirm the role.
+    pub fn confirming_read(&self) -> Option<RequestId> {
+        self.confirming_read
+    }
+
+    /// Whether the answer to this request was the last that was to confirm the role.
+    pub fn is_confirmed_by(&self, request: RequestId) -> bool {
+        self.confirming_read == Some(request)
+    }
 }
--- a/src/balance/write_check.rs
+++ b/src/balance/write_check.rs
@@ -56,9 +56,8 @@
     pub fn covers(&self, now: Micros, id: RequestId) -> bool {
         let Some(open) = self.open_requests.get(&id) else { return false };
         let Some((_, to)) = open.in_flight.last() else { return false };
-        let class = open.request.class;
-        let write = self.settings.classes[class.0].consistency == Consistency::Write;
-        if write || Some(*to) == self.primary_for_class(now, open.request.group, class) {
+        let write = self.settings.classes[open.request.class.0].consistency == Consistency::Write;
+        if write || Some(*to) == self.primary_for(now, &open.request) {
             return true;
         }
         let member = self.members.get(to);
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -392,6 +392,17 @@
         self.router.role_reported(now, member, position, written_at);
     }
 
+    /// Whether the answer to the attempt in flight was to confirm that its member is the primary.
+    pub fn is_confirming_read(&self, request: RequestId) -> bool {
+        self.router.is_confirming_read(request)
+    }
+
+    /// Whether the request may be served from an answer with this role and position. An answer that was to confirm the
+    /// primary's role and does not is served only if its position is recent enough.
+    pub fn may_serve(&self, request: RequestId, role: Option<Role>, position: Option<Micros>) -> bool {
+        self.router.may_serve(request, role, position)
+    }
+
     /// Records that an answer of a member will not be read, which it may write until `until`: it is not relied on as
     /// the primary for reads until it has stated its role again.
     pub fn answer_left_unread(&mut self, member: MemberId, until: Micros) {
--- a/src/net/event_loop/decision_log.rs
+++ b/src/net/event_loop/decision_log.rs
@@ -156,6 +156,7 @@
         FailureCause::TimedOut => "TimedOut",
         FailureCause::NotAttempted => "NotTried",
         FailureCause::WrittenTooLate => "WrittenTooLate",
+        FailureCause::RoleNotConfirmed => "RoleNotConfirmed",
     }
 }
 
@@ -173,6 +174,7 @@
         CloseReason::Failed(FailureCause::TimedOut) => "no answer in time",
         CloseReason::Failed(FailureCause::NotAttempted) => "not tried",
         CloseReason::Failed(FailureCause::WrittenTooLate) => "written too late",
+        CloseReason::Failed(FailureCause::RoleNotConfirmed) => "role not confirmed",
     }
 }
 
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -96,6 +96,9 @@
             HostEvent::StartupRejected(code) => self.handle_session_rejected(id, &code),
             HostEvent::StreamingStarted => match task {
                 HostTask::Abandoned => {}
+                HostTask::Attempt(request_id) if self.balancer.is_confirming_read(request_id) => {
+                    self.handle_host_lost(id, FailureCause::RoleNotConfirmed);
+                }
                 HostTask::Attempt(request_id) => self.start_streaming(request_id),
                 // A load report is too short to be streamed.
                 _ => self.handle_host_lost(id, FailureCause::MalformedResponse),
@@ -161,7 +164,10 @@
         let Some(host) = self.connections.host(id) else { return };
         let (member, task) = (host.member, std::mem::replace(&mut host.task, HostTask::None));
         let (progress, is_ready, query) = (host.protocol.attempt_progress(), host.is_ready, host.query);
-        let is_given_up = matches!(cause, FailureCause::TimedOut | FailureCause::WrittenTooLate);
+        let is_given_up = matches!(
+            cause,
+            FailureCause::TimedOut | FailureCause::WrittenTooLate | FailureCause::RoleNotConfirmed
+        );
         let response = if is_given_up && !host.protocol.has_completed_response() {
             self.abandon_connection(id);
             None
--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -401,8 +401,14 @@
         response: HostResponse,
     ) {
         self.requests.end_attempt(request_id);
-        let (status, role) = (response.status, response.role);
+        let role = response.role;
         let position = self.to_position(response.position);
+        let is_served = response.status == ResponseStatus::Served;
+        let status = if is_served && !self.balancer.may_serve(request_id, role, position) {
+            ResponseStatus::Unsuitable
+        } else {
+            response.status
+        };
         let outcome = AttemptOutcome::Response { status, role, position };
         let decision = self.report_outcome(self.now, request_id, member, outcome);
         if status == ResponseStatus::Served {
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -630,3 +630,42 @@
         }
     }
 }
+
+/// Guards availability where there are neither health checks nor writes: the answer to a read confirms the role of the
+/// primary, after a lost answer and after the end of the previous process of a hot restart.
+#[test]
+fn a_read_confirms_the_primary_where_there_are_no_health_checks() {
+    for is_restarted in [false, true] {
+        let mut play = Play::start(Run::new("confirms"));
+        if is_restarted {
+            let mut previous = play.start_next_process();
+            previous.signal(Signal::TERM);
+            previous.child.wait().expect("its own child");
+        } else {
+            play.lose_an_answer();
+        }
+        play.group.state.lock().expect("whole").handed_over = None;
+        play.group.set_behavior(Behavior::Prompt);
+        let mut client = play.process.client();
+        for read in 0..3 {
+            client.ask(&strong_read(10_000));
+            assert!(is_served(&mut client), "{is_restarted}, {read}: {}", play.process.log());
+            std::thread::sleep(BEFORE_NEXT_READ);
+        }
+    }
+}
+
+/// Guards bounded reads whose answer was to confirm the role of the primary: where it does not, nobody is served from it,
+/// whether it is short or would be streamed.
+#[test]
+fn nobody_is_served_from_an_answer_that_confirms_no_role() {
+    for behavior in [Behavior::Prompt, Behavior::LongValue] {
+        let play = Play::start(Run::new("confirms-not"));
+        play.lose_an_answer();
+        play.group.set_behavior(behavior);
+        std::thread::sleep(BEFORE_NEXT_READ);
+        let mut client = play.process.client();
+        client.ask(&bounded_read(400));
+        assert_eq!(client.code(), "53300", "{behavior:?}");
+    }
+}
