--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -252,6 +252,7 @@
     let mut deployment = Deployment::new("rollout-away", 3);
     assert_eq!(deployment.propose_until_accepted(&document(1)), 1);
     deployment.wait_until_in_force(0..3, 1);
+    deployment.wait_until_log_has(0..3, 1);
     deployment.signal(CONTROL_SERVERS, Signal::STOP);
     deployment.kill(CONTROL_SERVERS + 1);
     for mark in 2..6 {
@@ -267,6 +268,7 @@
     deployment.signal(CONTROL_SERVERS, Signal::CONT);
     deployment.start(CONTROL_SERVERS + 1);
     deployment.wait_until_in_force(0..2, 5);
+    deployment.wait_until_log_has(0..2, 5);
     assert_eq!((deployment.versions_in_force(0), deployment.versions_in_force(1)), (vec![1, 5], vec![1, 5]));
     deployment.end();
 }
--- a/tests/rollout_deployment/mod.rs
+++ b/tests/rollout_deployment/mod.rs
@@ -396,6 +396,16 @@
         lines.map(|line| number(line).expect("a version")).collect()
     }
 
+    /// Waits until the logs of these gateways tell that a version was in force. They are written by a thread of their own,
+    /// after the status is published, and a kill loses what it has not written.
+    pub fn wait_until_log_has(&mut self, gateways: impl IntoIterator<Item = usize>, version: u64) {
+        for gateway in gateways {
+            self.wait_until("its log says so", |deployment| {
+                deployment.versions_in_force(gateway).contains(&version)
+            });
+        }
+    }
+
     /// Ends a successful test: checks that no gateway went back to an older version, and removes the folder.
     pub fn end(mut self) {
         for gateway in 0..self.addresses.len() {
