Do not read an idle client while another connection is being read

Callers saw their connection closed in place of an answer: where more clients that have sent a query are open than a quarter of the descriptors, an answer closes the longest idle one, and its next request had just arrived.

Cause: the idle client was read for its input within the read of the host, and the one read buffer was taken: no byte fits into an empty buffer, and reading none passes for the end of the connection.

Change: an idle client with input is left open; the poller reports the input.

--- a/src/net/event_loop/connection_io.rs
+++ b/src/net/event_loop/connection_io.rs
@@ -84,20 +84,18 @@
         }
     }
 
-    /// Closes an idle client. If it has unread input, this is read instead, and the client stays open. False if it
-    /// stays.
+    /// Closes an idle client. False if it stays open, since it has unread input: the poller reports this. It is not read
+    /// here, as another connection may be read at the moment.
     pub(super) fn close_if_idle(&mut self, id: ConnectionId) -> bool {
         let Some(connection) = self.connections.get(id) else { return false };
-        match connection.socket.peek(&mut [0]) {
-            Ok(0) => {}
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => {}
-            _ => {
-                self.read(id);
-                return false;
-            }
+        let has_input = match connection.socket.peek(&mut [0]) {
+            Ok(count) => count > 0,
+            Err(e) => e.kind() == io::ErrorKind::Interrupted,
+        };
+        if !has_input {
+            self.close_gracefully(id);
         }
-        self.close_gracefully(id);
-        true
+        !has_input
     }
 
     /// Checks whether a client that waits for an answer and whose input is not read has disconnected, since no read
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -5,16 +5,27 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
+use std::time::Duration;
 
 use dunemount::pg::codec::{self, CancelKey, ReceiveBuffer};
+use harness::process::ProcessOptions;
 use harness::scripted::{
     accept_discovery_call, answer, cancel, client_with_key, let_connections_rest, start_gateway, Host,
-    HostConnection,
+    HostConnection, HostConnections,
 };
-use harness::{answer_discovery, listens, listing, metric, read, write, ClientConnection};
+use harness::{answer_discovery, bind_loopback, listens, listing, metric, read, write, ClientConnection};
+use rustix::process::Signal;
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 
+/// Descriptors of a gateway, and the number of clients that have sent a query and may stay connected with them.
+const MANY_DESCRIPTORS: usize = 200;
+const KNOWN_CLIENTS: usize = MANY_DESCRIPTORS / 4;
+
+/// Longer than loopback takes to deliver bytes.
+const ARRIVAL: Duration = Duration::from_millis(50);
+
 /// Disconnects a client. Its FIN reaches the gateway's socket whether or not the gateway reads from it.
 fn disconnect(client: ClientConnection) {
     client.socket.shutdown(Shutdown::Both).expect("a socket");
@@ -169,7 +180,7 @@
     harness.stop.write_all(&[1]).expect("signalled");
     // Once the listener is closed, the gateway reads nothing more from clients.
     while listens(harness.address) {
-        std::thread::sleep(std::time::Duration::from_millis(2));
+        std::thread::sleep(Duration::from_millis(2));
     }
     for _ in 0..50 {
         client.ask(&read("too-late"));
@@ -207,7 +218,7 @@
     harness.stop.write_all(&[1]).expect("signalled");
     harness.stop.write_all(&[1]).expect("signalled again");
     while listens(harness.address) {
-        std::thread::sleep(std::time::Duration::from_millis(2));
+        std::thread::sleep(Duration::from_millis(2));
     }
     let mut sender = client.socket.try_clone().expect("a socket");
     let sending = std::thread::spawn(move || {
@@ -510,3 +521,42 @@
     drop(held);
     harness.end();
 }
+
+/// Guards the request of a client that is about to be closed for being idle: it arrives together with the answer to
+/// another client, and this answer makes one known client too many.
+#[test]
+fn a_request_that_crosses_with_the_eviction_of_its_idle_client_is_served() {
+    let (host, discovery) = (Host::new(), bind_loopback());
+    let address = discovery.local_addr().expect("bound");
+    let options = ProcessOptions::with_defaults("crossing-eviction", MANY_DESCRIPTORS, address);
+    let process = options.start(&listing(&[host.address()]));
+    let (received, is_received) = channel();
+    let (release, is_released) = channel::<()>();
+    std::thread::spawn(move || {
+        let mut connections = HostConnections::new(&host);
+        loop {
+            let (connection, statement) = connections.next_statement();
+            if statement.contains("'surplus'") {
+                received.send(()).expect("awaited");
+                is_released.recv().expect("released");
+            }
+            connection.send(&answer("master", None));
+        }
+    });
+    let mut clients: Vec<ClientConnection> = (0..KNOWN_CLIENTS).map(|_| process.client()).collect();
+    for client in &mut clients {
+        client.ask(&read("known"));
+        assert_eq!(client.answer().len(), 4);
+    }
+    let mut surplus = process.client();
+    surplus.ask(&read("surplus"));
+    is_received.recv().expect("a statement");
+    process.signal(Signal::STOP);
+    release.send(()).expect("awaited");
+    // The answer arrives before the request, so that the gateway handles it first.
+    std::thread::sleep(ARRIVAL);
+    clients[0].ask(&read("crossing"));
+    process.signal(Signal::CONT);
+    assert_eq!(surplus.answer().len(), 4);
+    assert_eq!(clients[0].answer().len(), 4, "{}", process.log());
+}
