Beside another process, rely on a role only if it was stated within 100 ms

Callers could see a bounded read served from old data during a hot restart: the host had told the previous process that it is no primary any more, and that process was stopped, or the line between the two was slow.

Cause: what hosts tell one process reaches the other by messages alone, which may come late; a previous process of an earlier version sends none at all.

Change: while there is another process, bounded and strong reads and those with a carried position rely on the primary's role only if it was stated to this process within the last 100 ms, from which on an answer counts as known. A health check or the answer to a read confirms it otherwise. The messages still tell of a new primary sooner.

Evidence: what_a_stopped_process_has_not_passed_on_is_not_relied_on fails without the change (with one worker; the play stops there) and passes with it with one worker and with two.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -75,6 +75,8 @@
     /// Removed members that were replicas by their own word, or may have been: a list that names one of them
     /// as the primary is out of date. At most one entry for each host that was ever listed.
     former_replicas: BTreeSet<MemberId>,
+    /// There is another process of this gateway, in a hot restart.
+    has_other_process: bool,
     /// Members that operators have taken out of service, whether listed or not.
     administratively_down: BTreeSet<MemberId>,
     open_requests: BTreeMap<RequestId, OpenRequest>,
@@ -123,6 +125,7 @@
             members: IndexMap::default(),
             groups: IndexMap::default(),
             former_replicas: BTreeSet::new(),
+            has_other_process: false,
             administratively_down: BTreeSet::new(),
             open_requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
--- a/src/balance/housekeeping.rs
+++ b/src/balance/housekeeping.rs
@@ -207,6 +207,7 @@
         due: &mut Vec<HealthCheckCandidate>,
     ) -> Option<Micros> {
         let served_decay = self.served_decay(elapsed);
+        let has_other_process = self.has_other_process;
         let Router { settings, members, former_replicas, served_span, limit_share, latencies, .. } = self;
         let (_, group) = self.groups.get_index_mut(index)?;
         group.refreshed_at = now;
@@ -227,7 +228,7 @@
             let in_service = member.is_in_service();
             // Members that are gone for good are removed; otherwise replaced members pile up over years.
             if !member.is_retained() && (!in_service || member.outlier.is_lost()) {
-                if member.may_be_replica(now) {
+                if member.may_be_replica(now, has_other_process) {
                     former_replicas.insert(*id);
                 }
                 members.swap_remove(id);
--- a/src/balance/member.rs
+++ b/src/balance/member.rs
@@ -100,9 +100,9 @@
     }
 
     /// Whether it has stated to be a replica, or may have done so in an answer that was not read.
-    pub fn may_be_replica(&self, now: Micros) -> bool {
+    pub fn may_be_replica(&self, now: Micros, has_other_process: bool) -> bool {
         let has_stated_replica = self.role.role() == Role::Replica && self.role.claimed_at() > Micros(0);
-        has_stated_replica || !self.unread_answers.is_role_current(now)
+        has_stated_replica || !self.unread_answers.is_role_current(now, has_other_process)
     }
 
     /// Whether it must not be removed: it has attempts in flight or is listed as ready.
--- a/src/balance/member/unread_answers.rs
+++ b/src/balance/member/unread_answers.rs
@@ -34,10 +34,12 @@
         self.paused = if is_paused { self.paused + 1 } else { self.paused.saturating_sub(1) };
     }
 
-    /// Whether the last known role may be relied on: no later answer that counts as known was left unread.
-    pub fn is_role_current(&self, now: Micros) -> bool {
+    /// Whether the last known role may be relied on: no later answer that counts as known was left unread, or was read
+    /// by another process of this gateway, if there is one.
+    pub fn is_role_current(&self, now: Micros, has_other_process: bool) -> bool {
         let counts_as_known = now - KNOWN_AFTER;
-        let unread_until = if self.paused > 0 { counts_as_known } else { self.unread_until };
+        let may_be_unread = self.paused > 0 || has_other_process;
+        let unread_until = if may_be_unread { counts_as_known } else { self.unread_until };
         self.stated_at >= unread_until.min(counts_as_known)
     }
 
--- a/src/balance/unread_answers.rs
+++ b/src/balance/unread_answers.rs
@@ -98,6 +98,12 @@
         self.send_waiting(now, group, actions);
     }
 
+    /// Sets whether there is another process of this gateway: what hosts tell it becomes known here late or
+    /// not at all.
+    pub fn set_other_process(&mut self, exists: bool) {
+        self.has_other_process = exists;
+    }
+
     /// Records that another process of this gateway has ended at `now`, which may have left answers unread.
     pub fn peer_ended(&mut self, now: Micros) {
         self.members.values_mut().for_each(|member| member.unread_answers.left_unread(now));
@@ -108,7 +114,7 @@
         let primary = self.primary(request.group)?;
         let unread_answers = &self.members.get(&primary)?.unread_answers;
         let is_reliable = !self.needs_current_role(request.class)
-            || unread_answers.is_role_current(now)
+            || unread_answers.is_role_current(now, self.has_other_process)
             || unread_answers.is_confirmed_by(request.id);
         is_reliable.then_some(primary)
     }
@@ -135,7 +141,8 @@
     ) -> Option<MemberId> {
         let primary = self.primary(group)?;
         let member = &self.members[&primary];
-        if member.unread_answers.is_role_current(now) || member.health_check.is_in_flight() {
+        let is_current = member.unread_answers.is_role_current(now, self.has_other_process);
+        if is_current || member.health_check.is_in_flight() {
             return None;
         }
         let has_token = self.settings.health_checks && self.health_check_tokens >= 1.0;
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -424,6 +424,11 @@
         self.drive(now, Event::RoleStatedElsewhere { member, stated });
     }
 
+    /// Sets whether there is another process of this gateway, which hosts may have told another role.
+    pub fn set_other_process(&mut self, exists: bool) {
+        self.router.set_other_process(exists);
+    }
+
     /// Records that another process of this gateway has ended at `now`, which may have left answers unread.
     pub fn peer_ended(&mut self, now: Micros) {
         self.router.peer_ended(now);
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -203,6 +203,7 @@
         self.wait_for_events(events, asleep_since)?;
         self.now = self.clock.read();
         self.iteration += 1;
+        self.balancer.set_other_process(self.workers.has_peer());
         self.resume_deferred_clients();
         let is_listener_reported = events.iter().any(|event| event.key == poll_keys::LISTENER);
         self.admission.observe_queue(self.now, self.now - asleep_since >= MIN_SLEEP, is_listener_reported);
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -582,6 +582,25 @@
     }
 }
 
+/// Guards the same where what the previous process hears reaches the next one too late: it is stopped, with the answer
+/// in its socket.
+#[test]
+fn what_a_stopped_process_has_not_passed_on_is_not_relied_on() {
+    for cores in [1, 2] {
+        let mut play = Play::start(Run { cores, ..Run::new("stopped") });
+        play.group.set_behavior(Behavior::Held);
+        let mut client = play.process.client();
+        client.ask(&bounded_read(10_000));
+        std::thread::sleep(Duration::from_millis(50));
+        let previous = play.start_next_process();
+        previous.signal(Signal::STOP);
+        play.group.set_behavior(Behavior::Prompt);
+        play.group.wait_for_answer();
+        play.assert_next_read_is_not_served();
+        previous.signal(Signal::CONT);
+    }
+}
+
 /// Guards the same where the previous process ends in good order before the host answers.
 #[test]
 fn what_an_ended_process_has_left_unread_is_not_relied_on() {
