Move the confirmation of a primary's role into a module of its own

unread_answers.rs of the router held two jobs: what is recorded of answers, and which primary a read may rely on. No change of behaviour; the tests of the router and of unread answers pass as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -43,6 +43,7 @@
 mod queue;
 pub(crate) mod random;
 mod request_index;
+mod role_confirmation;
 mod sessions;
 mod snapshot;
 mod snapshot_conversion;
