--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 //! in threads of the test.
 #![allow(dead_code, reason = "each test binary uses a part of the harness")]
 
+pub mod former_primary;
 pub mod process;
 pub mod replica_group;
 pub mod scripted;
