A long answer confirms the primary's role too, and reports only where they can

Where values are streamed, no health check may confirm the role and an answer was lost, or two processes run, reads at the primary were rejected: the answer that was to confirm its role was given up and the host not tried again.

Change: such an answer is read to its end, up to the longest row, without being kept; then the read is sent again. One such read goes out in 100 ms. A health check is not made while a report cannot confirm the role: beside another process or while an unread answer may still be written, since reports are some time old.

--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -89,8 +89,9 @@
     /// Records a failed attempt. If no other attempt of the request is in flight, queues the request again
     /// or, if no further attempt is allowed or the deadline is a tick away or less, gives it up.
     pub(super) fn after_failure(&mut self, now: Micros, outcome: &Outcome, actions: &mut Actions) {
+        let may_return = self.is_unconfirmed(outcome);
         let Some(open) = self.open_requests.get_mut(&outcome.request) else { return };
-        open.record_failure(outcome);
+        open.record_failure(outcome, may_return);
         if !open.in_flight.is_empty() {
             return;
         }
--- a/src/balance/member/unread_answers.rs
+++ b/src/balance/member/unread_answers.rs
@@ -1,9 +1,19 @@
 //! Whether a member may have stated another role in an answer that was not read.
 
-use crate::api::{Micros, RequestId};
+use crate::api::{AttemptNo, Micros, RequestId};
 
 /// Time after the write of an answer from which on what it tells counts as known.
 const KNOWN_AFTER: Micros = Micros::millis(100);
+/// Time between two reads that are to confirm the role.
+const MIN_CONFIRMATION_INTERVAL: Micros = Micros::millis(100);
+
+/// An attempt whose answer is to confirm the role of the member that it is sent to.
+#[derive(Clone, Copy)]
+struct Confirmation {
+    request: RequestId,
+    attempt: AttemptNo,
+    sent: Micros,
+}
 
 /// The answers of a member that were read or left unread, as far as the member's role depends on them.
 #[derive(Default)]
@@ -14,8 +24,8 @@
     unread_until: Micros,
     /// Number of connections whose answer is not read at present.
     paused: u32,
-    /// The last read whose answer was to confirm the role.
-    confirming_read: Option<RequestId>,
+    /// The last attempt whose answer was to confirm the role.
+    confirmation: Option<Confirmation>,
 }
 
 impl UnreadAnswers {
@@ -43,18 +53,24 @@
         self.stated_at >= unread_until.min(counts_as_known)
     }
 
-    /// Records that the answer to a read is to confirm the role.
-    pub fn confirm_by(&mut self, read: RequestId) {
-        self.confirming_read = Some(read);
+    /// Whether a health report may confirm the role. Reports are some time old when they are made, so that none confirms
+    /// it while an answer may be left unread at any moment.
+    pub fn may_report_confirm(&self, now: Micros, has_other_process: bool) -> bool {
+        self.paused == 0 && !has_other_process && self.unread_until <= now
+    }
+
+    /// Records that the answer to an attempt of a read, which is sent at `now`, is to confirm the role.
+    pub fn confirm_by(&mut self, request: RequestId, attempt: AttemptNo, now: Micros) {
+        self.confirmation = Some(Confirmation { request, attempt, sent: now });
     }
 
-    /// The last read whose answer was to confirm the role.
-    pub fn confirming_read(&self) -> Option<RequestId> {
-        self.confirming_read
+    /// Whether a read may be sent to confirm the role, as far as the last such read is concerned.
+    pub fn may_confirm(&self, now: Micros) -> bool {
+        self.confirmation.is_none_or(|last| now - last.sent >= MIN_CONFIRMATION_INTERVAL)
     }
 
-    /// Whether the answer to this request was the last that was to confirm the role.
-    pub fn is_confirmed_by(&self, request: RequestId) -> bool {
-        self.confirming_read == Some(request)
+    /// Whether this attempt was the last whose answer was to confirm the role.
+    pub fn is_confirmed_by(&self, request: RequestId, attempt: AttemptNo) -> bool {
+        self.confirmation.is_some_and(|last| (last.request, last.attempt) == (request, attempt))
     }
 }
--- a/src/balance/open_request.rs
+++ b/src/balance/open_request.rs
@@ -59,12 +59,14 @@
         }
     }
 
-    /// Records a failed attempt.
-    pub fn record_failure(&mut self, outcome: &Outcome) {
+    /// Records a failed attempt. `may_return` says whether the request may be sent to its member again.
+    pub fn record_failure(&mut self, outcome: &Outcome, may_return: bool) {
         self.in_flight.retain(|(attempt, _)| *attempt != outcome.attempt);
         self.may_have_executed |= !outcome.status.proves_not_executed();
         self.executed_from = self.executed_from.filter(|_| !self.proved_not_executed());
-        self.failed_members.push(outcome.member);
+        if !may_return {
+            self.failed_members.push(outcome.member);
+        }
         // If a read fails with an error at one member after another, the read is the cause.
         self.errors += u32::from(outcome.status == AttemptStatus::Error);
     }
--- a/src/balance/role_confirmation.rs
+++ b/src/balance/role_confirmation.rs
@@ -14,7 +14,7 @@
         let unread_answers = &self.members.get(&primary)?.unread_answers;
         let is_reliable = !self.needs_current_role(request.class)
             || unread_answers.is_role_current(now, self.has_other_process)
-            || unread_answers.is_confirmed_by(request.id);
+            || self.is_confirming_read(request.id);
         is_reliable.then_some(primary)
     }
 
@@ -29,7 +29,8 @@
     }
 
     /// Has the role of a group's primary confirmed if it cannot be relied on, so that reads that wait for it
-    /// can be sent: by a health check or, if none may be started, by the answer to the read of this id.
+    /// can be sent: by a health check or, if none may be started or is of use, by the answer to the read of this
+    /// id.
     /// Returns the primary if the read is to be sent to it.
     pub(super) fn confirm_primary(
         &mut self,
@@ -44,26 +45,21 @@
         if is_current || member.health_check.is_in_flight() {
             return None;
         }
+        let is_useful = member.unread_answers.may_report_confirm(now, self.has_other_process);
         let has_token = self.settings.health_checks && self.health_check_tokens >= 1.0;
-        if has_token && is_check_due(now, member) {
+        if is_useful && has_token && is_check_due(now, member) {
             self.health_check_tokens -= 1.0;
             self.start_health_check(now, primary, actions);
             return None;
         }
-        if self.is_confirming_read_in_flight(primary) || !self.may_confirm(now, id, primary) {
+        if !self.may_confirm(now, id, primary) {
             return None;
         }
-        self.members.get_mut(&primary)?.unread_answers.confirm_by(id);
+        let attempt = AttemptNo(self.open_requests.get(&id)?.attempts);
+        self.members.get_mut(&primary)?.unread_answers.confirm_by(id, attempt, now);
         Some(primary)
     }
 
-    /// Whether the answer to a read is awaited that confirms the role of this member.
-    fn is_confirming_read_in_flight(&self, id: MemberId) -> bool {
-        let read = self.members.get(&id).and_then(|member| member.unread_answers.confirming_read());
-        let open = read.and_then(|read| self.open_requests.get(&read));
-        open.is_some_and(|open| open.in_flight.iter().any(|(_, member)| *member == id))
-    }
-
     /// Whether a read may be sent to the primary to confirm its role.
     fn may_confirm(&self, now: Micros, id: RequestId, primary: MemberId) -> bool {
         let Some(open) = self.open_requests.get(&id) else { return false };
@@ -71,26 +67,40 @@
         let may_be_repeated = self.settings.classes[class.0].idempotency == Idempotency::Idempotent;
         may_be_repeated
             && !open.has_tried(primary)
+            && member.unread_answers.may_confirm(now)
             && self.has_capacity_for(now, class, member, self.latencies.cost(class))
     }
 
-    /// Whether the answer to a request was to confirm the role of the member that it was sent to.
+    /// The attempt in flight whose answer is to confirm the role of the member that it was sent to.
+    fn confirming_attempt(&self, id: RequestId) -> Option<AttemptNo> {
+        let is_confirming = |(attempt, to): &&(AttemptNo, MemberId)| {
+            let member = self.members.get(to);
+            member.is_some_and(|member| member.unread_answers.is_confirmed_by(id, *attempt))
+        };
+        let mut in_flight = self.open_requests.get(&id)?.in_flight.iter();
+        in_flight.find(is_confirming).map(|(attempt, _)| *attempt)
+    }
+
+    /// Whether an answer to a request is awaited that is to confirm the role of its member.
     pub fn is_confirming_read(&self, id: RequestId) -> bool {
-        let open = self.open_requests.get(&id);
-        let member = open.and_then(|open| self.members.get(&open.in_flight.last()?.1));
-        member.is_some_and(|member| member.unread_answers.is_confirmed_by(id))
+        self.confirming_attempt(id).is_some()
+    }
+
+    /// Whether an attempt was given up since its answer, which was to confirm its member's role, is too long to
+    /// be looked at before it is served. The read may be sent there again once the role is confirmed.
+    pub(super) fn is_unconfirmed(&self, outcome: &Outcome) -> bool {
+        outcome.status == AttemptStatus::Withdrawn
+            && self.confirming_attempt(outcome.request) == Some(outcome.attempt)
     }
 
     /// Whether a request may be served from an answer with this role and position. If the answer was to confirm
     /// that its member is the primary and does not, the position decides.
     pub fn may_serve(&self, id: RequestId, role: Option<Role>, position: Option<Micros>) -> bool {
-        if role == Some(Role::Primary) || !self.is_confirming_read(id) {
-            return true;
-        }
-        let open = self.open_requests.get(&id);
-        let attempt = open.and_then(|open| self.attempts.get(&(id, open.in_flight.last()?.0)));
+        let Some(attempt) = self.confirming_attempt(id) else { return true };
         // Where the needed position is not known, it is zero.
-        let needed = attempt.map(|attempt| attempt.needed).filter(|needed| *needed > Micros(0));
-        needed.is_some_and(|needed| position.is_some_and(|position| position >= needed))
+        let needed = self.attempts.get(&(id, attempt)).map(|attempt| attempt.needed);
+        let needed = needed.filter(|needed| *needed > Micros(0));
+        let is_covered = needed.is_some_and(|needed| position.is_some_and(|position| position >= needed));
+        role == Some(Role::Primary) || is_covered
     }
 }
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -98,6 +98,7 @@
                 HostTask::Abandoned => {}
                 HostTask::Attempt(request_id) if self.balancer.is_confirming_read(request_id) => {
                     self.handle_host_lost(id, FailureCause::RoleNotConfirmed);
+                    self.read_long_late_answer(id);
                 }
                 HostTask::Attempt(request_id) => self.start_streaming(request_id),
                 // A load report is too short to be streamed.
--- a/src/net/event_loop/late_answers.rs
+++ b/src/net/event_loop/late_answers.rs
@@ -10,7 +10,7 @@
 use super::timers::Timer;
 use super::Gateway;
 use crate::attempt::AttemptProgress;
-use crate::pg::host::HostResponse;
+use crate::pg::host::{HostResponse, MAX_ROW};
 use crate::pg::load_report;
 use crate::{LateAnswer, MemberId, Micros, RequestId, Role};
 
@@ -48,6 +48,14 @@
         self.set_timer(wait, Timer::LateAnswerTimeout(id));
     }
 
+    /// Reads the answer of an abandoned attempt to its end, however long its row is.
+    pub(super) fn read_long_late_answer(&mut self, id: ConnectionId) {
+        let abandoned = self.connections.host(id).filter(|host| host.task == HostTask::Abandoned);
+        if let Some(host) = abandoned {
+            host.bytes_left = MAX_ROW + MAX_LATE_ANSWER_BYTES;
+        }
+    }
+
     /// Discards the bytes of a streamed answer that nobody is served from.
     pub(super) fn discard_streamed(&mut self, id: ConnectionId) {
         if let Some(host) = self.connections.host(id) {
--- a/tests/harness/former_primary.rs
+++ b/tests/harness/former_primary.rs
@@ -35,7 +35,7 @@
     LateReports,
     /// The answer is written once the test sets another behaviour.
     Held,
-    /// A long value, at once.
+    /// A long value, at once; also while it is the primary.
     LongValue,
     /// The connection is reset in place of an answer.
     Reset,
@@ -118,7 +118,8 @@
         let is_primary = was_primary && handed_over.is_none();
         let end_of_log = handed_over.unwrap_or_else(unix_ms);
         let position = if was_primary { end_of_log } else { end_of_log - LAG_MS };
-        let behavior = if was_primary && !is_primary { behavior } else { Behavior::Prompt };
+        let has_behavior = was_primary && (!is_primary || behavior == Behavior::LongValue);
+        let behavior = if has_behavior { behavior } else { Behavior::Prompt };
         let is_check = statement.starts_with("SHOW");
         let is_old_report = is_check && was_primary && !is_primary && has_old_reports;
         if is_old_report {
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -140,12 +140,12 @@
         assert!(!is_served, "served from old data by a host that had told its role\n{}", self.process.log());
     }
 
-    /// Abandons a bounded read at the old primary whose answer is lost.
-    fn lose_an_answer(&self) {
+    /// Abandons a bounded read at the old primary, whose answer is lost and was expected within this time.
+    fn lose_an_answer(&self, wait_ms: u32) {
         let behavior = self.group.state.lock().expect("whole").behavior;
         self.group.set_behavior(Behavior::CutOff);
         let mut client = self.process.client();
-        client.ask(&bounded_read(10_000));
+        client.ask(&bounded_read(wait_ms));
         std::thread::sleep(Duration::from_millis(50));
         drop(client);
         self.group.wait_for_answer();
@@ -382,7 +382,7 @@
 #[test]
 fn a_report_from_before_the_lost_answer_confirms_nothing() {
     let play = Play::start(Run { has_health_checks: true, has_old_reports: true, ..Run::new("report") });
-    play.lose_an_answer();
+    play.lose_an_answer(200);
     play.assert_next_read_is_not_served();
 }
 
@@ -493,17 +493,29 @@
 /// primary, after a lost answer and after the end of the previous process of a hot restart.
 #[test]
 fn a_read_confirms_the_primary_where_there_are_no_health_checks() {
+    assert_read_confirms("confirms", Behavior::Prompt);
+}
+
+/// Guards the same where the values are streamed: the answer that confirms the role is not served itself, but the read is
+/// sent again.
+#[test]
+fn a_read_of_a_long_value_confirms_the_primary() {
+    assert_read_confirms("confirms-long", Behavior::LongValue);
+}
+
+/// Asserts that strong reads are served by the primary once its role is not relied on any more.
+fn assert_read_confirms(name: &'static str, behavior: Behavior) {
     for is_restarted in [false, true] {
-        let mut play = Play::start(Run::new("confirms"));
+        let mut play = Play::start(Run::new(name));
         if is_restarted {
             let mut previous = play.start_next_process();
             previous.signal(Signal::TERM);
             previous.child.wait().expect("its own child");
         } else {
-            play.lose_an_answer();
+            play.lose_an_answer(10_000);
         }
         play.group.state.lock().expect("whole").handed_over = None;
-        play.group.set_behavior(Behavior::Prompt);
+        play.group.set_behavior(behavior);
         let mut client = play.process.client();
         for read in 0..3 {
             client.ask(&strong_read(10_000));
@@ -519,7 +531,7 @@
 fn nobody_is_served_from_an_answer_that_confirms_no_role() {
     for behavior in [Behavior::Prompt, Behavior::LongValue] {
         let play = Play::start(Run::new("confirms-not"));
-        play.lose_an_answer();
+        play.lose_an_answer(10_000);
         play.group.set_behavior(behavior);
         std::thread::sleep(BEFORE_NEXT_READ);
         let mut client = play.process.client();
