Poll again after an interrupted wait, before timers and messages are handled

Callers got 53300 or 58000 though their answer had come: it arrived while the process was stopped, and the time of the request was over by the end of the stop. With several workers a decision could be made on older knowledge too.

Cause: the end of a stop interrupts the wait for events, which then reports none; timers and messages of other workers were handled before what had arrived.

Change: an interrupted wait is followed by one that does not wait.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -75,6 +75,13 @@
 /// Largest number of balancer outputs and ready clients that one call of `process_pending` handles.
 const MAX_STEPS: usize = 100_000;
 
+/// How a wait for events has ended.
+#[derive(Clone, Copy, PartialEq)]
+enum PollResult {
+    Complete,
+    Interrupted,
+}
+
 /// The phase of the process between its start and its end.
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
@@ -226,10 +233,20 @@
         let timeout = deadline.map(|at| Duration::from_micros((at - now).0));
         let may_sleep = self.deferred_clients.is_empty() && self.workers.may_sleep(self.this_worker);
         let timeout = if may_sleep { timeout } else { Some(Duration::ZERO) };
+        if self.poll_events(events, timeout)? == PollResult::Interrupted {
+            // By a signal or the end of a stop. What has arrived meanwhile is reported before timers and messages are
+            // handled.
+            self.poll_events(events, Some(Duration::ZERO))?;
+        }
+        Ok(())
+    }
+
+    fn poll_events(&self, events: &mut Vec<Event>, timeout: Option<Duration>) -> io::Result<PollResult> {
         events.clear();
         match self.poller.wait(events, timeout) {
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => Err(e),
-            _ => Ok(()),
+            Ok(_) => Ok(PollResult::Complete),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(PollResult::Interrupted),
+            Err(e) => Err(e),
         }
     }
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -23,6 +23,8 @@
 const MANY_DESCRIPTORS: usize = 200;
 const KNOWN_CLIENTS: usize = MANY_DESCRIPTORS / 4;
 
+/// How long a process is stopped, and the time limit of the request that is in flight meanwhile.
+const STOP: Duration = Duration::from_millis(400);
 /// Longer than loopback takes to deliver bytes.
 const ARRIVAL: Duration = Duration::from_millis(50);
 
@@ -560,3 +562,22 @@
     assert_eq!(surplus.answer().len(), 4);
     assert_eq!(clients[0].answer().len(), 4, "{}", process.log());
 }
+
+/// Guards an answer that has arrived while the process was stopped, beyond the time limit of its request: the answer is
+/// read before any time-out or decision, also where the stop has interrupted the wait for events.
+#[test]
+fn an_answer_that_arrives_during_a_stop_is_handled_before_time_outs() {
+    let (host, discovery) = (Host::new(), bind_loopback());
+    let address = discovery.local_addr().expect("bound");
+    let options = ProcessOptions::with_defaults("crossing-stop", MANY_DESCRIPTORS, address);
+    let process = options.start(&listing(&[host.address()]));
+    let mut client = process.client();
+    client.ask(&read("stopped").replace("d=30000", &format!("d={}", STOP.as_millis())));
+    let mut connection = host.accept_ready();
+    assert!(connection.next_statement().is_some());
+    process.signal(Signal::STOP);
+    connection.send(&answer("master", None));
+    std::thread::sleep(STOP);
+    process.signal(Signal::CONT);
+    assert_eq!(client.answer().len(), 4, "served");
+}
