--- a/src/balance/member/unread_answers.rs
+++ b/src/balance/member/unread_answers.rs
@@ -44,8 +44,8 @@
         self.paused = if is_paused { self.paused + 1 } else { self.paused.saturating_sub(1) };
     }
 
-    /// Whether the last known role may be relied on: no later answer that counts as known was left unread, or was read
-    /// by another process of this gateway, if there is one.
+    /// Whether the last known role may be relied on: no later answer that counts as known was left unread, or
+    /// was read by another process of this gateway, if there is one.
     pub fn is_role_current(&self, now: Micros, has_other_process: bool) -> bool {
         let counts_as_known = now - KNOWN_AFTER;
         let may_be_unread = self.paused > 0 || has_other_process;
@@ -53,8 +53,8 @@
         self.stated_at >= unread_until.min(counts_as_known)
     }
 
-    /// Whether a health report may confirm the role. Reports are some time old when they are made, so that none confirms
-    /// it while an answer may be left unread at any moment.
+    /// Whether a health report may confirm the role. Reports are some time old when they are made, so that
+    /// none confirms it while an answer may be left unread at any moment.
     pub fn may_report_confirm(&self, now: Micros, has_other_process: bool) -> bool {
         self.paused == 0 && !has_other_process && self.unread_until <= now
     }
--- a/src/balance/role_confirmation.rs
+++ b/src/balance/role_confirmation.rs
@@ -29,8 +29,8 @@
     }
 
     /// Has the role of a group's primary confirmed if it cannot be relied on, so that reads that wait for it
-    /// can be sent: by a health check or, if none may be started or is of use, by the answer to the read of this
-    /// id.
+    /// can be sent: by a health check or, if none may be started or is of use, by the answer to the read of
+    /// this id.
     /// Returns the primary if the read is to be sent to it.
     pub(super) fn confirm_primary(
         &mut self,
@@ -86,15 +86,15 @@
         self.confirming_attempt(id).is_some()
     }
 
-    /// Whether an attempt was given up since its answer, which was to confirm its member's role, is too long to
-    /// be looked at before it is served. The read may be sent there again once the role is confirmed.
+    /// Whether an attempt was given up since its answer, which was to confirm its member's role, is too long
+    /// to be looked at before it is served. The read may be sent there again once the role is confirmed.
     pub(super) fn is_unconfirmed(&self, outcome: &Outcome) -> bool {
         outcome.status == AttemptStatus::Withdrawn
             && self.confirming_attempt(outcome.request) == Some(outcome.attempt)
     }
 
-    /// Whether a request may be served from an answer with this role and position. If the answer was to confirm
-    /// that its member is the primary and does not, the position decides.
+    /// Whether a request may be served from an answer with this role and position. If the answer was to
+    /// confirm that its member is the primary and does not, the position decides.
     pub fn may_serve(&self, id: RequestId, role: Option<Role>, position: Option<Micros>) -> bool {
         let Some(attempt) = self.confirming_attempt(id) else { return true };
         // Where the needed position is not known, it is zero.
