Tests: do not take the test's own memory for that of a new process

Most likely cause: the watch begins as soon as the new process is spawned, and its parent goes on a moment before the system has replaced the memory that both share until the program is executed.

Change: a process counts once its program is not the test's. No bound changes.

--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -44,8 +44,13 @@
     None
 }
 
-/// The memory of a process that is no file, in KiB. Zero once it has ended.
+/// The memory of a process that is no file, in KiB. Zero once it has ended, and while it is a child of the test that has
+/// not executed its program yet: then the system shows the memory of the test.
 pub fn anonymous_kib(process: u32) -> u64 {
+    let program = |id: &str| std::fs::read_link(format!("/proc/{id}/exe")).ok();
+    if program(&process.to_string()) == program("self") {
+        return 0;
+    }
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
     let kib = line.and_then(|line| line.split_whitespace().next());
