An answer with an impossible position states no role

Callers could see a bounded read served from old data: after an answer of the old primary was lost, a corrupt answer of it that claims to be the primary counted as its role stated again. Its claim itself was not believed.

Cause: the position was looked at for the claim alone, and not where an unread answer is cleared.

Change: the role counts as stated only where the position beside it is possible.

--- a/src/balance/positions.rs
+++ b/src/balance/positions.rs
@@ -34,7 +34,7 @@
     }
 
     /// Whether a group's log may have reached a position by now.
-    fn is_position_possible(&self, now: Micros, group: GroupId, position: Micros) -> bool {
+    pub(super) fn is_position_possible(&self, now: Micros, group: GroupId, position: Micros) -> bool {
         let offset = self.offset(group).filter(|_| !self.log_time.is_same_clock());
         offset.is_none_or(|offset| offset.allows(now, position))
     }
--- a/src/balance/unread_answers.rs
+++ b/src/balance/unread_answers.rs
@@ -9,8 +9,13 @@
 use crate::notice::{LogTimeEvidence, PositionKind, PositionSource};
 
 impl Router {
-    /// Records that a member has stated its role in an answer that it wrote at `at` or later.
-    pub fn role_stated(&mut self, id: MemberId, at: Micros) {
+    /// Records that a member has stated its role in an answer that it wrote at `at` or later, beside this
+    /// position. An answer with an impossible position is corrupt, and its role is not believed.
+    pub fn role_stated(&mut self, now: Micros, id: MemberId, position: Option<Micros>, at: Micros) {
+        let Some(group) = self.members.get(&id).map(Member::group) else { return };
+        if position.is_some_and(|position| !self.is_position_possible(now, group, position)) {
+            return;
+        }
         if let Some(member) = self.members.get_mut(&id) {
             member.unread_answers.role_stated(at);
         }
@@ -22,7 +27,7 @@
         let Some(group) = self.members.get(&id).map(Member::group) else { return };
         let local = |position| self.offset(group).map(|offset| offset.local_earliest(now, position));
         let refreshed_at = position.and_then(local).unwrap_or_default();
-        self.role_stated(id, refreshed_at.min(written_at));
+        self.role_stated(now, id, position, refreshed_at.min(written_at));
     }
 
     /// Records that an answer of a member will not be read, which it may write until `until`.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -375,9 +375,9 @@
         self.drive(now, Event::LateAnswer { member, answer });
     }
 
-    /// Records that a member has stated its role in an answer that it wrote at `at` or later.
-    pub fn role_stated(&mut self, member: MemberId, at: Micros) {
-        self.router.role_stated(member, at);
+    /// Records that a member has stated its role in an answer that it wrote at `at` or later, beside this position.
+    pub fn role_stated(&mut self, now: Micros, member: MemberId, position: Option<Micros>, at: Micros) {
+        self.router.role_stated(now, member, position, at);
     }
 
     /// Records that a member has stated its role in a health report that it wrote at `written_at` or later, beside this
--- a/src/net/event_loop/hosts.rs
+++ b/src/net/event_loop/hosts.rs
@@ -114,7 +114,8 @@
                 self.release_connection(id);
                 match task {
                     HostTask::Attempt(request_id) => {
-                        self.note_role_stated(member, response.role, written_after);
+                        let position = self.to_position(response.position);
+                        self.note_role_stated(member, response.role, position, written_after);
                         self.handle_response(request_id, member, response);
                     }
                     HostTask::HealthCheck => self.handle_health_response(member, response, written_after),
--- a/src/net/event_loop/late_answers.rs
+++ b/src/net/event_loop/late_answers.rs
@@ -121,16 +121,22 @@
         self.counts.late_answers += 1;
         self.log_late_answer(member, &answer);
         match query.request {
-            Some(_) => self.note_role_stated(member, role, written_after),
+            Some(_) => self.note_role_stated(member, role, answer.position, written_after),
             None => self.note_role_reported(member, role, answer.position, written_after),
         }
         self.balancer.late_answer_read(self.now, member, answer);
     }
 
     /// Records that a host has stated its role in an answer that it wrote at `written_after` or later.
-    pub(super) fn note_role_stated(&mut self, member: MemberId, role: Option<Role>, written_after: Micros) {
+    pub(super) fn note_role_stated(
+        &mut self,
+        member: MemberId,
+        role: Option<Role>,
+        position: Option<Micros>,
+        written_after: Micros,
+    ) {
         if role.is_some() {
-            self.balancer.role_stated(member, written_after);
+            self.balancer.role_stated(self.now, member, position, written_after);
         }
     }
 
--- a/tests/harness/former_primary.rs
+++ b/tests/harness/former_primary.rs
@@ -17,6 +17,8 @@
 const NETWORK: Duration = Duration::from_micros(780);
 /// Size of a value whose answer is written whole although its client reads nothing.
 const LONG_VALUE_BYTES: usize = 4 * 1024 * 1024;
+/// How far an impossible position is ahead of the log, in milliseconds.
+const IMPOSSIBLE_LEAD_MS: u64 = 3_600_000;
 /// Age of a report at the hand-over, in milliseconds.
 const OLD_REPORT_MS: u64 = 50;
 
@@ -39,6 +41,10 @@
     LongValue,
     /// The connection is reset in place of an answer.
     Reset,
+    /// A statement that arrives while the host is the primary is answered once it has handed over its role.
+    HeldUntilHandOver,
+    /// The answer claims that the host is the primary, at an impossible position.
+    Corrupt,
     /// The same as [`Behavior::AtEndOfSending`], and new connections are reset before a session is accepted.
     NoSessions,
 }
@@ -111,6 +117,10 @@
 /// Serves a connection of the gateway until its sending has ended.
 fn serve(mut connection: HostConnection, was_primary: bool, state: &Mutex<State>, answers: &Sender<()>) {
     while let Some(statement) = connection.next_statement() {
+        let is_held = was_primary && state.lock().expect("whole").behavior == Behavior::HeldUntilHandOver;
+        while is_held && state.lock().expect("whole").handed_over.is_none() {
+            std::thread::sleep(POLL_INTERVAL);
+        }
         let (handed_over, behavior, has_old_reports) = {
             let state = state.lock().expect("whole");
             (state.handed_over, state.behavior, state.has_old_reports)
@@ -127,7 +137,10 @@
             connection.send(&report);
             continue;
         }
-        let answer = answer_to(&statement, is_primary, position, behavior);
+        let answer = match behavior {
+            Behavior::Corrupt => answer_to(&statement, true, position + IMPOSSIBLE_LEAD_MS, behavior),
+            _ => answer_to(&statement, is_primary, position, behavior),
+        };
         let is_late_report = behavior == Behavior::LateReports && is_check;
         let is_late_answer =
             matches!(behavior, Behavior::AtEndOfSending | Behavior::CutOff | Behavior::NoSessions);
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -74,6 +74,21 @@
     /// Starts the gateway and sends requests until it knows the log's time. Then the primary hands over its role, and its
     /// data become too old.
     fn start(run: Run) -> Play {
+        let play = Play::start_with_primary(run);
+        play.group.set_behavior(run.behavior);
+        play.group.state.lock().expect("whole").has_old_reports = run.has_old_reports;
+        play.hand_over();
+        play
+    }
+
+    /// Has the primary hand over its role, and waits until its data are too old.
+    fn hand_over(&self) {
+        self.group.hand_over();
+        std::thread::sleep(BEFORE_FIRST_READ);
+    }
+
+    /// Starts the gateway and sends requests until it knows the log's time. The primary keeps its role.
+    fn start_with_primary(run: Run) -> Play {
         let (group, discovery) = (Group::start(), bind_loopback());
         let mut settings = settings();
         settings["Specifics"]["NeedsByClass"] = json!(["recent", "update", "latest", "update"]);
@@ -102,10 +117,6 @@
         }
         client.ask(&bounded_read(10_000));
         assert_eq!(client.answer().len(), 4, "the primary serves bounded reads");
-        play.group.set_behavior(run.behavior);
-        play.group.state.lock().expect("whole").has_old_reports = run.has_old_reports;
-        play.group.hand_over();
-        std::thread::sleep(BEFORE_FIRST_READ);
         play
     }
 
@@ -421,6 +432,19 @@
     }
 }
 
+/// Guards the same against an answer whose position is impossible: the role beside it is not believed either.
+#[test]
+fn a_corrupt_answer_confirms_nothing() {
+    let play = Play::start(Run::new("corrupt"));
+    play.lose_an_answer(200);
+    std::thread::sleep(BEFORE_FIRST_READ);
+    play.group.set_behavior(Behavior::Corrupt);
+    let mut client = play.process.client();
+    client.ask(&write());
+    client.answer();
+    play.assert_next_read_is_not_served();
+}
+
 /// Guards the same where what the previous process hears reaches the next one too late: it is stopped, with the answer
 /// in its socket.
 #[test]
