Answers to an ended process count as unread until its requests expire

Callers could see a bounded read served from old data after a hot restart: a host wrote the answer to a statement of the killed process after that process's end, having stated its old role to the next process in between.

Cause: what is left unread was counted up to the end of the process, where a connection that this process closes counts up to the time that its statement told.

Change: it counts up to the longest deadline of a class after the end, and the 50 ms by which time limits are longer on sockets.

--- a/src/balance/unread_answers.rs
+++ b/src/balance/unread_answers.rs
@@ -108,8 +108,11 @@
         self.has_other_process = exists;
     }
 
-    /// Records that another process of this gateway has ended at `now`, which may have left answers unread.
+    /// Records that another process of this gateway has ended at `now`. Members may still write answers to
+    /// its requests until these expire, and nobody reads them.
     pub fn peer_ended(&mut self, now: Micros) {
-        self.members.values_mut().for_each(|member| member.unread_answers.left_unread(now));
+        let longest_wait = self.settings.classes.iter().map(|class| class.deadline).max();
+        let until = now + longest_wait.unwrap_or_default();
+        self.members.values_mut().for_each(|member| member.unread_answers.left_unread(until));
     }
 }
--- a/src/net/event_loop/host_connection.rs
+++ b/src/net/event_loop/host_connection.rs
@@ -14,7 +14,7 @@
 /// The rest after an answer that came in pieces, as a multiple of the longest gap between two of them.
 const GAPS_PER_REST: f64 = 2.0;
 /// How much longer time limits are on sockets.
-const SOCKET_SLACK: Micros = Micros::millis(50);
+pub(super) const SOCKET_SLACK: Micros = Micros::millis(50);
 
 /// The present use of a connection to a host.
 #[derive(Clone, Copy, PartialEq)]
--- a/src/net/event_loop/shared_roles.rs
+++ b/src/net/event_loop/shared_roles.rs
@@ -1,6 +1,7 @@
 //! The roles of hosts, as far as both processes of a hot restart need them: what a host states in an answer to one of
 //! them, the other must know as well.
 
+use super::host_connection::SOCKET_SLACK;
 use super::mailboxes::WorkerMessage;
 use super::Gateway;
 use crate::hot_restart::message::{HostRole, Message};
@@ -68,7 +69,7 @@
     /// stated them again.
     pub(super) fn forget_roles_of_peer(&mut self) {
         self.workers.send_to_others(self.this_worker, || WorkerMessage::PeerEnded);
-        self.balancer.peer_ended(self.now);
+        self.balancer.peer_ended(self.now + SOCKET_SLACK);
     }
 
     fn host_role(&self, member: MemberId) -> Option<HostRole> {
--- a/src/net/event_loop/worker_messages.rs
+++ b/src/net/event_loop/worker_messages.rs
@@ -1,6 +1,7 @@
 //! Handles the messages of other workers, and sends requests to the worker that owns their group.
 
 use super::connections::ConnectionId;
+use super::host_connection::SOCKET_SLACK;
 use super::mailboxes::{Abandonment, Commit, FinalAnswer, Owner, RequestMessage, WorkerMessage};
 use super::{Gateway, Phase};
 use crate::pg::codec::CancelKey;
@@ -65,7 +66,7 @@
             WorkerMessage::ShareRoles(roles) => self.share_roles(roles),
             WorkerMessage::ShareAllRoles => self.share_all_roles(),
             WorkerMessage::RecordRoles(roles) => self.record_roles(roles),
-            WorkerMessage::PeerEnded => self.balancer.peer_ended(self.now),
+            WorkerMessage::PeerEnded => self.balancer.peer_ended(self.now + SOCKET_SLACK),
             WorkerMessage::CollectSnapshot => self.send_worker_snapshot(),
             WorkerMessage::Snapshot(snapshot) => self.add_worker_snapshot(*snapshot),
             WorkerMessage::HandOverClient(client) => self.send_client(*client),
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -432,6 +432,26 @@
     }
 }
 
+/// Guards the same where the host writes its answer after the process has been killed, and has stated its old role to the
+/// next process in between.
+#[test]
+fn what_a_host_writes_to_a_killed_process_is_not_forgotten() {
+    let mut play = Play::start_with_primary(Run::new("late"));
+    play.group.set_behavior(Behavior::HeldUntilHandOver);
+    let mut client = play.process.client();
+    client.ask(&bounded_read(10_000));
+    std::thread::sleep(Duration::from_millis(50));
+    let mut previous = play.start_next_process();
+    play.group.set_behavior(Behavior::Prompt);
+    previous.signal(Signal::KILL);
+    previous.child.wait().expect("its own child");
+    let mut other = play.process.client();
+    other.ask(&strong_read(10_000));
+    assert!(is_served(&mut other), "by the primary");
+    play.hand_over();
+    play.assert_next_read_is_not_served();
+}
+
 /// Guards the same against an answer whose position is impossible: the role beside it is not believed either.
 #[test]
 fn a_corrupt_answer_confirms_nothing() {
