--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -29,6 +29,8 @@
 const BEFORE_NEXT_READ: Duration = Duration::from_millis(450);
 /// How long that read's client waits, in milliseconds: long enough for it to be queued.
 const NEXT_READ_WAIT_MS: u32 = 5_000;
+/// Longer than a statement takes to its host.
+const ARRIVAL: Duration = Duration::from_millis(50);
 /// Longer than a host stays ejected after its first failures.
 const AFTER_EJECTION_MS: u32 = 4_000;
 /// Number of clients that leave at once: more than answers are read of one host.
@@ -151,13 +153,22 @@
         assert!(!is_served, "served from old data by a host that had told its role\n{}", self.process.log());
     }
 
+    /// Sends a bounded read that arrives at the old primary, which behaves like this from now on.
+    fn begin_read(&self, behavior: Behavior) -> ClientConnection {
+        self.group.set_behavior(behavior);
+        let mut client = self.process.client();
+        client.ask(&bounded_read(10_000));
+        std::thread::sleep(ARRIVAL);
+        client
+    }
+
     /// Abandons a bounded read at the old primary, whose answer is lost and was expected within this time.
     fn lose_an_answer(&self, wait_ms: u32) {
         let behavior = self.group.state.lock().expect("whole").behavior;
         self.group.set_behavior(Behavior::CutOff);
         let mut client = self.process.client();
         client.ask(&bounded_read(wait_ms));
-        std::thread::sleep(Duration::from_millis(50));
+        std::thread::sleep(ARRIVAL);
         drop(client);
         self.group.wait_for_answer();
         self.group.set_behavior(behavior);
@@ -211,7 +222,7 @@
         play.group.set_behavior(Behavior::AtEndOfSending);
         let (mut client, key) = connect_with_key(play.process.address);
         client.ask(&bounded_read(10_000));
-        std::thread::sleep(Duration::from_millis(50));
+        std::thread::sleep(ARRIVAL);
         cancel(play.process.address, key);
         assert_eq!(client.code(), "57014");
         play.group.wait_for_answer();
@@ -223,10 +234,7 @@
 #[test]
 fn an_answer_that_is_written_after_its_client_has_left_is_read() {
     let play = Play::start(Run::new("left"));
-    play.group.set_behavior(Behavior::AtEndOfSending);
-    let mut client = play.process.client();
-    client.ask(&bounded_read(10_000));
-    std::thread::sleep(Duration::from_millis(50));
+    let client = play.begin_read(Behavior::AtEndOfSending);
     drop(client);
     play.group.wait_for_answer();
     play.assert_next_read_is_not_served();
@@ -250,10 +258,7 @@
 #[test]
 fn a_primary_whose_answer_was_lost_is_not_relied_on() {
     let play = Play::start(Run::new("cut"));
-    play.group.set_behavior(Behavior::CutOff);
-    let mut client = play.process.client();
-    client.ask(&bounded_read(10_000));
-    std::thread::sleep(Duration::from_millis(50));
+    let client = play.begin_read(Behavior::CutOff);
     drop(client);
     play.group.wait_for_answer();
     play.assert_next_read_is_not_served();
@@ -266,7 +271,7 @@
     play.group.set_behavior(Behavior::AtEndOfSending);
     let mut clients: Vec<ClientConnection> = (0..ABANDONED).map(|_| play.process.client()).collect();
     clients.iter_mut().for_each(|client| client.ask(&strong_read(10_000)));
-    std::thread::sleep(Duration::from_millis(100));
+    std::thread::sleep(2 * ARRIVAL);
     drop(clients);
     play.group.wait_for_answer();
     play.assert_next_read_is_not_served();
@@ -325,10 +330,7 @@
 /// it tells is known once the host is listed again.
 fn assert_known_after_return(name: &'static str, take_out: impl Fn(&mut serde_json::Value)) {
     let play = Play::start(Run::new(name));
-    play.group.set_behavior(Behavior::AtEndOfSending);
-    let mut client = play.process.client();
-    client.ask(&bounded_read(10_000));
-    std::thread::sleep(Duration::from_millis(50));
+    let client = play.begin_read(Behavior::AtEndOfSending);
     let mut list = listing(&play.group.endpoints);
     list["rev"] = json!(5);
     let mut without = list.clone();
@@ -346,10 +348,7 @@
 #[test]
 fn an_answer_under_way_from_a_host_that_is_put_down_is_read() {
     let play = Play::start(Run::new("down"));
-    play.group.set_behavior(Behavior::AtEndOfSending);
-    let mut client = play.process.client();
-    client.ask(&bounded_read(10_000));
-    std::thread::sleep(Duration::from_millis(50));
+    let client = play.begin_read(Behavior::AtEndOfSending);
     assert!(set_host_state(play.process.admin, "down", "s-0"));
     drop(client);
     play.group.wait_for_answer();
@@ -361,10 +360,7 @@
 #[test]
 fn an_answer_under_way_from_an_ejected_host_is_read() {
     let play = Play::start(Run::new("ejected"));
-    play.group.set_behavior(Behavior::NoSessions);
-    let mut leaving = play.process.client();
-    leaving.ask(&bounded_read(10_000));
-    std::thread::sleep(Duration::from_millis(50));
+    let leaving = play.begin_read(Behavior::NoSessions);
     let mut failing = play.process.client();
     while metric(play.process.admin, "pool_ejected") == 0 {
         failing.ask(&bounded_read(400));
@@ -402,10 +398,7 @@
 fn what_the_previous_process_reads_is_known_to_the_next_one() {
     for cores in [1, 2] {
         let mut play = Play::start(Run { cores, ..Run::new("restart") });
-        play.group.set_behavior(Behavior::Held);
-        let mut client = play.process.client();
-        client.ask(&bounded_read(10_000));
-        std::thread::sleep(Duration::from_millis(50));
+        let mut client = play.begin_read(Behavior::Held);
         let _previous = play.start_next_process();
         play.group.set_behavior(Behavior::Prompt);
         assert_eq!(client.answer().len(), 4, "served by the previous process");
@@ -418,10 +411,7 @@
 fn what_a_killed_process_has_left_unread_is_not_relied_on() {
     for cores in [1, 2] {
         let mut play = Play::start(Run { cores, ..Run::new("killed") });
-        play.group.set_behavior(Behavior::Held);
-        let mut client = play.process.client();
-        client.ask(&bounded_read(10_000));
-        std::thread::sleep(Duration::from_millis(50));
+        let _client = play.begin_read(Behavior::Held);
         let mut previous = play.start_next_process();
         previous.signal(Signal::STOP);
         play.group.set_behavior(Behavior::Prompt);
@@ -437,10 +427,7 @@
 #[test]
 fn what_a_host_writes_to_a_killed_process_is_not_forgotten() {
     let mut play = Play::start_with_primary(Run::new("late"));
-    play.group.set_behavior(Behavior::HeldUntilHandOver);
-    let mut client = play.process.client();
-    client.ask(&bounded_read(10_000));
-    std::thread::sleep(Duration::from_millis(50));
+    let _client = play.begin_read(Behavior::HeldUntilHandOver);
     let mut previous = play.start_next_process();
     play.group.set_behavior(Behavior::Prompt);
     previous.signal(Signal::KILL);
@@ -471,10 +458,7 @@
 fn what_a_stopped_process_has_not_passed_on_is_not_relied_on() {
     for cores in [1, 2] {
         let mut play = Play::start(Run { cores, ..Run::new("stopped") });
-        play.group.set_behavior(Behavior::Held);
-        let mut client = play.process.client();
-        client.ask(&bounded_read(10_000));
-        std::thread::sleep(Duration::from_millis(50));
+        let _client = play.begin_read(Behavior::Held);
         let previous = play.start_next_process();
         previous.signal(Signal::STOP);
         play.group.set_behavior(Behavior::Prompt);
@@ -488,10 +472,7 @@
 #[test]
 fn what_an_ended_process_has_left_unread_is_not_relied_on() {
     let mut play = Play::start(Run::new("ended"));
-    play.group.set_behavior(Behavior::Held);
-    let mut client = play.process.client();
-    client.ask(&bounded_read(10_000));
-    std::thread::sleep(Duration::from_millis(50));
+    let _client = play.begin_read(Behavior::Held);
     let mut previous = play.start_next_process();
     previous.signal(Signal::TERM);
     previous.child.wait().expect("its own child");
