--- a/src/net/event_loop/requests.rs
+++ b/src/net/event_loop/requests.rs
@@ -362,8 +362,8 @@
         }
     }
 
-    /// Ends a request's attempt. If its query was written, nobody is served from the connection any more. A connection that is still being
-    /// opened has carried nothing and may serve another request.
+    /// Ends a request's attempt. If its query was written, nobody is served from the connection any more. One that is
+    /// still being opened has carried nothing and may serve another request.
     pub(super) fn cancel_attempt(&mut self, request_id: RequestId) {
         if let Some(host) = self.requests.end_attempt(request_id) {
             self.release_connection(host);
